--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test fix check
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+	    -c constraints.txt 'pip>=25.1'
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+	    -c constraints.txt --group test --group lint -e '.[report]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo
+
+check: $(STAMP)
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/isort --check-only -q src tests bench
+	$(BIN)/flake8 src tests bench
+	$(BIN)/mypy
+
+fix: $(STAMP)
+	$(BIN)/ruff format src tests bench
+	$(BIN)/isort -q src tests bench
+
+test: check
+	$(BIN)/python -m pytest
--- /dev/null
+++ b/src/teaselbridge/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for deadline-bound work on reclaimable hosts."""
--- /dev/null
+++ b/src/teaselbridge/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' HTTP interface."""
--- /dev/null
+++ b/src/teaselbridge/admin/status.py
@@ -0,0 +1,68 @@
+"""What a node knows, as a document for operators."""
+
+from __future__ import annotations
+
+import typing
+
+from teaselbridge.admin import models
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import servers
+    from teaselbridge.decisions import state as states
+    from teaselbridge.peers import messages
+
+
+def describe(state: states.State, now: clock.Instant) -> models.NodeStatus:
+    """Describe a node and its surroundings."""
+    me = state.options.me
+    members = (state.membership.me, *state.membership.all)
+    return models.NodeStatus(
+        node=me.name,
+        zone=me.zone,
+        generation=state.index.generation,
+        ready=is_ready(state),
+        draining=state.drain is not None,
+        withdrawn=state.membership.withdrawn,
+        keyvalue_up=state.keyvalue_up,
+        held=len(state.requests),
+        queued=len(state.queue),
+        members=tuple(_member(member) for member in members),
+        servers=tuple(
+            _server(server, now.mono) for server in state.servers.all
+        ),
+    )
+
+
+def is_ready(state: states.State) -> bool:
+    """Tell whether the node takes new work."""
+    return (
+        state.configured
+        and state.drain is None
+        and not state.membership.withdrawn
+    )
+
+
+def _member(member: messages.Member) -> models.MemberStatus:
+    return models.MemberStatus(
+        name=member.name,
+        zone=member.zone,
+        region=member.region,
+        status=member.status.name.lower(),
+        draining=member.draining,
+        callers=member.callers,
+        admin=member.admin,
+    )
+
+
+def _server(server: servers.Server, mono: int) -> models.ServerStatus:
+    return models.ServerStatus(
+        host=server.host,
+        pool=server.row.pool,
+        version=server.version,
+        zone=server.row.zone,
+        inflight=server.inflight,
+        slots=server.slots,
+        leaving=server.leaving,
+        ejected=server.ejected_until > mono,
+    )
--- /dev/null
+++ b/src/teaselbridge/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for backend servers."""
--- /dev/null
+++ b/src/teaselbridge/backends/engine.py
@@ -0,0 +1,155 @@
+"""Client of model engines with an OpenAI-shaped streaming interface."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import typing
+
+import httpx
+import httpx_sse
+import msgspec
+
+from teaselbridge.backends import faults
+from teaselbridge import clock
+from teaselbridge.decisions import events
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from teaselbridge.decisions import effects
+
+CHAT_PATH = '/v1/chat/completions'
+DONE = '[DONE]'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Details:
+    cached_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Usage:
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _Details = _Details()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Delta:
+    content: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Choice:
+    text: str = ''
+    delta: _Delta = _Delta()
+    finish_reason: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Chunk:
+    choices: tuple[_Choice, ...] = ()
+    usage: _Usage | None = None
+
+
+async def run(
+    client: httpx.AsyncClient,
+    effect: effects.StartAttempt,
+    post: collections.abc.Callable[[events.Event], None],
+) -> None:
+    """Run an attempt and post its tokens, its end or its fault.
+
+    :param client: keeps connections to the engines.
+    :param effect: what to run.
+    :param post: takes the events.
+    """
+    try:
+        async with asyncio.timeout(clock.seconds(effect.first_ms)) as limit:
+            await _stream(client, effect, post, limit)
+    except (httpx.HTTPError, TimeoutError, faults.BackendError) as error:
+        fault = await faults.explain(error, effect.address)
+        post(events.AttemptFailed(effect.call.handle, effect.attempt, fault))
+
+
+def continuation(
+    body: bytes, path: str, sent: collections.abc.Sequence[str]
+) -> bytes:
+    """Build the body of an attempt: prompt and tokens that were sent.
+
+    :param body: the caller's body.
+    :param path: chat or plain completion.
+    :param sent: tokens that the caller has.
+    :return: body that asks for the rest, as a stream.
+    """
+    document = msgspec.json.decode(body)
+    document['stream'] = True
+    document['stream_options'] = {'include_usage': True}
+    document.pop('resume_tokens', None)
+    if not sent:
+        return msgspec.json.encode(document)
+    text = ''.join(sent)
+    if 'max_tokens' in document:
+        document['max_tokens'] = max(1, document['max_tokens'] - len(sent))
+    if path.startswith(CHAT_PATH):
+        part = {'role': 'assistant', 'content': text}
+        document['messages'] = [*document['messages'], part]
+        document['continue_final_message'] = True
+        document['add_generation_prompt'] = False
+    else:
+        document['prompt'] = document['prompt'] + text
+    return msgspec.json.encode(document)
+
+
+async def _stream(
+    client: httpx.AsyncClient,
+    effect: effects.StartAttempt,
+    post: collections.abc.Callable[[events.Event], None],
+    limit: asyncio.Timeout,
+) -> None:
+    call = effect.call
+    loop = asyncio.get_running_loop()
+    between = clock.seconds(effect.between_ms)
+    url = f'http://{effect.address}{call.path}'
+    headers = {
+        'content-type': 'application/json',
+        'x-request-id': call.key.id,
+        'x-priority': str(call.route.priority),
+    }
+    content = continuation(call.body, call.path, effect.sent)
+    finish = ''
+    usage = _Usage()
+    async with client.stream(
+        'POST', url, content=content, headers=headers
+    ) as response:
+        await faults.check_status(response)
+        source = httpx_sse.EventSource(response)
+        async for item in source.aiter_sse():
+            if item.data == DONE:
+                break
+            chunk = _decode(item.data)
+            usage = chunk.usage or usage
+            for choice in chunk.choices:
+                limit.reschedule(loop.time() + between)
+                finish = choice.finish_reason or finish
+                text = choice.text or choice.delta.content
+                if text:
+                    post(events.TokenCame(call.handle, effect.attempt, text))
+        else:
+            raise faults.StreamCutError()
+    post(
+        events.StreamEnded(
+            call.handle,
+            effect.attempt,
+            finish or 'stop',
+            usage.prompt_tokens_details.cached_tokens,
+            usage.prompt_tokens,
+        )
+    )
+
+
+def _decode(data: str) -> _Chunk:
+    try:
+        return msgspec.json.decode(data, type=_Chunk)
+    except msgspec.DecodeError as error:
+        raise faults.MalformedError(str(error)) from error
--- /dev/null
+++ b/src/teaselbridge/backends/service.py
@@ -0,0 +1,100 @@
+"""Client of plain services: one request, one whole answer."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import httpx
+
+from teaselbridge.backends import faults
+from teaselbridge import clock
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import events
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from teaselbridge.decisions import effects
+
+CONNECT_MS = 1_000
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'content-encoding',
+        'content-length',
+        'date',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'server',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+
+
+async def run(
+    client: httpx.AsyncClient,
+    effect: effects.StartAttempt,
+    post: collections.abc.Callable[[events.Event], None],
+) -> None:
+    """Run an attempt and post its answer or its fault.
+
+    :param client: keeps connections to the services.
+    :param effect: what to run; ``fresh`` asks for a new connection.
+    :param post: takes the events.
+    """
+    handle = effect.call.handle
+    try:
+        async with asyncio.timeout(clock.seconds(effect.first_ms)):
+            response = await _send(client, effect)
+        answer = _answer(response)
+    except (httpx.HTTPError, TimeoutError, faults.BackendError) as error:
+        fault = await faults.explain(error, effect.address)
+        post(events.AttemptFailed(handle, effect.attempt, fault))
+        return
+    post(events.AnswerCame(handle, effect.attempt, answer))
+
+
+async def _send(
+    client: httpx.AsyncClient, effect: effects.StartAttempt
+) -> httpx.Response:
+    call = effect.call
+    headers = [(header.name, header.value) for header in call.headers]
+    headers.append(('x-request-id', call.key.id))
+    if not call.route.idempotent:
+        headers.append(('idempotency-key', call.key.id))
+    url = f'http://{effect.address}{call.path}'
+    if not effect.fresh:
+        return await client.request(
+            call.method, url, content=call.body, headers=headers
+        )
+    async with fresh_client(effect.first_ms) as own:
+        return await own.request(
+            call.method, url, content=call.body, headers=headers
+        )
+
+
+def fresh_client(timeout_ms: int) -> httpx.AsyncClient:
+    """Make a client whose connection nobody used before."""
+    timeout = httpx.Timeout(
+        clock.seconds(timeout_ms), connect=clock.seconds(CONNECT_MS)
+    )
+    return httpx.AsyncClient(timeout=timeout, trust_env=False, verify=False)
+
+
+def _answer(response: httpx.Response) -> calls.Answer:
+    """Take over an answer, or refuse one that says it was not run."""
+    ran = faults.ran_of(response)
+    if response.status_code in faults.BUSY and ran is calls.Ran.NO:
+        raise faults.StatusError(response.status_code, ran)
+    headers = tuple(
+        calls.Header(name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in HOP_BY_HOP
+    )
+    return calls.Answer(response.status_code, headers, response.content)
--- /dev/null
+++ b/src/teaselbridge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: one module per command."""
--- /dev/null
+++ b/src/teaselbridge/cli/main.py
@@ -0,0 +1,71 @@
+"""Entry point of the command line."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+import typing
+
+import click
+
+from teaselbridge import errors
+from teaselbridge import version
+
+if typing.TYPE_CHECKING:
+    import types
+
+EXIT_USAGE = 2
+
+COMMANDS = (
+    'config',
+    'drain',
+    'load',
+    'serve',
+    'settings',
+    'standins',
+    'status',
+    'timeline',
+)
+
+
+class Commands(click.Group):
+    """Loads the module of a command only when it is used.
+
+    A node must not carry the memory of what it does not use.
+    """
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """List the names of all commands."""
+        return list(COMMANDS)
+
+    def get_command(
+        self, ctx: click.Context, cmd_name: str
+    ) -> click.Command | None:
+        """Load a command."""
+        if cmd_name not in COMMANDS:
+            return None
+        module: types.ModuleType = importlib.import_module(
+            f'teaselbridge.cli.{cmd_name}'
+        )
+        command: click.Command = module.command()
+        return command
+
+
+@click.group(cls=Commands)
+@click.version_option(version.__version__)
+def cli() -> None:
+    """Serve deadline-bound work on reclaimable hosts."""
+
+
+def main() -> None:
+    """Run the command line; a typed error ends it with exit code 2."""
+    try:
+        cli.main(standalone_mode=False)
+    except click.ClickException as error:
+        error.show()
+        sys.exit(error.exit_code)
+    except click.Abort:
+        sys.exit(1)
+    except errors.TeaselbridgeError as error:
+        click.echo(f'{type(error).__name__}: {error}', err=True)
+        sys.exit(EXIT_USAGE)
--- /dev/null
+++ b/src/teaselbridge/cli/status.py
@@ -0,0 +1,88 @@
+"""``teaselbridge status``: nodes, servers and generations at a glance."""
+
+from __future__ import annotations
+
+import asyncio
+
+import click
+import msgspec
+
+from teaselbridge.admin import models
+from teaselbridge.cli import remote
+
+
+def command() -> click.Command:
+    """Build the command."""
+
+    @click.command('status')
+    @click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
+    @remote.options
+    def status(as_json: bool, address: str, key: str, ca: str) -> None:
+        """Show all nodes and backend servers."""
+        target = remote.Target(address, key, ca)
+        found = asyncio.run(
+            remote.gather(target, '/v1/status', models.NodeStatus)
+        )
+        if as_json:
+            click.echo(msgspec.json.encode(_plain(found)))
+            return
+        _print_nodes(found)
+        _print_servers(found)
+
+    return status
+
+
+def _plain(
+    found: dict[str, models.NodeStatus | remote.RemoteError],
+) -> dict[str, models.NodeStatus | str]:
+    return {
+        name: str(answer) if isinstance(answer, remote.RemoteError) else answer
+        for name, answer in found.items()
+    }
+
+
+def _print_nodes(
+    found: dict[str, models.NodeStatus | remote.RemoteError],
+) -> None:
+    click.echo('node              zone            gen  held queue state')
+    for name, answer in sorted(found.items()):
+        if isinstance(answer, remote.RemoteError):
+            click.echo(f'{name:<17} no answer: {answer.detail}')
+            continue
+        click.echo(
+            f'{name:<17} {answer.zone:<15} {answer.generation:<4} '
+            f'{answer.held:<4} {answer.queued:<5} {_state(answer)}'
+        )
+
+
+def _state(answer: models.NodeStatus) -> str:
+    words = []
+    if answer.draining:
+        words.append('draining')
+    if answer.withdrawn:
+        words.append('withdrawn')
+    if not answer.keyvalue_up:
+        words.append('key-value service down')
+    return ', '.join(words) or ('ready' if answer.ready else 'not ready')
+
+
+def _print_servers(
+    found: dict[str, models.NodeStatus | remote.RemoteError],
+) -> None:
+    rows: dict[str, models.ServerStatus] = {}
+    inflight: dict[str, int] = {}
+    for answer in found.values():
+        if isinstance(answer, remote.RemoteError):
+            continue
+        for server in answer.servers:
+            rows[server.host] = server
+            total = inflight.get(server.host, 0) + server.inflight
+            inflight[server.host] = total
+    click.echo('\nserver            pool          version  zone          work')
+    for host, server in sorted(rows.items()):
+        state = ' leaving' if server.leaving else ''
+        state += ' ejected' if server.ejected else ''
+        click.echo(
+            f'{host:<17} {server.pool:<13} {server.version:<8} '
+            f'{server.zone:<13} {inflight[host]}/{server.slots}{state}'
+        )
--- /dev/null
+++ b/src/teaselbridge/client/__init__.py
@@ -0,0 +1,1 @@
+"""Library for callers."""
--- /dev/null
+++ b/src/teaselbridge/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic: one reducer over all events, without I/O."""
--- /dev/null
+++ b/src/teaselbridge/decisions/arrival.py
@@ -0,0 +1,90 @@
+"""What happens when a request arrives."""
+
+from __future__ import annotations
+
+import typing
+
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import drain
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import orders
+from teaselbridge.decisions import requests
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import events
+    from teaselbridge.decisions import state as states
+
+
+def arrive(
+    state: states.State, event: events.CallArrived, now: clock.Instant
+) -> list[effects.Effect]:
+    """Accept a request, refuse it, or join it with one held already."""
+    call = event.call
+    held = _find_held(state, call)
+    if held is not None:
+        return requests.attach(state, held, call)
+    request = requests.Request(call=call, now=now)
+    state.requests[call.handle] = request
+    out: list[effects.Effect] = [
+        effects.Count(effects.Counter.ARRIVED, call.route.name),
+        _record(call),
+    ]
+    if drain.is_closed(state, now):
+        return out + drain.turn_away(state, request)
+    refusal = requests.check(state, call, now)
+    if refusal is not None:
+        return out + requests.refuse(state, request, refusal)
+    out += _make_room(state, request, now)
+    if call.handle not in state.requests:
+        return out
+    state.held.setdefault(call.key, call.handle)
+    state.budgets.earn(call.route)
+    if request.is_order:
+        return out + orders.claim(state, request, now)
+    requests.enqueue(state, request)
+    return out
+
+
+def _find_held(
+    state: states.State, call: calls.Call
+) -> requests.Request | None:
+    handle = state.held.get(call.key)
+    if handle is None:
+        return None
+    request = state.requests.get(handle)
+    if request is None or request.attached or request.is_order:
+        return None
+    if len(call.resumed) > len(request.tokens):
+        return None
+    return request
+
+
+def _make_room(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Shed the least urgent request where the queue is full."""
+    if len(state.queue) < state.options.queue:
+        return []
+    worst = state.queue.worst()
+    shed = request
+    priority = request.call.route.priority
+    if worst is not None and worst.route.priority > priority:
+        shed = state.requests[worst.handle]
+    refusal = calls.Refusal(
+        calls.Reason.OVERLOAD,
+        shed.ran,
+        'the queue is full',
+        requests.RETRY_AFTER_MS,
+    )
+    return orders.give_up(state, shed, refusal, now)
+
+
+def _record(call: calls.Call) -> effects.Record:
+    return effects.Record(
+        mark=effects.Mark.ARRIVED,
+        request=call.key.id,
+        route=call.route.name,
+        pool=call.route.pool,
+        detail=f'workspace {call.key.workspace}',
+    )
--- /dev/null
+++ b/src/teaselbridge/decisions/configuration.py
@@ -0,0 +1,113 @@
+"""Which configuration is in force; its generation only goes up.
+
+Two nodes of each availability zone, chosen by rendezvous hashing, watch the
+key-value service. All others hear of a new generation by gossip and fetch
+it from whom they heard it.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import placement
+from teaselbridge.decisions import tickets
+from teaselbridge.peers import messages
+from teaselbridge.tables import join
+from teaselbridge.tables import model
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import state as states
+
+KEY = '/teaselbridge/configuration'
+WATCHERS_PER_ZONE = 2
+
+
+def decode(value: bytes | None) -> model.Configuration:
+    """Decode the stored configuration, generation 0 where there is none."""
+    if value is None:
+        return model.Configuration()
+    return msgspec.json.decode(value, type=model.Configuration)
+
+
+def adopt(
+    state: states.State,
+    found: model.Configuration,
+    cause: str,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Put a configuration in force if it is newer.
+
+    :param cause: where it came from, for the time line.
+    """
+    state.configured = True
+    if found.generation <= state.index.generation:
+        return []
+    state.index = join.Index(configuration=found)
+    state.membership.news.add_generation(found.generation)
+    detail = f'generation {found.generation} from {cause}'
+    return [
+        effects.UseConfiguration(found),
+        effects.Record(mark=effects.Mark.CONFIGURATION, detail=detail),
+    ]
+
+
+def read(
+    state: states.State, event: events.KeyRead, now: clock.Instant
+) -> list[effects.Effect]:
+    """The key-value service told what stands."""
+    found = decode(event.value)
+    return adopt(state, found, 'key-value service', now)
+
+
+def hear(
+    state: states.State, generation: int, reply_to: str
+) -> list[effects.Effect]:
+    """A peer knows of a generation: fetch it if it is newer.
+
+    :param reply_to: ``ip:port`` of the peer's zmq socket.
+    """
+    if generation <= state.index.generation or not reply_to:
+        return []
+    message = messages.ConfigurationAsked(
+        have=state.index.generation, reply_to=state.options.me.peers
+    )
+    return [effects.SendPeer(reply_to, message)]
+
+
+def tell(
+    state: states.State, message: messages.ConfigurationAsked
+) -> list[effects.Effect]:
+    """A peer asks for the configuration."""
+    if state.index.generation < message.have or not state.configured:
+        return []
+    answer = messages.ConfigurationSent(
+        configuration=state.index.configuration
+    )
+    return [effects.SendPeer(message.reply_to, answer)]
+
+
+def is_watcher(state: states.State) -> bool:
+    """Tell whether this node watches the key-value service."""
+    me = state.options.me
+    zone = [
+        member.name
+        for member in state.membership.alive
+        if member.zone == me.zone
+    ]
+    zone.append(me.name)
+    order = sorted(
+        set(zone),
+        key=lambda name: placement.hash_of('watcher', name),
+        reverse=True,
+    )
+    return me.name in order[:WATCHERS_PER_ZONE]
+
+
+def read_now() -> list[effects.Effect]:
+    """Read the configuration at once."""
+    return [effects.ReadKey(tickets.WatchTicket(), KEY)]
--- /dev/null
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -0,0 +1,155 @@
+"""Sending of waiting requests to backend servers."""
+
+from __future__ import annotations
+
+import typing
+
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import orders
+from teaselbridge.decisions import placement
+from teaselbridge.decisions import requests
+from teaselbridge.decisions import versions
+from teaselbridge.tables import model
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import servers
+    from teaselbridge.decisions import state as states
+
+FIRST_FACTOR = 10
+FIRST_LEAST_MS = 2_000
+FIRST_MOST_MS = 15_000
+BETWEEN_FACTOR = 20
+BETWEEN_LEAST_MS = 500
+BETWEEN_MOST_MS = 5_000
+
+
+def pump(state: states.State, now: clock.Instant) -> list[effects.Effect]:
+    """Send as many waiting requests as the servers have room for."""
+    out: list[effects.Effect] = []
+    for pool in state.queue.pools():
+        while True:
+            call = state.queue.peek(pool)
+            if call is None:
+                break
+            request = state.requests[call.handle]
+            if _is_hopeless(state, request, now):
+                out += _give_up(state, request, now)
+                continue
+            server = choose(state, request, now)
+            if server is None:
+                break
+            out += _start(state, request, server, now)
+    return out
+
+
+def choose(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> servers.Server | None:
+    """Choose a backend server with room for a request.
+
+    :return: none where no server may take it now.
+    """
+    call = request.call
+    nodes = state.membership.nodes
+    usable = state.servers.usable(call.route.pool, now)
+    wanted = versions.narrow(state, call, usable)
+    candidates = [server for server in wanted if server.has_room(nodes)]
+    if state.poison.is_suspect(call.fingerprint):
+        candidates = [item for item in candidates if not item.suspects]
+    untried = [
+        server for server in candidates if server.host not in request.tried
+    ]
+    candidates = untried or candidates
+    if not candidates:
+        return None
+    view = placement.View(
+        call, state.random, state.rotation, state.options.me.zone
+    )
+    return state.options.policy(candidates, view)
+
+
+def _start(
+    state: states.State,
+    request: requests.Request,
+    server: servers.Server,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    call = request.call
+    state.queue.charge(call, state.index.weight_of(call.key.workspace))
+    state.queue.remove(request.handle)
+    waiting = state.queue.peek(call.route.pool) is not None
+    state.pace.dispatch(call.route.pool, now.mono, waiting)
+    request.phase = requests.Phase.RUNNING
+    request.attempt += 1
+    request.host = server.host
+    request.tried.append(server.host)
+    request.started = now.mono
+    request.progressed = now.mono
+    request.first = True
+    request.in_doubt = True
+    server.inflight += 1
+    if state.poison.is_suspect(call.fingerprint):
+        server.suspects += 1
+    return [
+        effects.Count(effects.Counter.ATTEMPTS, call.route.name),
+        _record(request, server),
+        effects.StartAttempt(
+            call=call,
+            attempt=request.attempt,
+            host=server.host,
+            address=server.row.address,
+            sent=tuple(request.tokens),
+            first_ms=_first_limit(state, request, now),
+            between_ms=_between_limit(state, request),
+            fresh=request.is_order,
+        ),
+    ]
+
+
+def _is_hopeless(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> bool:
+    service = state.pace.service(request.call, len(request.tokens))
+    return now.mono + service > request.call.deadline
+
+
+def _give_up(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    refusal = calls.Refusal(
+        calls.Reason.TOO_LATE,
+        request.ran,
+        'it cannot finish before its deadline any more',
+        requests.RETRY_AFTER_MS,
+    )
+    return orders.give_up(state, request, refusal, now)
+
+
+def _first_limit(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> int:
+    remaining = max(1, request.remaining(now))
+    if request.is_order or request.call.kind is model.Kind.SERVICE:
+        return remaining
+    usual = round(FIRST_FACTOR * state.pace.first_ms(request.call.route.name))
+    return min(remaining, FIRST_MOST_MS, max(FIRST_LEAST_MS, usual))
+
+
+def _between_limit(state: states.State, request: requests.Request) -> int:
+    usual = BETWEEN_FACTOR * state.pace.between_ms(request.call.route.name)
+    return min(BETWEEN_MOST_MS, max(BETWEEN_LEAST_MS, round(usual)))
+
+
+def _record(
+    request: requests.Request, server: servers.Server
+) -> effects.Record:
+    return effects.Record(
+        mark=effects.Mark.ATTEMPT,
+        request=request.call.key.id,
+        route=request.call.route.name,
+        pool=request.call.route.pool,
+        host=server.host,
+        detail=f'attempt {request.attempt}, {len(request.tokens)} sent',
+    )
--- /dev/null
+++ b/src/teaselbridge/decisions/drain.py
@@ -0,0 +1,267 @@
+"""Graceful stop of this node, and adoption of others' requests.
+
+A draining node leaves the address list, serves on for as long as callers
+may keep that list, and hands over what cannot finish before it must stop.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import membership
+from teaselbridge.decisions import orders
+from teaselbridge.decisions import requests
+from teaselbridge.peers import messages
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import events
+    from teaselbridge.decisions import state as states
+
+HAND_OVER_MS = 400
+STOP_MARGIN_MS = 1_500
+ADOPT_MS = 10_000
+LEAVE_MS = 200
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Drain:
+    """Progress of a graceful stop.
+
+    :param began: monotonic milliseconds.
+    :param by: monotonic milliseconds by which the node must have stopped.
+    :param stopped: whether the runtime was told to exit.
+    """
+
+    began: int
+    by: int
+    stopped: bool = False
+
+
+def ask(
+    state: states.State, event: events.DrainAsked, now: clock.Instant
+) -> list[effects.Effect]:
+    """Begin the graceful stop."""
+    if state.drain is not None:
+        state.drain.by = min(state.drain.by, event.by)
+        return []
+    state.drain = Drain(began=now.mono, by=event.by)
+    me = state.options.me
+    detail = f'{event.by - now.mono} ms left, {len(state.requests)} held'
+    return [
+        effects.Record(
+            mark=effects.Mark.NODE_DRAINING, host=me.name, detail=detail
+        ),
+        *membership.announce(
+            state, draining=True, status=messages.Status.ALIVE
+        ),
+    ]
+
+
+def is_closed(state: states.State, now: clock.Instant) -> bool:
+    """Tell whether new requests are turned away."""
+    drain = state.drain
+    if drain is None:
+        return False
+    listed_until = drain.began + state.options.address_ttl_ms
+    return now.mono >= min(listed_until, drain.by - STOP_MARGIN_MS)
+
+
+def turn_away(
+    state: states.State, request: requests.Request
+) -> list[effects.Effect]:
+    """Lead a new caller to another node, as nothing of it has run."""
+    peer = _choose_peer(state, request)
+    if peer is None:
+        refusal = calls.Refusal(
+            calls.Reason.STOPPING,
+            calls.Ran.NO,
+            'this node stops and knows no other',
+            requests.RETRY_AFTER_MS,
+        )
+        return requests.refuse(state, request, refusal)
+    out = requests.drop(state, request)
+    out.append(effects.Count(effects.Counter.MOVED, 'turned away'))
+    out.append(effects.SendMoved(request.outlet, peer.callers))
+    return out
+
+
+def tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
+    """Hand over what cannot finish here, and stop once nothing is left."""
+    drain = state.drain
+    if drain is None or drain.stopped:
+        return []
+    out: list[effects.Effect] = []
+    for request in list(state.requests.values()):
+        out += _move(state, request, now)
+    listed_until = drain.began + state.options.address_ttl_ms
+    settled = not state.requests and not state.ledger.open
+    if now.mono < drain.by and not (settled and now.mono >= listed_until):
+        return out
+    drain.stopped = True
+    out += membership.announce(
+        state, draining=True, status=messages.Status.LEFT
+    )
+    return [*out, effects.Stop()]
+
+
+def adopt(
+    state: states.State, message: messages.HandOver, now: clock.Instant
+) -> list[effects.Effect]:
+    """Take a request that another node can no longer hold."""
+    route = state.index.route(message.call.route.name)
+    taken = route is not None and state.drain is None
+    answer = messages.HandOverTaken(ticket=message.ticket, taken=taken)
+    out: list[effects.Effect] = [effects.SendPeer(message.reply_to, answer)]
+    if route is None or not taken or message.call.key in state.held:
+        return out
+    state.adopted -= 1
+    call = dataclasses.replace(
+        message.call,
+        handle=state.adopted,
+        route=route,
+        deadline=now.mono + message.remaining_ms,
+        resumed=message.tokens,
+    )
+    request = requests.Request(call=call, now=now)
+    request.attached = False
+    request.in_doubt = True
+    state.requests[call.handle] = request
+    state.held[call.key] = call.handle
+    requests.enqueue(state, request)
+    out.append(
+        _record(request, effects.Mark.ADOPTED, f'{len(message.tokens)} sent')
+    )
+    return out
+
+
+def taken(
+    state: states.State, message: messages.HandOverTaken, now: clock.Instant
+) -> list[effects.Effect]:
+    """A peer answered a hand-over."""
+    request = state.requests.get(message.ticket)
+    if request is None or request.phase is not requests.Phase.MOVING:
+        return []
+    if not message.taken:
+        request.due = now.mono
+        return []
+    out = requests.drop(state, request)
+    out.append(effects.Count(effects.Counter.MOVED, 'handed over'))
+    out.append(_record(request, effects.Mark.MOVED, request.peer))
+    if request.attached:
+        out.append(effects.SendMoved(request.outlet, request.peer))
+    return out
+
+
+def is_abandoned(request: requests.Request, now: clock.Instant) -> bool:
+    """Tell whether nobody came for an adopted request."""
+    if request.attached or request.is_order:
+        return False
+    return now.mono - request.arrived > ADOPT_MS
+
+
+def _move(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    match request.phase:
+        case requests.Phase.MOVING:
+            return _move_again(state, request, now)
+        case requests.Phase.QUEUED | requests.Phase.BACKOFF:
+            if request.is_order:
+                return _send_order_away(state, request, now)
+            if not _can_finish(state, request, now):
+                return _hand_over(state, request, now)
+        case requests.Phase.RUNNING:
+            if request.is_resumable and not _can_finish(state, request, now):
+                return _hand_over(state, request, now)
+    return []
+
+
+def _can_finish(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> bool:
+    """Tell whether a request ends here before the node must stop."""
+    assert state.drain is not None
+    left = state.drain.by - STOP_MARGIN_MS - now.mono
+    service = state.pace.service(request.call, len(request.tokens))
+    return service < left
+
+
+def _hand_over(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Stop the attempt first, so that both nodes agree on the tokens."""
+    peer = _choose_peer(state, request)
+    if peer is None:
+        return []
+    out = requests.release(state, request)
+    state.queue.remove(request.handle)
+    request.phase = requests.Phase.MOVING
+    request.peer = peer.callers
+    request.peers_tried.append(peer.name)
+    request.due = now.mono + HAND_OVER_MS
+    message = messages.HandOver(
+        ticket=request.handle,
+        reply_to=state.options.me.peers,
+        call=request.call,
+        remaining_ms=max(1, request.remaining(now)),
+        tokens=tuple(request.tokens),
+    )
+    return [*out, effects.SendPeer(peer.peers, message)]
+
+
+def _move_again(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """The peer did not take it: try another, or go on here."""
+    if request.due > now.mono:
+        return []
+    out = _hand_over(state, request, now)
+    if not out:
+        request.peers_tried.clear()
+        requests.enqueue(state, request)
+    return out
+
+
+def _send_order_away(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Close the unused claim of an order, then lead its caller on."""
+    peer = _choose_peer(state, request)
+    if peer is None:
+        return []
+    state.queue.remove(request.handle)
+    request.phase = requests.Phase.CLOSING
+    request.peer = peer.callers
+    return orders.close(state, request, now)
+
+
+def _choose_peer(
+    state: states.State, request: requests.Request
+) -> messages.Member | None:
+    peers = [
+        member
+        for member in state.membership.alive
+        if member.status is messages.Status.ALIVE
+        and not member.draining
+        and member.name not in request.peers_tried
+    ]
+    zone = state.options.me.zone
+    near = [member for member in peers if member.zone == zone]
+    peers = near or peers
+    return state.random.choice(peers) if peers else None
+
+
+def _record(
+    request: requests.Request, mark: effects.Mark, detail: str
+) -> effects.Record:
+    return effects.Record(
+        mark=mark,
+        request=request.call.key.id,
+        route=request.call.route.name,
+        pool=request.call.route.pool,
+        detail=detail,
+    )
--- /dev/null
+++ b/src/teaselbridge/decisions/events.py
@@ -0,0 +1,268 @@
+"""Everything that can happen to a node, as data."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import tickets
+from teaselbridge.peers import messages
+from teaselbridge.tables import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time has passed; due work is done."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallArrived:
+    """A caller sent a request that passed the gateway's checks."""
+
+    call: calls.Call
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller of a request closed its connection."""
+
+    handle: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenCame:
+    """An engine produced the next token of an attempt."""
+
+    handle: int
+    attempt: int
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamEnded:
+    """An engine ended an attempt explicitly.
+
+    :param cached_tokens: prompt tokens found in the prefix cache.
+    :param prompt_tokens: prompt tokens in all.
+    """
+
+    handle: int
+    attempt: int
+    finish: str
+    cached_tokens: int
+    prompt_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerCame:
+    """A plain service answered an attempt whole."""
+
+    handle: int
+    attempt: int
+    answer: calls.Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """An attempt ended without an answer."""
+
+    handle: int
+    attempt: int
+    fault: calls.Fault
+
+
+class HostState(enum.Enum):
+    """State of a host in the platform's host list."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+class HostRole(enum.Enum):
+    """What runs on a host."""
+
+    BACKEND = 'backend'
+    ENTRY = 'entry'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HostRow:
+    """One row of the platform's host list.
+
+    :param host: unique name.
+    :param address: ``ip:port`` of what runs there.
+    :param zone: availability zone.
+    :param role: backend server or entry host.
+    :param pool: pool that the host was started for.
+    :param version: version it was started with.
+    :param host_class: machine class.
+    :param reclaimable: whether the cloud may take it back.
+    :param state: live or leaving.
+    """
+
+    host: str
+    address: str
+    zone: str
+    role: HostRole = HostRole.BACKEND
+    pool: str = ''
+    version: str = ''
+    host_class: str = 'standard'
+    reclaimable: bool = True
+    state: HostState = HostState.LIVE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostsRead:
+    """The host list was read."""
+
+    hosts: tuple[HostRow, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReclaimNoticed:
+    """The cloud announced that it takes hosts back.
+
+    :param hosts: names of the hosts.
+    :param left_ms: time until they are gone.
+    """
+
+    hosts: tuple[str, ...]
+    left_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReported:
+    """A backend server reported its load.
+
+    :param host: name of the host.
+    :param version: version that it runs.
+    :param slots: requests that it runs at a time.
+    :param running: requests that it runs.
+    :param waiting: requests that wait in it.
+    :param leaving: whether it takes no new work.
+    """
+
+    host: str
+    version: str
+    slots: int
+    running: int
+    waiting: int
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadMissing:
+    """A backend server did not report its load."""
+
+    host: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRead:
+    """The key-value service answered a read.
+
+    :param value: content, none where the key does not exist.
+    :param revision: modification revision, 0 where it does not exist.
+    """
+
+    ticket: tickets.Ticket
+    value: bytes | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeySwapped:
+    """The key-value service decided a compare-and-swap.
+
+    :param swapped: whether the new value stands.
+    :param revision: revision of the write, where it stands.
+    """
+
+    ticket: tickets.Ticket
+    swapped: bool
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyFailed:
+    """A call to the key-value service got no usable answer.
+
+    :param in_doubt: whether a write may have taken effect all the same.
+    """
+
+    ticket: tickets.Ticket
+    in_doubt: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSpoke:
+    """A message of another node came.
+
+    :param sender: name of the sender.
+    """
+
+    sender: str
+    message: messages.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApplyAsked:
+    """An operator wants new tables.
+
+    :param ticket: number of the question within this process.
+    :param base: generation that the operator has read.
+    :param tables: checked tables.
+    :param writer: unique token of this write.
+    """
+
+    ticket: int
+    base: int
+    tables: model.Tables
+    writer: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookAsked:
+    """A caller asks what became of a request.
+
+    :param handle: number of the question within this process.
+    :param key: identity of the request.
+    :param id_time: wall milliseconds in its id, 0 where it has none.
+    """
+
+    handle: int
+    key: calls.RequestKey
+    id_time: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainAsked:
+    """The node has to stop.
+
+    :param by: monotonic milliseconds by which it must have stopped.
+    """
+
+    by: int
+
+
+Event = (
+    Ticked
+    | CallArrived
+    | CallerLeft
+    | TokenCame
+    | StreamEnded
+    | AnswerCame
+    | AttemptFailed
+    | HostsRead
+    | ReclaimNoticed
+    | LoadReported
+    | LoadMissing
+    | KeyRead
+    | KeySwapped
+    | KeyFailed
+    | PeerSpoke
+    | ApplyAsked
+    | LookAsked
+    | DrainAsked
+)
--- /dev/null
+++ b/src/teaselbridge/decisions/placement.py
@@ -0,0 +1,136 @@
+"""Choice of a backend server for a request.
+
+Nodes do not talk to each other for a request, so a choice that keeps equal
+prompts together must follow from the request and the servers alone.
+Rendezvous hashing does; a bound on the load keeps a popular prompt from
+filling one server.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import xxhash
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+    import random
+
+    from teaselbridge.decisions import calls
+    from teaselbridge.decisions import servers
+
+LOAD_BOUND = 1.25
+LOAD_SLACK = 1
+
+
+class Rotation:
+    """Position of the round-robin policy."""
+
+    def __init__(self) -> None:
+        self._position = 0
+
+    def next(self, size: int) -> int:
+        """Give the next position below a size."""
+        self._position = (self._position + 1) % size
+        return self._position
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What a policy may look at besides the servers.
+
+    :param call: the request.
+    :param generator: seeded generator.
+    :param rotation: position for round robin.
+    :param zone: availability zone of this node.
+    """
+
+    call: calls.Call
+    generator: random.Random
+    rotation: Rotation
+    zone: str
+
+
+Policy: typing.TypeAlias = (
+    'collections.abc.Callable[[list[servers.Server], View], servers.Server]'
+)
+
+
+def round_robin(
+    candidates: list[servers.Server], view: View
+) -> servers.Server:
+    """Take the servers in turn."""
+    return candidates[view.rotation.next(len(candidates))]
+
+
+def least_inflight(
+    candidates: list[servers.Server], view: View
+) -> servers.Server:
+    """Take the server with the fewest requests of this node."""
+    return min(candidates, key=lambda server: server.inflight)
+
+
+def two_choices(
+    candidates: list[servers.Server], view: View
+) -> servers.Server:
+    """Take the less loaded of two random servers."""
+    pair = view.generator.sample(candidates, min(2, len(candidates)))
+    return min(pair, key=lambda server: server.load)
+
+
+def rendezvous(candidates: list[servers.Server], view: View) -> servers.Server:
+    """Take the first server in rendezvous order whose load is in bounds."""
+    order = _order(candidates, view)
+    bound = _bound(candidates)
+    for server in order:
+        if server.inflight + server.others <= bound * server.slots:
+            return server
+    return order[0]
+
+
+def prefix_aware(
+    candidates: list[servers.Server], view: View
+) -> servers.Server:
+    """Keep equal prompts together, and spread what has no prompt.
+
+    Requests without a prompt go to the less loaded of two servers.
+    """
+    if view.call.prefix:
+        return rendezvous(candidates, view)
+    return two_choices(candidates, view)
+
+
+POLICIES: dict[str, Policy] = {
+    'round-robin': round_robin,
+    'least-inflight': least_inflight,
+    'two-choices': two_choices,
+    'rendezvous': rendezvous,
+    'prefix-aware': prefix_aware,
+}
+
+
+def hash_of(*parts: str) -> int:
+    """Hash text the same way on every node.
+
+    :param parts: text to hash.
+    :return: 63 bits.
+    """
+    return xxhash.xxh3_64_intdigest('\0'.join(parts).encode()) >> 1
+
+
+def _order(
+    candidates: list[servers.Server], view: View
+) -> list[servers.Server]:
+    prefix = str(view.call.prefix)
+    return sorted(
+        candidates,
+        key=lambda server: hash_of(prefix, server.host),
+        reverse=True,
+    )
+
+
+def _bound(candidates: list[servers.Server]) -> float:
+    slots = sum(server.slots for server in candidates)
+    used = sum(server.inflight + server.others for server in candidates)
+    return LOAD_BOUND * (used + LOAD_SLACK) / max(1, slots)
--- /dev/null
+++ b/src/teaselbridge/decisions/reducer.py
@@ -0,0 +1,185 @@
+"""The one reducer over all events of a node."""
+
+from __future__ import annotations
+
+import typing
+
+from teaselbridge.decisions import arrival
+from teaselbridge.decisions import attempts
+from teaselbridge.decisions import changes
+from teaselbridge.decisions import configuration
+from teaselbridge.decisions import dispatch
+from teaselbridge.decisions import drain
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import membership
+from teaselbridge.decisions import orders
+from teaselbridge.decisions import requests
+from teaselbridge.decisions import servers
+from teaselbridge.decisions import tickets
+from teaselbridge.peers import messages
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import state as states
+
+
+def reduce(
+    state: states.State, event: events.Event, now: clock.Instant
+) -> list[effects.Effect]:
+    """Take in one event.
+
+    No I/O happens here, no clock is read, and chance comes from the seeded
+    generator in the state alone. The state is changed in place.
+
+    :param state: what the node knows.
+    :param event: what happened.
+    :param now: when.
+    :return: what the runtime has to do, in order.
+    """
+    out = _reduce(state, event, now)
+    if len(state.queue):
+        out += dispatch.pump(state, now)
+    return out
+
+
+def _reduce(
+    state: states.State, event: events.Event, now: clock.Instant
+) -> list[effects.Effect]:
+    match event:
+        case events.TokenCame():
+            return attempts.token(state, event, now)
+        case events.Ticked():
+            return _tick(state, now)
+        case events.CallArrived():
+            return arrival.arrive(state, event, now)
+        case events.CallerLeft():
+            return requests.leave(state, event)
+        case events.StreamEnded():
+            return attempts.end(state, event, now)
+        case events.AnswerCame():
+            return attempts.answer(state, event, now)
+        case events.AttemptFailed():
+            return attempts.fail(state, event, now)
+        case events.PeerSpoke():
+            return _hear(state, event, now)
+        case events.KeyRead() | events.KeySwapped() | events.KeyFailed():
+            return _settle(state, event, now)
+        case _:
+            return _reduce_rare(state, event, now)
+
+
+def _reduce_rare(
+    state: states.State, event: events.Event, now: clock.Instant
+) -> list[effects.Effect]:
+    match event:
+        case events.HostsRead():
+            return servers.read_hosts(state, event, now)
+        case events.ReclaimNoticed():
+            return servers.reclaim(state, event, now)
+        case events.LoadReported():
+            return servers.report(state, event, now)
+        case events.LoadMissing():
+            return servers.miss(state, event, now)
+        case events.ApplyAsked():
+            return changes.ask(state, event, now)
+        case events.LookAsked():
+            return orders.look(state, event, now)
+        case events.DrainAsked():
+            return drain.ask(state, event, now)
+    return []
+
+
+def _tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
+    out = membership.tick(state, now)
+    out += servers.ask_loads(state, now)
+    out += orders.settle(state, state.ledger.tick(now), now)
+    out += changes.tick(state, now)
+    state.poison.expire(now.wall)
+    for request in list(state.requests.values()):
+        out += attempts.tick(state, request, now)
+        if request.is_order and request.handle in state.requests:
+            out += orders.tick(state, request, now)
+    out += drain.tick(state, now)
+    return out
+
+
+def _settle(
+    state: states.State,
+    event: events.KeyRead | events.KeySwapped | events.KeyFailed,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    out = _hear_keyvalue(state, event, now)
+    ticket = event.ticket
+    if isinstance(ticket, tickets.BucketTicket):
+        return out + _settle_bucket(state, event, now)
+    if isinstance(ticket, tickets.ApplyTicket):
+        return out + _settle_change(state, event, now)
+    if isinstance(event, events.KeyRead):
+        out += configuration.read(state, event, now)
+    return out
+
+
+def _settle_bucket(
+    state: states.State,
+    event: events.KeyRead | events.KeySwapped | events.KeyFailed,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    match event:
+        case events.KeyRead():
+            step = state.ledger.read(event, now)
+        case events.KeySwapped():
+            step = state.ledger.swapped(event, now)
+        case events.KeyFailed():
+            step = state.ledger.failed(event, now)
+    return orders.settle(state, step, now)
+
+
+def _settle_change(
+    state: states.State,
+    event: events.KeyRead | events.KeySwapped | events.KeyFailed,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    match event:
+        case events.KeyRead():
+            return changes.read(state, event, now)
+        case events.KeySwapped():
+            return changes.swapped(state, event, now)
+        case events.KeyFailed():
+            return changes.failed(state, event, now)
+
+
+def _hear_keyvalue(
+    state: states.State,
+    event: events.KeyRead | events.KeySwapped | events.KeyFailed,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Keep track of whether the key-value service answers."""
+    answered = not isinstance(event, events.KeyFailed)
+    if answered:
+        state.keyvalue_heard = now.mono
+    if answered is state.keyvalue_up:
+        return []
+    state.keyvalue_up = answered
+    mark = effects.Mark.KEYVALUE_DOWN
+    if answered:
+        mark = effects.Mark.KEYVALUE_UP
+    return [effects.Record(mark=mark)]
+
+
+def _hear(
+    state: states.State, event: events.PeerSpoke, now: clock.Instant
+) -> list[effects.Effect]:
+    membership.note(state, event.sender, now)
+    match event.message:
+        case messages.ConfigurationAsked() as message:
+            return configuration.tell(state, message)
+        case messages.ConfigurationSent() as message:
+            found = message.configuration
+            return configuration.adopt(state, found, event.sender, now)
+        case messages.HandOver() as message:
+            return drain.adopt(state, message, now)
+        case messages.HandOverTaken() as message:
+            return drain.taken(state, message, now)
+        case _:
+            return membership.hear(state, event.sender, event.message, now)
--- /dev/null
+++ b/src/teaselbridge/decisions/servers.py
@@ -0,0 +1,281 @@
+"""Backend servers: which exist, which leave, which fail, their load."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import state as states
+
+EJECT_FAULTS = 3
+EJECT_MS = 2_000
+EJECT_MOST_MS = 30_000
+REPORT_EVERY_MS = 500
+REPORT_STALE_MS = 3_000
+DEFAULT_SLOTS = 8
+FORGET_MS = 600_000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Server:
+    """One backend server, as this node knows it.
+
+    :param row: its row in the host list.
+    :param slots: requests that it runs at a time.
+    :param others: requests of other nodes in it, by the last report.
+    :param reported: monotonic milliseconds of the last report, 0 for none.
+    :param inflight: requests of this node in it.
+    :param suspects: requests in flight that a server has died of before.
+    :param faults: faults in a row.
+    :param ejections: ejections in a row.
+    :param ejected_until: monotonic milliseconds.
+    :param leaving: whether it takes no new work.
+    :param gone_at: monotonic milliseconds at which it is taken back, 0 for
+        unknown.
+    """
+
+    row: events.HostRow
+    version: str
+    slots: int = DEFAULT_SLOTS
+    others: int = 0
+    reported: int = 0
+    inflight: int = 0
+    suspects: int = 0
+    faults: int = 0
+    ejections: int = 0
+    ejected_until: int = 0
+    leaving: bool = False
+    gone_at: int = 0
+
+    @property
+    def host(self) -> str:
+        """Name of the host."""
+        return self.row.host
+
+    @property
+    def load(self) -> float:
+        """Requests in it as a share of its slots."""
+        return (self.inflight + self.others) / max(1, self.slots)
+
+    def has_room(self, nodes: int) -> bool:
+        """Tell whether this node may send it one more request.
+
+        Reports lag, so each node always has its equal part of the slots.
+
+        :param nodes: live nodes, each with an equal claim to the slots.
+        :return: whether there is room.
+        """
+        if self.inflight + self.others < self.slots:
+            return True
+        return self.inflight < max(1, self.slots // max(1, nodes))
+
+
+class Servers:
+    """All backend servers that this node knows."""
+
+    def __init__(self) -> None:
+        self._by_host: dict[str, Server] = {}
+        self._by_pool: dict[str, list[Server]] = {}
+        self._leaving: dict[str, int] = {}
+        self._reports_due = 0
+        self.entries: tuple[events.HostRow, ...] = ()
+
+    @property
+    def all(self) -> list[Server]:
+        """Every server in the host list."""
+        return list(self._by_host.values())
+
+    @property
+    def leaving(self) -> frozenset[str]:
+        """Hosts that are known to leave, listed or not."""
+        return frozenset(self._leaving)
+
+    def get(self, host: str) -> Server | None:
+        """Find a server by the name of its host."""
+        return self._by_host.get(host)
+
+    def in_pool(self, pool: str) -> list[Server]:
+        """List the servers of a pool."""
+        return self._by_pool.get(pool, [])
+
+    def usable(self, pool: str, now: clock.Instant) -> list[Server]:
+        """List the servers of a pool that may get new work."""
+        return [
+            server
+            for server in self.in_pool(pool)
+            if not server.leaving and server.ejected_until <= now.mono
+        ]
+
+    def add(self, row: events.HostRow) -> Server:
+        """Add a server that appeared in the host list."""
+        server = Server(row=row, version=row.version)
+        server.leaving = row.host in self._leaving
+        self._by_host[row.host] = server
+        self._by_pool.setdefault(row.pool, []).append(server)
+        return server
+
+    def remove(self, host: str) -> None:
+        """Forget a server that left the host list."""
+        server = self._by_host.pop(host)
+        self._by_pool[server.row.pool].remove(server)
+
+    def mark(self, host: str, now: clock.Instant) -> bool:
+        """Mark a host as leaving.
+
+        :return: whether that is news.
+        """
+        if host in self._leaving:
+            return False
+        self._leaving[host] = now.mono
+        server = self._by_host.get(host)
+        if server is not None:
+            server.leaving = True
+        return True
+
+    def forget_old(self, now: clock.Instant) -> None:
+        """Forget marks of hosts that left the list long ago."""
+        for host, marked in list(self._leaving.items()):
+            if host in self._by_host or now.mono - marked < FORGET_MS:
+                continue
+            del self._leaving[host]
+
+    def take_due(self, now: clock.Instant) -> bool:
+        """Tell whether load reports are due, and schedule the next."""
+        if now.mono < self._reports_due:
+            return False
+        self._reports_due = now.mono + REPORT_EVERY_MS
+        return True
+
+
+def read_hosts(
+    state: states.State, event: events.HostsRead, now: clock.Instant
+) -> list[effects.Effect]:
+    """Compare the host list with what is known.
+
+    The list lags: it adds and removes, but never takes a leaving mark back.
+    """
+    out: list[effects.Effect] = []
+    listed = {
+        row.host: row
+        for row in event.hosts
+        if row.role is events.HostRole.BACKEND
+    }
+    state.servers.entries = tuple(
+        row for row in event.hosts if row.role is events.HostRole.ENTRY
+    )
+    for server in state.servers.all:
+        if server.host not in listed:
+            state.servers.remove(server.host)
+            out.append(_record(effects.Mark.SERVER_GONE, server, ''))
+    for row in listed.values():
+        if state.servers.get(row.host) is None:
+            server = state.servers.add(row)
+            out.append(_record(effects.Mark.SERVER_SEEN, server, row.version))
+        if row.state is events.HostState.LEAVING:
+            out += leave(state, row.host, 'host list', now)
+    state.servers.forget_old(now)
+    return out
+
+
+def leave(
+    state: states.State, host: str, cause: str, now: clock.Instant
+) -> list[effects.Effect]:
+    """Stop placing work on a backend server, for good.
+
+    :param cause: who said so, for the time line.
+    :return: effects; none where it was known.
+    """
+    if not state.servers.mark(host, now):
+        return []
+    state.membership.news.add_leaving(host)
+    server = state.servers.get(host)
+    if server is None:
+        return []
+    return [_record(effects.Mark.SERVER_LEAVING, server, cause)]
+
+
+def reclaim(
+    state: states.State, event: events.ReclaimNoticed, now: clock.Instant
+) -> list[effects.Effect]:
+    """The cloud takes hosts back after a while."""
+    out: list[effects.Effect] = []
+    for host in event.hosts:
+        out += leave(state, host, f'notice, {event.left_ms} ms left', now)
+        server = state.servers.get(host)
+        if server is not None and not server.gone_at:
+            server.gone_at = now.mono + event.left_ms
+    return out
+
+
+def report(
+    state: states.State, event: events.LoadReported, now: clock.Instant
+) -> list[effects.Effect]:
+    """Take in a load report, which lags behind the server."""
+    server = state.servers.get(event.host)
+    if server is None:
+        return []
+    server.slots = max(1, event.slots)
+    server.others = max(0, event.running + event.waiting - server.inflight)
+    server.reported = now.mono
+    server.version = event.version or server.version
+    if event.leaving:
+        return leave(state, event.host, 'load report', now)
+    return []
+
+
+def miss(
+    state: states.State, event: events.LoadMissing, now: clock.Instant
+) -> list[effects.Effect]:
+    """A load report did not come: the server may be gone or cut off."""
+    server = state.servers.get(event.host)
+    if server is None:
+        return []
+    return fail(server, 'no load report', now)
+
+
+def succeed(server: Server) -> list[effects.Effect]:
+    """An attempt at a server ended well."""
+    server.faults = 0
+    if not server.ejections:
+        return []
+    server.ejections = 0
+    return [_record(effects.Mark.SERVER_RESTORED, server, '')]
+
+
+def fail(
+    server: Server, cause: str, now: clock.Instant
+) -> list[effects.Effect]:
+    """Count a fault of a server; several in a row eject it for a while."""
+    server.faults += 1
+    if server.faults < EJECT_FAULTS or server.ejected_until > now.mono:
+        return []
+    span = min(EJECT_MOST_MS, EJECT_MS << min(server.ejections, 8))
+    server.ejections += 1
+    server.ejected_until = now.mono + span
+    detail = f'{cause}, for {span} ms'
+    return [_record(effects.Mark.SERVER_EJECTED, server, detail)]
+
+
+def ask_loads(state: states.State, now: clock.Instant) -> list[effects.Effect]:
+    """Ask the servers for their load when that is due."""
+    if not state.servers.take_due(now):
+        return []
+    targets = tuple(
+        effects.Target(server.host, server.row.address)
+        for server in state.servers.all
+    )
+    for server in state.servers.all:
+        if now.mono - server.reported > REPORT_STALE_MS:
+            server.others = 0
+    return [effects.ReportLoad(targets)] if targets else []
+
+
+def _record(mark: effects.Mark, server: Server, detail: str) -> effects.Record:
+    return effects.Record(
+        mark=mark, pool=server.row.pool, host=server.host, detail=detail
+    )
--- /dev/null
+++ b/src/teaselbridge/decisions/state.py
@@ -0,0 +1,74 @@
+"""State of one node, owned and changed by the reducer alone."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import typing
+
+from teaselbridge.decisions import admission
+from teaselbridge.decisions import changes
+from teaselbridge.decisions import ledger
+from teaselbridge.decisions import membership
+from teaselbridge.decisions import placement
+from teaselbridge.decisions import poison
+from teaselbridge.decisions import retry
+from teaselbridge.decisions import servers
+from teaselbridge.tables import join
+from teaselbridge.tables import model
+
+if typing.TYPE_CHECKING:
+    from teaselbridge.decisions import calls
+    from teaselbridge.decisions import drain
+    from teaselbridge.decisions import requests
+    from teaselbridge.peers import messages
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Options:
+    """What the settings say to the decision logic.
+
+    :param me: this node, as the others get to know it.
+    :param seeds: ``ip:port`` of peers to join through.
+    :param queue: requests that may wait for a backend server.
+    :param address_ttl_ms: how long callers keep the address list.
+    :param seed: seed of the random generator.
+    :param policy: how a backend server is chosen.
+    """
+
+    me: messages.Member
+    seeds: tuple[str, ...] = ()
+    queue: int = 512
+    address_ttl_ms: int = 2_000
+    seed: int = 0
+    policy: placement.Policy = placement.prefix_aware
+
+
+class State:
+    """Everything that a node knows.
+
+    :param options: what the settings say.
+    """
+
+    def __init__(self, *, options: Options) -> None:
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.index = join.Index(configuration=model.Configuration())
+        self.requests: dict[int, requests.Request] = {}
+        self.held: dict[calls.RequestKey, int] = {}
+        self.aliases: dict[int, int] = {}
+        self.looks: set[int] = set()
+        self.adopted = 0
+        self.queue = admission.Queue()
+        self.pace = admission.Pace()
+        self.servers = servers.Servers()
+        self.rotation = placement.Rotation()
+        self.budgets = retry.Budgets()
+        self.poison = poison.Poison()
+        self.ledger = ledger.Ledger()
+        self.membership = membership.Membership(me=options.me)
+        self.changes = changes.Changes()
+        self.configured = False
+        self.keyvalue_heard = 0
+        self.keyvalue_up = True
+        self.drain: drain.Drain | None = None
--- /dev/null
+++ b/src/teaselbridge/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' HTTP interface."""
--- /dev/null
+++ b/src/teaselbridge/gateway/app.py
@@ -0,0 +1,222 @@
+"""Callers' HTTP interface."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import litestar
+import litestar.enums
+import litestar.exceptions
+
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.gateway import addresses
+from teaselbridge.gateway import headers as names
+from teaselbridge.gateway import parse
+from teaselbridge.gateway import problems
+from teaselbridge.gateway import replies
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from teaselbridge.runtime import loop as loops
+    from teaselbridge.runtime import outlets as outlets_module
+
+METHODS = [
+    litestar.enums.HttpMethod(name)
+    for name in ('GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD')
+]
+
+Request: typing.TypeAlias = litestar.Request[
+    typing.Any, typing.Any, typing.Any
+]
+Reply: typing.TypeAlias = litestar.Response[typing.Any]
+
+
+class Gateway:
+    """Takes requests of callers and gives them their output.
+
+    :param loop: runs the decisions.
+    :param outlets: joins callers with output.
+    :param body_bytes: largest request body.
+    :param scheme: ``http`` or ``https``, for addresses of other nodes.
+    """
+
+    def __init__(
+        self,
+        *,
+        loop: loops.Loop,
+        outlets: outlets_module.Outlets,
+        body_bytes: int,
+        scheme: str,
+    ) -> None:
+        self._loop = loop
+        self._outlets = outlets
+        self._body_bytes = body_bytes
+        self._scheme = scheme
+
+    def build(self) -> litestar.Litestar:
+        """Build the web application."""
+
+        @litestar.get('/v1/addresses')
+        async def list_addresses(zone: str = '') -> addresses.Addresses:
+            return addresses.choose(self._loop.state, zone)
+
+        @litestar.post(
+            ['/v1/chat/completions', '/v1/completions'], status_code=200
+        )
+        async def complete(request: Request) -> Reply:
+            return await self._serve(request, parse.completion)
+
+        @litestar.get('/v1/requests/{request_id:str}')
+        async def look_up(request: Request, request_id: str) -> Reply:
+            return await self._look_up(request, request_id)
+
+        @litestar.route('/{path:path}', http_method=METHODS, status_code=200)
+        async def pass_through(request: Request) -> Reply:
+            return await self._serve(request, parse.passed_through)
+
+        return litestar.Litestar(
+            route_handlers=[
+                list_addresses,
+                complete,
+                look_up,
+                pass_through,
+            ],
+            request_max_body_size=self._body_bytes,
+            exception_handlers={
+                parse.RefusedError: _refuse,
+                litestar.exceptions.HTTPException: _refuse_http,
+            },
+            openapi_config=None,
+            logging_config=None,
+        )
+
+    async def _serve(
+        self,
+        request: Request,
+        check: collections.abc.Callable[[parse.Raw, typing.Any], calls.Call],
+    ) -> Reply:
+        raw = await self._read(request)
+        if not self._loop.state.configured:
+            detail = 'this node does not know the tables yet'
+            raise parse.refused(calls.Reason.WITHDRAWN, detail, '')
+        call = check(raw, self._loop.state.index)
+        queue = self._outlets.open(call)
+        if call.stream:
+            return await self._stream(call, queue)
+        try:
+            return await _until_gone(request, self._whole(call, queue))
+        finally:
+            self._outlets.close(call.handle)
+
+    async def _read(self, request: Request) -> parse.Raw:
+        body = await request.body()
+        return parse.Raw(
+            handle=self._outlets.new_handle(),
+            method=request.method,
+            path=request.url.path,
+            query=request.url.query,
+            headers=dict(request.headers),
+            body=body,
+            now=self._loop.now().mono,
+        )
+
+    async def _stream(
+        self, call: calls.Call, queue: asyncio.Queue[outlets_module.Output]
+    ) -> Reply:
+        """Refuse with a status while nothing was sent, else stream."""
+
+        def close() -> None:
+            self._outlets.close(call.handle)
+
+        try:
+            first = await replies.next_output(queue)
+        except asyncio.CancelledError:
+            close()
+            raise
+        match first:
+            case effects.SendRefusal():
+                close()
+                return problems.respond(first.refusal, call.key.id)
+            case effects.SendMoved():
+                close()
+                return replies.moved(call, first, self._scheme)
+        return replies.stream(call, first, queue, close)
+
+    async def _whole(
+        self, call: calls.Call, queue: asyncio.Queue[outlets_module.Output]
+    ) -> Reply:
+        tokens = list(call.resumed)
+        while True:
+            output = await queue.get()
+            match output:
+                case effects.SendToken():
+                    tokens.append(output.text)
+                case effects.SendEnd():
+                    return replies.completion(call, tokens, output)
+                case effects.SendAnswer():
+                    return replies.answer(call, output)
+                case effects.SendRefusal():
+                    return problems.respond(output.refusal, call.key.id)
+                case effects.SendMoved():
+                    return replies.moved(call, output, self._scheme)
+                case effects.SendStatus():
+                    raise TypeError(output)
+
+    async def _look_up(self, request: Request, request_id: str) -> Reply:
+        index = self._loop.state.index
+        workspace = parse.workspace_of(dict(request.headers), index)
+        key = calls.RequestKey(workspace.name, request_id)
+        handle = self._outlets.new_handle()
+        event = events.LookAsked(handle, key, names.time_of(request_id))
+        queue = self._outlets.ask(handle, event)
+        try:
+            output = await queue.get()
+        finally:
+            self._outlets.close(handle)
+        assert isinstance(output, effects.SendStatus)
+        return replies.status(request_id, output)
+
+
+async def _until_gone(
+    request: Request, work: collections.abc.Coroutine[None, None, Reply]
+) -> Reply:
+    """Do the work unless the caller closes its connection before."""
+    task = asyncio.ensure_future(work)
+    gone = asyncio.ensure_future(_wait_gone(request))
+    try:
+        await asyncio.wait({task, gone}, return_when=asyncio.FIRST_COMPLETED)
+        if task.done():
+            return task.result()
+        return litestar.Response(b'', status_code=499)
+    finally:
+        gone.cancel()
+        task.cancel()
+
+
+async def _wait_gone(request: Request) -> None:
+    while True:
+        message = await request.receive()
+        if message['type'] == 'http.disconnect':
+            return
+
+
+def _refuse(
+    request: Request, error: parse.RefusedError
+) -> litestar.Response[bytes]:
+    return problems.respond(error.refusal, error.request)
+
+
+def _refuse_http(
+    request: Request, error: litestar.exceptions.HTTPException
+) -> litestar.Response[bytes]:
+    reason = calls.Reason.BAD_REQUEST
+    if error.status_code == calls.STATUS[calls.Reason.TOO_LARGE]:
+        reason = calls.Reason.TOO_LARGE
+    if error.status_code in (404, 405):
+        reason = calls.Reason.NO_ROUTE
+    refusal = calls.Refusal(reason, calls.Ran.NO, error.detail)
+    return problems.respond(refusal, '')
--- /dev/null
+++ b/src/teaselbridge/gateway/parse.py
@@ -0,0 +1,224 @@
+"""From an HTTP request to a checked call."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import msgspec
+import xxhash
+
+from teaselbridge.backends import service
+from teaselbridge.decisions import calls
+from teaselbridge import errors
+from teaselbridge.gateway import headers as names
+from teaselbridge.tables import model
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from teaselbridge.tables import join
+
+MAX_TOKENS = 1_024
+PREFIX_CHARACTERS = 512
+PRIVATE_HEADERS = frozenset(
+    {
+        'authorization',
+        'content-length',
+        'host',
+        'idempotency-key',
+        'x-deadline-ms',
+        'x-request-id',
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class RefusedError(errors.TeaselbridgeError):
+    """A request does not pass the checks.
+
+    :param refusal: what the caller is told.
+    :param request: id of the request, where it was read.
+    """
+
+    refusal: calls.Refusal
+    request: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Raw:
+    """An HTTP request, read whole.
+
+    :param handle: number of the request within this process.
+    :param method: HTTP method.
+    :param path: path without query.
+    :param query: query without question mark.
+    :param headers: with names in lower case.
+    :param body: content.
+    :param now: monotonic milliseconds.
+    """
+
+    handle: int
+    method: str
+    path: str
+    query: str
+    headers: collections.abc.Mapping[str, str]
+    body: bytes
+    now: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _Message:
+    role: str = ''
+    content: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class _Completion:
+    """The part of a completion request that is looked at here."""
+
+    model: str
+    messages: tuple[_Message, ...] = ()
+    prompt: str = ''
+    max_tokens: typing.Annotated[int, msgspec.Meta(ge=1)] = MAX_TOKENS
+    stream: bool = False
+    resume_tokens: tuple[str, ...] = ()
+
+    @property
+    def text(self) -> str:
+        """All of the prompt."""
+        parts = [f'{item.role}:{item.content}' for item in self.messages]
+        return '\n'.join(parts) or self.prompt
+
+
+def completion(raw: Raw, index: join.Index) -> calls.Call:
+    """Check a completion request.
+
+    :raises RefusedError: what the caller is told.
+    """
+    workspace = workspace_of(raw.headers, index)
+    request = _request_id(raw.headers)
+    body = _decode(raw.body, request.text)
+    route = index.route_of_model(body.model)
+    if route is None:
+        detail = f'no route serves model `{body.model}`'
+        raise refused(calls.Reason.NO_ROUTE, detail, request.text)
+    if not body.text:
+        detail = 'neither `messages` nor `prompt` has text'
+        raise refused(calls.Reason.BAD_REQUEST, detail, request.text)
+    if len(body.resume_tokens) >= body.max_tokens:
+        detail = '`resume_tokens` has all of `max_tokens` already'
+        raise refused(calls.Reason.BAD_REQUEST, detail, request.text)
+    head = body.text[:PREFIX_CHARACTERS]
+    return calls.Call(
+        handle=raw.handle,
+        key=calls.RequestKey(workspace.name, request.text),
+        route=route,
+        kind=model.Kind.ENGINE,
+        deadline=raw.now + _deadline(raw.headers, route, request.text),
+        id_time=request.time,
+        path=raw.path,
+        body=raw.body,
+        stream=body.stream,
+        max_tokens=body.max_tokens,
+        prompt_size=len(body.text),
+        prefix=xxhash.xxh3_64_intdigest(head.encode()) >> 1,
+        fingerprint=xxhash.xxh3_64_hexdigest(body.text.encode()),
+        resumed=body.resume_tokens,
+    )
+
+
+def passed_through(raw: Raw, index: join.Index) -> calls.Call:
+    """Check a request to a plain service.
+
+    :raises RefusedError: what the caller is told.
+    """
+    workspace = workspace_of(raw.headers, index)
+    request = _request_id(raw.headers)
+    route = index.route_of_path(raw.path)
+    if route is None:
+        detail = f'no route serves path `{raw.path}`'
+        raise refused(calls.Reason.NO_ROUTE, detail, request.text)
+    if not route.idempotent and not request.time:
+        detail = 'a non-idempotent request needs a UUID of version 7 as id'
+        raise refused(calls.Reason.ID_INVALID, detail, request.text)
+    path = raw.path + ('?' + raw.query if raw.query else '')
+    return calls.Call(
+        handle=raw.handle,
+        key=calls.RequestKey(workspace.name, request.text),
+        route=route,
+        kind=model.Kind.SERVICE,
+        deadline=raw.now + _deadline(raw.headers, route, request.text),
+        id_time=request.time,
+        method=raw.method,
+        path=path,
+        headers=_passed_headers(raw.headers),
+        body=raw.body,
+        fingerprint=_service_fingerprint(raw) if route.idempotent else '',
+    )
+
+
+def workspace_of(
+    headers: collections.abc.Mapping[str, str], index: join.Index
+) -> model.Workspace:
+    """Find out who calls.
+
+    :raises RefusedError: the key belongs to nobody.
+    """
+    workspace = index.workspace_of_key(names.bearer(headers))
+    if workspace is None:
+        detail = 'the bearer key belongs to no workspace'
+        raise refused(calls.Reason.BAD_KEY, detail, '')
+    return workspace
+
+
+def refused(reason: calls.Reason, detail: str, request: str) -> RefusedError:
+    """Build the error for a request that was not run."""
+    refusal = calls.Refusal(reason, calls.Ran.NO, detail)
+    return RefusedError(refusal, request)
+
+
+def _request_id(
+    headers: collections.abc.Mapping[str, str],
+) -> names.RequestId:
+    found = names.request_id(headers)
+    if found is None:
+        detail = f'an id has at most {names.ID_MOST} printable characters'
+        raise refused(calls.Reason.ID_INVALID, detail, '')
+    return found
+
+
+def _deadline(
+    headers: collections.abc.Mapping[str, str],
+    route: model.Route,
+    request: str,
+) -> int:
+    found = names.deadline_ms(headers, route.deadline_ms)
+    if found is None:
+        detail = f'{names.DEADLINE} is no positive number of milliseconds'
+        raise refused(calls.Reason.BAD_REQUEST, detail, request)
+    return found
+
+
+def _decode(body: bytes, request: str) -> _Completion:
+    try:
+        return msgspec.json.decode(body, type=_Completion)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        reason = calls.Reason.BAD_REQUEST
+        raise refused(reason, str(error), request) from error
+
+
+def _passed_headers(
+    headers: collections.abc.Mapping[str, str],
+) -> tuple[calls.Header, ...]:
+    left_out = PRIVATE_HEADERS | service.HOP_BY_HOP
+    return tuple(
+        calls.Header(name, value)
+        for name, value in headers.items()
+        if name not in left_out
+    )
+
+
+def _service_fingerprint(raw: Raw) -> str:
+    text = f'{raw.method} {raw.path}?{raw.query}\n'.encode()
+    return xxhash.xxh3_64_hexdigest(text + raw.body)
--- /dev/null
+++ b/src/teaselbridge/gateway/problems.py
@@ -0,0 +1,67 @@
+"""Refusals as problem documents of RFC 9457."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import litestar
+import msgspec
+
+from teaselbridge import clock
+from teaselbridge.decisions import calls
+
+MEDIA_TYPE = 'application/problem+json'
+TYPE_PREFIX = 'urn:teaselbridge:problem:'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Problem:
+    """A refusal, as callers see it.
+
+    :param type: stable name of the reason.
+    :param title: the reason in words.
+    :param status: HTTP status.
+    :param detail: a sentence on this case.
+    :param instance: id of the request.
+    :param ran: whether the request may have been run.
+    """
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    instance: str
+    ran: str
+
+
+def problem_of(refusal: calls.Refusal, request: str) -> Problem:
+    """Describe a refusal.
+
+    :param request: id of the request.
+    """
+    return Problem(
+        type=TYPE_PREFIX + refusal.reason.value,
+        title=refusal.reason.value.replace('-', ' '),
+        status=calls.STATUS[refusal.reason],
+        detail=refusal.detail,
+        instance=request,
+        ran=refusal.ran.value,
+    )
+
+
+def respond(refusal: calls.Refusal, request: str) -> litestar.Response[bytes]:
+    """Build the response that tells a refusal.
+
+    :param request: id of the request.
+    """
+    problem = problem_of(refusal, request)
+    headers = {'x-request-id': request}
+    if refusal.retry_after_ms:
+        rounded_up = -(-refusal.retry_after_ms // clock.SECOND)
+        headers['retry-after'] = str(rounded_up)
+    return litestar.Response(
+        msgspec.json.encode(problem),
+        status_code=problem.status,
+        media_type=MEDIA_TYPE,
+        headers=headers,
+    )
--- /dev/null
+++ b/src/teaselbridge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes."""
--- /dev/null
+++ b/src/teaselbridge/peers/messages.py
@@ -0,0 +1,214 @@
+"""Messages between nodes, as frozen data classes."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from teaselbridge.decisions import calls
+from teaselbridge.tables import model
+
+
+class Status(enum.IntEnum):
+    """What is believed of a member; the higher beats the lower."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """One node, as the others know it.
+
+    :param name: unique name.
+    :param incarnation: grows with each restart and each refutation.
+    :param status: what is believed of it.
+    :param peers: ``ip:port`` of its zmq socket.
+    :param callers: ``ip:port`` of its callers' interface.
+    :param admin: ``ip:port`` of its operators' interface.
+    :param zone: availability zone.
+    :param region: region of the zone.
+    :param draining: whether it takes no new work.
+    """
+
+    name: str
+    incarnation: int
+    status: Status
+    peers: str
+    callers: str
+    admin: str
+    zone: str
+    region: str
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Leaving:
+    """A backend server takes no new work; never taken back.
+
+    :param host: name of its host, unique over time.
+    """
+
+    host: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Crashes:
+    """A request body that backend servers died of.
+
+    :param fingerprint: hash of the body.
+    :param hosts: hosts that died running it.
+    :param until: wall milliseconds after which it is forgotten.
+    """
+
+    fingerprint: str
+    hosts: tuple[str, ...]
+    until: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Generation:
+    """A generation of the configuration exists.
+
+    :param number: the generation.
+    """
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Gossip:
+    """News of any kind, carried by other messages.
+
+    :param members: what is believed of nodes.
+    :param leaving: backend servers that leave.
+    :param crashes: request bodies that crash servers.
+    :param generation: newest generation of the configuration.
+    """
+
+    members: tuple[Member, ...] = ()
+    leaving: tuple[Leaving, ...] = ()
+    crashes: tuple[Crashes, ...] = ()
+    generation: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ping:
+    """Are you there?
+
+    :param sequence: number of the probe at its sender.
+    :param reply_to: ``ip:port`` that the answer goes to.
+    """
+
+    sequence: int
+    reply_to: str
+    gossip: Gossip
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ack:
+    """I am here; or the probed member is.
+
+    :param sequence: number of the probe.
+    :param member: name of the member that is there.
+    """
+
+    sequence: int
+    member: str
+    gossip: Gossip
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PingFor:
+    """Probe a member on the sender's behalf.
+
+    :param sequence: number of the probe at its sender.
+    :param reply_to: ``ip:port`` of the sender.
+    :param target: ``ip:port`` of the member to probe.
+    """
+
+    sequence: int
+    reply_to: str
+    target: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SyncAsked:
+    """Send me all that you know; here is all that I know.
+
+    :param reply_to: ``ip:port`` that the answer goes to.
+    """
+
+    reply_to: str
+    gossip: Gossip
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SyncSent:
+    """All that the sender knows."""
+
+    gossip: Gossip
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationAsked:
+    """Send me your configuration if it is newer.
+
+    :param have: generation of the asker.
+    :param reply_to: ``ip:port`` that the answer goes to.
+    """
+
+    have: int
+    reply_to: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationSent:
+    """The sender's configuration."""
+
+    configuration: model.Configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HandOver:
+    """A request that the sender can no longer hold.
+
+    :param ticket: number of the hand-over at its sender.
+    :param reply_to: ``ip:port`` that the answer goes to.
+    :param call: the request; its deadline and handle are the sender's.
+    :param remaining_ms: time left until its deadline.
+    :param tokens: tokens produced so far.
+    """
+
+    ticket: int
+    reply_to: str
+    call: calls.Call
+    remaining_ms: int
+    tokens: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HandOverTaken:
+    """The sender holds the request now.
+
+    :param ticket: number of the hand-over.
+    :param taken: whether it holds the request.
+    """
+
+    ticket: int
+    taken: bool
+
+
+Message = (
+    Ping
+    | Ack
+    | PingFor
+    | SyncAsked
+    | SyncSent
+    | ConfigurationAsked
+    | ConfigurationSent
+    | HandOver
+    | HandOverTaken
+)
--- /dev/null
+++ b/src/teaselbridge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports and adapters of the platform's services."""
--- /dev/null
+++ b/src/teaselbridge/platform/etcd.py
@@ -0,0 +1,239 @@
+"""Key-value service over etcd v3's HTTP and JSON gateway.
+
+Field names are those of etcd's published API. Bytes travel in base64 and
+64-bit numbers as strings, which the decoder accepts.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import httpx
+import msgspec
+
+from teaselbridge import clock
+from teaselbridge.platform import keyvalue
+from teaselbridge.telemetry import metrics
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+TIMEOUT_MS = 1_500
+WATCH_SILENT_MS = 6_000
+NO_REVISION = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Item:
+    key: bytes = b''
+    value: bytes = b''
+    mod_revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Header:
+    revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class _RangeAnswer:
+    header: _Header = _Header()
+    kvs: tuple[_Item, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class _TxnAnswer:
+    header: _Header = _Header()
+    succeeded: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class _LeaseAnswer:
+    ID: int = 0
+    TTL: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class _KeepAnswer:
+    result: _LeaseAnswer = _LeaseAnswer()
+
+
+@dataclasses.dataclass(frozen=True)
+class _Event:
+    kv: _Item = _Item()
+    type: str = 'PUT'
+
+
+@dataclasses.dataclass(frozen=True)
+class _WatchBody:
+    header: _Header = _Header()
+    created: bool = False
+    canceled: bool = False
+    events: tuple[_Event, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class _WatchAnswer:
+    result: _WatchBody = _WatchBody()
+
+
+class Etcd:
+    """Adapter of the key-value port.
+
+    :param base: ``http://ip:port`` of the gateway.
+    :param meter: counts each call and waiting watch.
+    """
+
+    def __init__(self, *, base: str, meter: metrics.Meter) -> None:
+        self._meter = meter
+        self._client = httpx.AsyncClient(
+            base_url=base,
+            timeout=clock.seconds(TIMEOUT_MS),
+            trust_env=False,
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def get(self, key: str, purpose: keyvalue.Purpose) -> keyvalue.Value:
+        """Read one key."""
+        body = {'key': key.encode()}
+        data = await self._call('/v3/kv/range', body, purpose, writes=False)
+        answer = _decode(data, _RangeAnswer, writes=False)
+        if not answer.kvs:
+            return keyvalue.Value(None, NO_REVISION)
+        item = answer.kvs[0]
+        return keyvalue.Value(item.value, item.mod_revision)
+
+    async def swap(
+        self,
+        key: str,
+        data: bytes,
+        revision: int,
+        purpose: keyvalue.Purpose,
+        lease: int = 0,
+    ) -> keyvalue.Swap:
+        """Write one key if its modification revision is the given one."""
+        name = key.encode()
+        put: dict[str, object] = {'key': name, 'value': data}
+        if lease:
+            put['lease'] = str(lease)
+        body = {
+            'compare': [
+                {
+                    'key': name,
+                    'target': 'MOD',
+                    'result': 'EQUAL',
+                    'mod_revision': str(revision),
+                }
+            ],
+            'success': [{'request_put': put}],
+        }
+        found = await self._call('/v3/kv/txn', body, purpose, writes=True)
+        answer = _decode(found, _TxnAnswer, writes=True)
+        return keyvalue.Swap(answer.succeeded, answer.header.revision)
+
+    async def grant(self, ttl_ms: int) -> int:
+        """Grant a lease and give its number."""
+        body = {'TTL': str(max(1, ttl_ms // clock.SECOND))}
+        purpose = keyvalue.Purpose.LEASE
+        data = await self._call('/v3/lease/grant', body, purpose, writes=True)
+        return _decode(data, _LeaseAnswer, writes=True).ID
+
+    async def keep(self, lease: int) -> bool:
+        """Renew a lease; tell whether it still stood."""
+        body = {'ID': str(lease)}
+        purpose = keyvalue.Purpose.LEASE
+        data = await self._call(
+            '/v3/lease/keepalive', body, purpose, writes=True
+        )
+        return _decode(data, _KeepAnswer, writes=True).result.TTL > 0
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease; its keys are deleted."""
+        body = {'ID': str(lease)}
+        purpose = keyvalue.Purpose.LEASE
+        await self._call('/v3/lease/revoke', body, purpose, writes=True)
+
+    async def watch(
+        self, key: str, revision: int, purpose: keyvalue.Purpose
+    ) -> collections.abc.AsyncIterator[keyvalue.Value]:
+        """Follow a key from a revision on.
+
+        Progress without news gives a value without data, so that the
+        caller can tell a quiet watch from a silent one.
+        """
+        body = {
+            'create_request': {
+                'key': key.encode(),
+                'start_revision': str(revision),
+                'progress_notify': True,
+            }
+        }
+        timeout = httpx.Timeout(
+            clock.seconds(TIMEOUT_MS), read=clock.seconds(WATCH_SILENT_MS)
+        )
+        self._meter.count_keyvalue('watch', purpose.value)
+        try:
+            async with self._client.stream(
+                'POST',
+                '/v3/watch',
+                content=msgspec.json.encode(body),
+                timeout=timeout,
+            ) as response:
+                response.raise_for_status()
+                async for line in response.aiter_lines():
+                    for value in _watched(line):
+                        yield value
+        except httpx.HTTPError as error:
+            raise keyvalue.KeyValueError(False, repr(error)) from error
+
+    async def _call(
+        self,
+        path: str,
+        body: object,
+        purpose: keyvalue.Purpose,
+        *,
+        writes: bool,
+    ) -> bytes:
+        kind = 'write' if writes else 'read'
+        self._meter.count_keyvalue(kind, purpose.value)
+        try:
+            response = await self._client.post(
+                path, content=msgspec.json.encode(body)
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise keyvalue.KeyValueError(False, repr(error)) from error
+        except httpx.HTTPError as error:
+            raise keyvalue.KeyValueError(writes, repr(error)) from error
+        if response.status_code != httpx.codes.OK:
+            detail = f'status {response.status_code}'
+            raise keyvalue.KeyValueError(writes, detail)
+        return response.content
+
+
+T = typing.TypeVar('T')
+
+
+def _decode(data: bytes, kind: type[T], *, writes: bool) -> T:
+    try:
+        return msgspec.json.decode(data, type=kind, strict=False)
+    except msgspec.DecodeError as error:
+        raise keyvalue.KeyValueError(writes, str(error)) from error
+
+
+def _watched(line: str) -> list[keyvalue.Value]:
+    if not line.strip():
+        return []
+    answer = _decode(line.encode(), _WatchAnswer, writes=False).result
+    if answer.canceled:
+        raise keyvalue.KeyValueError(False, 'the watch was cancelled')
+    if not answer.events:
+        return [keyvalue.Value(None, answer.header.revision)]
+    return [
+        keyvalue.Value(event.kv.value, event.kv.mod_revision)
+        for event in answer.events
+        if event.type != 'DELETE'
+    ]
--- /dev/null
+++ b/src/teaselbridge/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Feeds events to the reducer and performs its effects."""
--- /dev/null
+++ b/src/teaselbridge/runtime/attempts.py
@@ -0,0 +1,155 @@
+"""Performs attempts at backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import typing
+
+import httpx
+import msgspec
+
+from teaselbridge.backends import engine
+from teaselbridge.backends import service
+from teaselbridge import clock
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.tables import model
+
+if typing.TYPE_CHECKING:
+    from teaselbridge.runtime import loop as loops
+
+CONNECT_MS = 1_000
+REPORT_MS = 400
+CONNECTIONS = 256
+CLOSE_LATER_MS = 30_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    """A backend server's load, as it reports it."""
+
+    version: str = ''
+    slots: int = 1
+    running: int = 0
+    waiting: int = 0
+    leaving: bool = False
+
+
+class Clients:
+    """Kept connections, one client for each backend server."""
+
+    def __init__(self) -> None:
+        self._by_address: dict[str, httpx.AsyncClient] = {}
+
+    def get(self, address: str) -> httpx.AsyncClient:
+        """Give the client of a backend server."""
+        client = self._by_address.get(address)
+        if client is None:
+            client = httpx.AsyncClient(
+                timeout=httpx.Timeout(None, connect=clock.seconds(CONNECT_MS)),
+                limits=httpx.Limits(max_connections=CONNECTIONS),
+                trust_env=False,
+                verify=False,
+            )
+            self._by_address[address] = client
+        return client
+
+    def pop(self, address: str) -> httpx.AsyncClient | None:
+        """Take a client out, so that the next one connects anew."""
+        return self._by_address.pop(address, None)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for client in self._by_address.values():
+            await client.aclose()
+        self._by_address.clear()
+
+
+class Attempts:
+    """Attempts that are under way.
+
+    :param loop: takes the events.
+    :param tasks: keeps the tasks.
+    """
+
+    def __init__(self, *, loop: loops.Loop, tasks: loops.Tasks) -> None:
+        self._loop = loop
+        self._tasks = tasks
+        self._clients = Clients()
+        self._running: dict[int, asyncio.Task[None]] = {}
+        self._asking: set[str] = set()
+        loop.handle(effects.StartAttempt, self._start)
+        loop.handle(effects.CancelAttempt, self._cancel)
+        loop.handle(effects.DropConnections, self._drop)
+        loop.handle(effects.ReportLoad, self._report)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._clients.close()
+
+    def _start(self, effect: effects.StartAttempt) -> None:
+        run = engine.run
+        if effect.call.kind is model.Kind.SERVICE:
+            run = service.run
+        client = self._clients.get(effect.address)
+        task = self._tasks.start(run(client, effect, self._loop.post))
+        self._running[effect.call.handle] = task
+
+        def forget(ended: asyncio.Task[None]) -> None:
+            if self._running.get(effect.call.handle) is ended:
+                del self._running[effect.call.handle]
+
+        task.add_done_callback(forget)
+
+    def _cancel(self, effect: effects.CancelAttempt) -> None:
+        task = self._running.pop(effect.handle, None)
+        if task is not None:
+            task.cancel()
+
+    def _drop(self, effect: effects.DropConnections) -> None:
+        client = self._clients.pop(effect.address)
+        if client is not None:
+            self._tasks.start(_close_later(client))
+
+    def _report(self, effect: effects.ReportLoad) -> None:
+        for target in effect.hosts:
+            if target.host not in self._asking:
+                self._asking.add(target.host)
+                self._tasks.start(self._ask(target))
+
+    async def _ask(self, target: effects.Target) -> None:
+        try:
+            event = await self._read_load(target)
+        finally:
+            self._asking.discard(target.host)
+        self._loop.post(event)
+
+    async def _read_load(
+        self, target: effects.Target
+    ) -> events.LoadReported | events.LoadMissing:
+        client = self._clients.get(target.address)
+        try:
+            response = await client.get(
+                f'http://{target.address}/load',
+                timeout=clock.seconds(REPORT_MS),
+            )
+            response.raise_for_status()
+            report = msgspec.json.decode(response.content, type=_Report)
+        except (httpx.HTTPError, msgspec.DecodeError):
+            self._drop(effects.DropConnections(target.address))
+            return events.LoadMissing(target.host)
+        return events.LoadReported(
+            host=target.host,
+            version=report.version,
+            slots=report.slots,
+            running=report.running,
+            waiting=report.waiting,
+            leaving=report.leaving,
+        )
+
+
+async def _close_later(client: httpx.AsyncClient) -> None:
+    """Close a client once the attempts that use it have had their time."""
+    await asyncio.sleep(clock.seconds(CLOSE_LATER_MS))
+    await client.aclose()
--- /dev/null
+++ b/src/teaselbridge/runtime/node.py
@@ -0,0 +1,186 @@
+"""Puts a node together, runs it and stops it gracefully."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import typing
+
+from teaselbridge.admin import app as admin_app
+from teaselbridge import clock as clocks
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import state as states
+from teaselbridge.gateway import app as gateway_app
+from teaselbridge.peers import messages
+from teaselbridge.peers import transport as transports
+from teaselbridge.platform import cloud as clouds
+from teaselbridge.platform import etcd
+from teaselbridge.runtime import attempts as attempts_module
+from teaselbridge.runtime import keys
+from teaselbridge.runtime import links
+from teaselbridge.runtime import loop as loops
+from teaselbridge.runtime import outlets as outlets_module
+from teaselbridge.runtime import surroundings
+from teaselbridge.runtime import web
+from teaselbridge.telemetry import metrics
+from teaselbridge.telemetry import timeline
+
+if typing.TYPE_CHECKING:
+    from teaselbridge.settings import model
+
+LINGER_MS = 300
+
+
+class Node:
+    """One node, all of it.
+
+    :param settings: checked settings.
+    """
+
+    def __init__(self, *, settings: model.Settings) -> None:
+        self._settings = settings
+        clock = clocks.Clock()
+        options = _options(settings, clock.now())
+        self._meter = metrics.Meter()
+        self._loop = loops.Loop(
+            state=states.State(options=options),
+            clock=clock,
+            meter=self._meter,
+            timeline=timeline.Timeline(
+                node=settings.node.name,
+                most=settings.limits.timeline_events,
+            ),
+        )
+        self._tasks = loops.Tasks()
+        self._stopped = asyncio.Event()
+        self._store = etcd.Etcd(
+            base=settings.platform.keyvalue, meter=self._meter
+        )
+        self._hosts = clouds.HostList(base=settings.platform.hosts)
+        self._cloud = clouds.Cloud(base=settings.platform.cloud)
+        self._transport = transports.Transport(
+            name=settings.node.name,
+            address=settings.listen.peers,
+            meter=self._meter,
+        )
+        self._attempts = attempts_module.Attempts(
+            loop=self._loop, tasks=self._tasks
+        )
+        outlets = outlets_module.Outlets(loop=self._loop)
+        keys.Keys(store=self._store, loop=self._loop, tasks=self._tasks)
+        links.connect(self._transport, self._loop)
+        self._loop.handle(effects.Stop, lambda _: self._stopped.set())
+        self._loop.handle(effects.UseConfiguration, lambda _: None)
+        self._callers = web.Web(
+            app=self._gateway(outlets),
+            address=settings.listen.callers,
+            tls=settings.tls,
+        )
+        self._admin = web.Web(
+            app=self._operators(),
+            address=settings.listen.admin,
+            tls=settings.tls,
+        )
+
+    @property
+    def loop(self) -> loops.Loop:
+        """Runs the decisions."""
+        return self._loop
+
+    @property
+    def meter(self) -> metrics.Meter:
+        """Figures of the process."""
+        return self._meter
+
+    async def start(self) -> None:
+        """Listen and begin to work.
+
+        :raises OSError: an address is not free.
+        """
+        self._callers.bind()
+        self._admin.bind()
+        self._transport.bind()
+        self._loop.record(
+            effects.Record(
+                mark=effects.Mark.NODE_STARTED,
+                host=self._settings.node.name,
+                detail=f'process {os.getpid()}',
+            )
+        )
+        self._tasks.start(links.follow(self._transport, self._loop))
+        self._tasks.start(surroundings.follow_hosts(self._hosts, self._loop))
+        self._tasks.start(surroundings.follow_notices(self._cloud, self._loop))
+        self._tasks.start(self._loop.tick())
+        await self._callers.start()
+        await self._admin.start()
+
+    async def run(self) -> None:
+        """Run until a graceful stop has ended."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.drain)
+        await self.start()
+        await self._stopped.wait()
+        await self.stop()
+
+    def drain(self) -> None:
+        """Begin a graceful stop."""
+        by = self._loop.now().mono + self._settings.limits.drain_ms
+        self._loop.post(events.DrainAsked(by))
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        await self._callers.stop()
+        await self._admin.stop()
+        await asyncio.sleep(clocks.seconds(LINGER_MS))
+        await self._tasks.stop()
+        await self._transport.close()
+        await self._attempts.close()
+        await self._store.close()
+        await self._hosts.close()
+        await self._cloud.close()
+        self._loop.record(
+            effects.Record(
+                mark=effects.Mark.NODE_STOPPED,
+                host=self._settings.node.name,
+            )
+        )
+
+    def _gateway(self, outlets: outlets_module.Outlets) -> typing.Any:
+        scheme = 'http' if self._settings.tls is None else 'https'
+        return gateway_app.Gateway(
+            loop=self._loop,
+            outlets=outlets,
+            body_bytes=self._settings.limits.body_bytes,
+            scheme=scheme,
+        ).build()
+
+    def _operators(self) -> typing.Any:
+        return admin_app.Admin(
+            loop=self._loop,
+            meter=self._meter,
+            operator_key=self._settings.operator_key,
+            drain_ms=self._settings.limits.drain_ms,
+        ).build()
+
+
+def _options(settings: model.Settings, now: clocks.Instant) -> states.Options:
+    me = messages.Member(
+        name=settings.node.name,
+        incarnation=now.wall,
+        status=messages.Status.ALIVE,
+        peers=settings.listen.peers,
+        callers=settings.listen.callers,
+        admin=settings.listen.admin,
+        zone=settings.node.zone,
+        region=settings.node.region,
+    )
+    return states.Options(
+        me=me,
+        seeds=settings.seeds,
+        queue=settings.limits.queue,
+        address_ttl_ms=settings.limits.address_ttl_ms,
+        seed=now.wall,
+    )
--- /dev/null
+++ b/src/teaselbridge/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process."""
--- /dev/null
+++ b/src/teaselbridge/settings/load.py
@@ -0,0 +1,93 @@
+"""Reading and checking of a settings file."""
+
+from __future__ import annotations
+
+import ipaddress
+import pathlib
+import urllib.parse
+
+import pyjson5
+
+from teaselbridge import documents
+from teaselbridge import errors
+from teaselbridge.settings import model
+
+PORT_MAX = 65_535
+
+
+def load(path: str) -> model.Settings:
+    """Read a settings file: JSON with comments.
+
+    :param path: the file.
+    :return: the checked settings.
+    :raises errors.DocumentError: what is wrong, and where.
+    """
+    settings = documents.convert(read(path), model.Settings, path)
+    _check_addresses(settings, path)
+    return settings
+
+
+def read(path: str) -> object:
+    """Parse a file of JSON with comments.
+
+    :param path: the file.
+    :return: the plain document.
+    :raises errors.DocumentError: the file is missing or malformed.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except FileNotFoundError as error:
+        raise errors.DocumentError(path, '$', 'no such file') from error
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.DocumentError(path, '$', str(error)) from error
+    try:
+        document: object = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        reason = str(error.args[0]) if error.args else 'malformed JSON'
+        raise errors.DocumentError(path, '$', reason) from error
+    return document
+
+
+def split(address: str) -> tuple[str, int]:
+    """Split ``ip:port``.
+
+    :param address: the text form.
+    :return: the IP number and the port.
+    :raises ValueError: it is not an IP number and a port.
+    """
+    parts = urllib.parse.urlsplit(f'//{address}')
+    if parts.hostname is None or parts.port is None:
+        raise ValueError('expected ip:port')
+    if not 0 < parts.port <= PORT_MAX:
+        raise ValueError('expected a port from 1 to 65535')
+    return str(ipaddress.ip_address(parts.hostname)), parts.port
+
+
+def _check_addresses(settings: model.Settings, source: str) -> None:
+    listen = settings.listen
+    _check(listen.callers, source, '$.listen.callers')
+    _check(listen.admin, source, '$.listen.admin')
+    _check(listen.peers, source, '$.listen.peers')
+    for index, seed in enumerate(settings.seeds):
+        _check(seed, source, f'$.seeds[{index}]')
+    platform = settings.platform
+    _check_url(platform.keyvalue, source, '$.platform.keyvalue')
+    _check_url(platform.hosts, source, '$.platform.hosts')
+    _check_url(platform.cloud, source, '$.platform.cloud')
+    _check_url(platform.weights, source, '$.platform.weights')
+
+
+def _check(address: str, source: str, path: str) -> None:
+    try:
+        split(address)
+    except ValueError as error:
+        expected = f'{error}, got `{address}`'
+        raise errors.DocumentError(source, path, expected) from error
+
+
+def _check_url(url: str, source: str, path: str) -> None:
+    scheme, _, address = url.partition('://')
+    if scheme not in ('http', 'https'):
+        expected = f'expected http://ip:port, got `{url}`'
+        raise errors.DocumentError(source, path, expected)
+    _check(address.rstrip('/'), source, path)
--- /dev/null
+++ b/src/teaselbridge/settings/model.py
@@ -0,0 +1,109 @@
+"""Frozen data classes of the settings file."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import msgspec
+
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Name = typing.Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9.-]*$')]
+Millis = typing.Annotated[int, msgspec.Meta(ge=1)]
+Count = typing.Annotated[int, msgspec.Meta(ge=1)]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Node:
+    """Who this node is.
+
+    :param name: unique name of the node.
+    :param zone: its availability zone.
+    :param region: the region that the zone lies in.
+    """
+
+    name: Name
+    zone: Name
+    region: Name
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Listen:
+    """Addresses that this node listens on, as ``ip:port``.
+
+    :param callers: HTTP interface of callers.
+    :param admin: HTTP interface of operators.
+    :param peers: zmq socket for other nodes.
+    """
+
+    callers: str
+    admin: str
+    peers: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Platform:
+    """Base addresses of the platform's services, as ``http://ip:port``.
+
+    :param keyvalue: key-value service.
+    :param hosts: host list.
+    :param cloud: cloud API.
+    :param weights: weight store.
+    """
+
+    keyvalue: str
+    hosts: str
+    cloud: str
+    weights: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Tls:
+    """Certificate files of one listener.
+
+    :param certificate: PEM file with the chain.
+    :param key: PEM file with the private key.
+    """
+
+    certificate: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Limits:
+    """Bounds of what one node holds.
+
+    :param queue: requests that may wait for a backend server.
+    :param body_bytes: largest request body.
+    :param address_ttl_ms: how long callers may keep the address list.
+    :param drain_ms: longest graceful stop.
+    :param timeline_events: events that the time line keeps.
+    """
+
+    queue: Count = 512
+    body_bytes: Count = 1_048_576
+    address_ttl_ms: Millis = 2_000
+    drain_ms: Millis = 10_000
+    timeline_events: Count = 20_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """Everything that a node reads from its file.
+
+    :param node: who this node is.
+    :param listen: addresses to listen on.
+    :param platform: addresses of the platform's services.
+    :param seeds: ``ip:port`` of peers to join through.
+    :param operator_key: shared key that the admin interface asks for.
+    :param tls: certificate for callers and operators, none for plain HTTP.
+    :param limits: bounds of what the node holds.
+    """
+
+    node: Node
+    listen: Listen
+    platform: Platform
+    seeds: tuple[str, ...] = ()
+    operator_key: str = ''
+    tls: Tls | None = None
+    limits: Limits = Limits()
--- /dev/null
+++ b/src/teaselbridge/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of backend servers."""
--- /dev/null
+++ b/src/teaselbridge/tables/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tables: routes and pools."""
--- /dev/null
+++ b/src/teaselbridge/tables/diff.py
@@ -0,0 +1,82 @@
+"""Differences between two versions of the tables."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import msgspec
+
+if typing.TYPE_CHECKING:
+    from teaselbridge.tables import model
+
+TABLES = ('routes', 'pools', 'workspaces')
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """One field of one row that differs.
+
+    :param table: name of the table.
+    :param row: name of the row.
+    :param field: name of the field, ``*`` for the whole row.
+    :param old: JSON of the old value, empty where there is none.
+    :param new: JSON of the new value, empty where there is none.
+    """
+
+    table: str
+    row: str
+    field: str
+    old: str
+    new: str
+
+    def __str__(self) -> str:
+        place = f'{self.table}.{self.row}.{self.field}'
+        return f'{place}: {self.old or "-"} -> {self.new or "-"}'
+
+
+def diff(old: model.Tables, new: model.Tables) -> tuple[Change, ...]:
+    """List what changes from one version to another.
+
+    :param old: version before.
+    :param new: version after.
+    :return: changes in order of table and row.
+    """
+    changes: list[Change] = []
+    for table in TABLES:
+        changes.extend(_diff_table(table, old, new))
+    return tuple(changes)
+
+
+def _diff_table(
+    table: str, old: model.Tables, new: model.Tables
+) -> list[Change]:
+    before = {row.name: row for row in getattr(old, table)}
+    after = {row.name: row for row in getattr(new, table)}
+    changes: list[Change] = []
+    for name in sorted(before.keys() | after.keys()):
+        changes.extend(_diff_row(table, before.get(name), after.get(name)))
+    return changes
+
+
+def _diff_row(table: str, old: typing.Any, new: typing.Any) -> list[Change]:
+    if old == new:
+        return []
+    if old is None:
+        return [Change(table, new.name, '*', '', _show(new))]
+    if new is None:
+        return [Change(table, old.name, '*', _show(old), '')]
+    changes = []
+    for field in dataclasses.fields(old):
+        left = getattr(old, field.name)
+        right = getattr(new, field.name)
+        if left != right:
+            change = Change(
+                table, old.name, field.name, _show(left), _show(right)
+            )
+            changes.append(change)
+    return changes
+
+
+def _show(value: object) -> str:
+    return msgspec.json.encode(value).decode()
--- /dev/null
+++ b/src/teaselbridge/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, logs and the time line."""
--- /dev/null
+++ b/src/teaselbridge/telemetry/metrics.py
@@ -0,0 +1,94 @@
+"""Counters and gauges of a node, in the format of Prometheus."""
+
+from __future__ import annotations
+
+import typing
+
+import prometheus_client
+
+if typing.TYPE_CHECKING:
+    from teaselbridge.decisions import effects
+
+
+class Meter:
+    """All figures of one process."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._decisions = prometheus_client.Counter(
+            'teaselbridge_decisions',
+            'Decisions by kind and by route, fault or reason.',
+            ['kind', 'label'],
+            registry=self._registry,
+        )
+        self._keyvalue = prometheus_client.Counter(
+            'teaselbridge_keyvalue_calls',
+            'Calls to the key-value service, by kind and purpose.',
+            ['kind', 'purpose'],
+            registry=self._registry,
+        )
+        self._bytes = prometheus_client.Counter(
+            'teaselbridge_peer_bytes',
+            'Bytes exchanged with other nodes, by direction and message.',
+            ['direction', 'message'],
+            registry=self._registry,
+        )
+        self._held = prometheus_client.Gauge(
+            'teaselbridge_requests_held',
+            'Requests that the node holds.',
+            registry=self._registry,
+        )
+        self._queued = prometheus_client.Gauge(
+            'teaselbridge_requests_queued',
+            'Requests that wait for a backend server.',
+            registry=self._registry,
+        )
+        self._generation = prometheus_client.Gauge(
+            'teaselbridge_generation',
+            'Generation of the configuration in force.',
+            registry=self._registry,
+        )
+        self._peers = prometheus_client.Gauge(
+            'teaselbridge_peers',
+            'Other nodes that are believed to be alive.',
+            registry=self._registry,
+        )
+        prometheus_client.ProcessCollector(registry=self._registry)
+
+    def count(self, effect: effects.Count) -> None:
+        """Add to a counter of decisions."""
+        kind = effect.counter.value
+        self._decisions.labels(kind, effect.label).inc(effect.amount)
+
+    def count_keyvalue(self, kind: str, purpose: str) -> None:
+        """Count a call to the key-value service.
+
+        :param kind: ``read``, ``write`` or ``watch``.
+        """
+        self._keyvalue.labels(kind, purpose).inc()
+
+    def count_bytes(self, direction: str, message: str, size: int) -> None:
+        """Count bytes of a message between nodes.
+
+        :param direction: ``sent`` or ``received``.
+        """
+        self._bytes.labels(direction, message).inc(size)
+
+    def show(
+        self, *, held: int, queued: int, generation: int, peers: int
+    ) -> None:
+        """Set the gauges."""
+        self._held.set(held)
+        self._queued.set(queued)
+        self._generation.set(generation)
+        self._peers.set(peers)
+
+    def export(self) -> bytes:
+        """Give all figures in Prometheus' text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def value(self, kind: str, label: str = '') -> float:
+        """Read one counter of decisions."""
+        labels = {'kind': kind, 'label': label}
+        name = 'teaselbridge_decisions_total'
+        return self._registry.get_sample_value(name, labels) or 0.0
--- /dev/null
+++ b/src/teaselbridge/version.py
@@ -0,0 +1,5 @@
+"""The version of the package."""
+
+from __future__ import annotations
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/tests/tables/test_check.py
@@ -0,0 +1,115 @@
+"""Tests of the checks of routes and pools."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import testtools
+
+from teaselbridge.tables import check
+from teaselbridge.tables import diff
+from teaselbridge.tables import join
+from teaselbridge.tables import model
+
+POOL = model.Pool(
+    name='lm',
+    kind=model.Kind.ENGINE,
+    versions=(model.Version(name='v1'),),
+    zones=('brno-a',),
+)
+ROUTE = model.Route(
+    name='assistant', match=model.Match(model='kadidlo'), pool='lm'
+)
+GOOD = model.Tables(routes=(ROUTE,), pools=(POOL,))
+
+
+class TestCheck(testtools.TestCase):
+    """Refusal of rows, with table, row and field."""
+
+    def _refused(self, tables: model.Tables) -> tuple[str, str, str]:
+        error = self.assertRaises(check.TableError, check.check, tables)
+        return error.table, error.row, error.field
+
+    def test_good_tables(self) -> None:
+        check.check(GOOD)
+
+    def test_dangling_pool(self) -> None:
+        tables = dataclasses.replace(GOOD, pools=())
+        found = self._refused(tables)
+        self.assertEqual(('routes', 'assistant', 'pool'), found)
+
+    def test_duplicate_route(self) -> None:
+        tables = dataclasses.replace(GOOD, routes=(ROUTE, ROUTE))
+        found = self._refused(tables)
+        self.assertEqual(('routes', 'assistant', 'name'), found)
+
+    def test_empty_pool(self) -> None:
+        pool = dataclasses.replace(POOL, versions=())
+        found = self._refused(dataclasses.replace(GOOD, pools=(pool,)))
+        self.assertEqual(('pools', 'lm', 'versions'), found)
+
+    def test_two_routes_with_one_match(self) -> None:
+        twin = dataclasses.replace(ROUTE, name='twin')
+        tables = dataclasses.replace(GOOD, routes=(ROUTE, twin))
+        found = self._refused(tables)
+        self.assertEqual(('routes', 'twin', 'match'), found)
+
+    def test_engines_serve_idempotent_routes_only(self) -> None:
+        route = dataclasses.replace(ROUTE, idempotent=False)
+        found = self._refused(dataclasses.replace(GOOD, routes=(route,)))
+        self.assertEqual(('routes', 'assistant', 'idempotent'), found)
+
+    def test_own_paths_are_taken(self) -> None:
+        pool = dataclasses.replace(POOL, kind=model.Kind.SERVICE)
+        route = dataclasses.replace(ROUTE, match=model.Match(path='/v1/x'))
+        tables = model.Tables(routes=(route,), pools=(pool,))
+        found = self._refused(tables)
+        self.assertEqual(('routes', 'assistant', 'match.path'), found)
+
+
+class TestDiff(testtools.TestCase):
+    """Differences between two versions of the tables."""
+
+    def test_equal_tables(self) -> None:
+        self.assertEqual((), diff.diff(GOOD, GOOD))
+
+    def test_changed_field(self) -> None:
+        route = dataclasses.replace(ROUTE, priority=1)
+        new = dataclasses.replace(GOOD, routes=(route,))
+        change = diff.Change('routes', 'assistant', 'priority', '5', '1')
+        self.assertEqual((change,), diff.diff(GOOD, new))
+
+    def test_removed_row(self) -> None:
+        new = dataclasses.replace(GOOD, routes=())
+        (change,) = diff.diff(GOOD, new)
+        self.assertEqual(('*', ''), (change.field, change.new))
+
+
+class TestIndex(testtools.TestCase):
+    """Look-ups by model, path and key."""
+
+    def _index(self, *paths: str) -> join.Index:
+        routes = tuple(
+            model.Route(
+                name=f'r{number}', match=model.Match(path=path), pool='p'
+            )
+            for number, path in enumerate(paths)
+        )
+        tables = model.Tables(routes=routes)
+        return join.Index(configuration=model.Configuration(tables=tables))
+
+    def test_longest_prefix_wins(self) -> None:
+        index = self._index('/orders', '/orders/print')
+        route = index.route_of_path('/orders/print/1')
+        self.assertEqual('r1', route.name)
+
+    def test_prefix_ends_at_a_segment(self) -> None:
+        index = self._index('/orders')
+        self.assertIsNone(index.route_of_path('/ordersheet'))
+
+    def test_wrong_key_belongs_to_nobody(self) -> None:
+        row = model.Workspace(name='a', key='k')
+        tables = model.Tables(workspaces=(row,))
+        index = join.Index(configuration=model.Configuration(tables=tables))
+        self.assertIsNone(index.workspace_of_key('wrong'))
+        self.assertEqual('a', index.workspace_of_key('k').name)
