Add caller library, load tool and a demo under failures

Cause: the thin path had no caller that follows the system, and a refusal could say 'not run' of an id that an earlier sending had run. Change: client with address book, retry and resume; seeded mixed trace and report; demo with reclaims, a death, silent connections and lost answers. A refusal says ran no only for a first sending or under a held claim. Errors with fields are no longer frozen: the interpreter sets a traceback on them, which a frozen class refuses (seen in the demo as a crash). Ruled out: ran no for every refusal before dispatch, since an earlier sending of the same id may have run.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and the demo, run by hand or by make."""
--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,318 @@
+"""Starts nodes and stand-ins as processes on free loopback ports."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import httpx
+import prometheus_client.parser
+
+from teaselbridge.admin import models
+from teaselbridge.cli import config
+from teaselbridge.cli import remote
+from teaselbridge.tables import check
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+ROOT = pathlib.Path(__file__).parent.parent
+TABLES = ROOT / 'examples' / 'tables.json'
+KEY = 'demo-operator-key'
+START_S = 20.0
+STOP_S = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Shape:
+    """What to start.
+
+    :param zones: availability zone of each node.
+    :param spec: stand-ins, as in a spec file without ports.
+    :param drain_ms: longest graceful stop of a node.
+    """
+
+    zones: tuple[str, ...] = ('olomouc-a', 'brno-a', 'kariakoo')
+    spec: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    drain_ms: int = 8_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodePorts:
+    """Addresses of one node."""
+
+    name: str
+    callers: str
+    admin: str
+    peers: str
+
+
+class Deployment:
+    """Processes of one trial.
+
+    :param shape: what to start.
+    """
+
+    def __init__(self, *, shape: Shape) -> None:
+        self._shape = shape
+        self._folder = tempfile.TemporaryDirectory()
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        first = _free_run(3)
+        self._platform = [f'127.0.0.1:{first + step}' for step in range(3)]
+        self.nodes = [
+            NodePorts(
+                name=f'entry-{number}',
+                callers=f'127.0.0.1:{free_port()}',
+                admin=f'127.0.0.1:{free_port()}',
+                peers=f'127.0.0.1:{free_port()}',
+            )
+            for number in range(1, len(shape.zones) + 1)
+        ]
+
+    @property
+    def control(self) -> str:
+        """Control interface of the stand-ins, as ``ip:port``."""
+        return self._platform[2]
+
+    @property
+    def keyvalue(self) -> str:
+        """Key-value stand-in, as ``ip:port``."""
+        return self._platform[0]
+
+    @property
+    def target(self) -> remote.Target:
+        """First node's operators' interface."""
+        return remote.Target(self.nodes[0].admin, KEY)
+
+    @property
+    def seeds(self) -> tuple[str, ...]:
+        """Callers' interfaces of all nodes."""
+        return tuple(node.callers for node in self.nodes)
+
+    def pid(self, name: str) -> int:
+        """Process id of a node or of the stand-ins."""
+        return self._processes[name].pid
+
+    def is_running(self, name: str) -> bool:
+        """Tell whether a process still runs."""
+        return self._processes[name].poll() is None
+
+    def exit_code(self, name: str) -> int | None:
+        """Exit code of a process that has ended."""
+        return self._processes[name].poll()
+
+    async def start(self) -> None:
+        """Start everything and wait until all nodes answer."""
+        self._start('standins', 'standins', '--spec', self._write_spec())
+        await _wait_for(f'http://{self.control}/standin/figures')
+        for node, zone in zip(self.nodes, self._shape.zones, strict=True):
+            self.start_node(node, zone)
+        for node in self.nodes:
+            await _wait_for(f'http://{node.admin}/readyz')
+
+    def start_node(self, node: NodePorts, zone: str) -> None:
+        """Start one node."""
+        path = self._write_settings(node, zone)
+        self._start(node.name, 'serve', '--settings', path)
+
+    async def apply(self, path: pathlib.Path = TABLES) -> models.ApplyReply:
+        """Put tables in force at all nodes."""
+        tables = check.load_tables(str(path))
+        reply = await config.apply(self.target, tables, None)
+        await config.wait(self.target, reply.generation, START_S)
+        return reply
+
+    async def inject(
+        self, path: str, body: dict[str, typing.Any]
+    ) -> dict[str, typing.Any]:
+        """Inject a fault through the stand-ins' control."""
+        return await _post(f'http://{self.control}{path}', body)
+
+    async def set_keyvalue_faults(self, **faults: typing.Any) -> None:
+        """Set the faults of the key-value service."""
+        await _post(f'http://{self.keyvalue}/standin/faults', faults)
+
+    async def figures(self) -> dict[str, typing.Any]:
+        """Read what the stand-ins have done."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            response = await client.get(
+                f'http://{self.control}/standin/figures'
+            )
+        document: dict[str, typing.Any] = response.json()
+        return document
+
+    async def count(self, kind: str) -> int:
+        """Add up a counter of decisions over all nodes that answer."""
+        total = 0.0
+        async with httpx.AsyncClient(trust_env=False) as client:
+            for node in self.nodes:
+                try:
+                    url = f'http://{node.admin}/metrics'
+                    response = await client.get(url)
+                except httpx.HTTPError:
+                    continue
+                total += _sum_metric(response.text, kind)
+        return round(total)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process of this trial."""
+        self._processes[name].send_signal(number)
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        until = time.monotonic() + STOP_S
+        for process in self._processes.values():
+            left = max(0.1, until - time.monotonic())
+            try:
+                process.wait(left)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._folder.cleanup()
+
+    def log(self, name: str) -> str:
+        """Read what a process has logged."""
+        path = pathlib.Path(self._folder.name) / f'{name}.log'
+        return path.read_text(encoding='utf-8')
+
+    def _start(self, name: str, *arguments: str) -> None:
+        path = pathlib.Path(self._folder.name) / f'{name}.log'
+        command = [sys.executable, '-m', 'teaselbridge', *arguments]
+        with path.open('ab') as log:
+            self._processes[name] = subprocess.Popen(
+                command, stdout=log, stderr=log
+            )
+
+    def _write_spec(self) -> str:
+        spec = {**self._shape.spec, 'platform': self._platform[0]}
+        spec['entries'] = [
+            {
+                'host': node.name,
+                'address': node.peers,
+                'zone': zone,
+                'role': 'entry',
+            }
+            for node, zone in zip(self.nodes, self._shape.zones, strict=True)
+        ]
+        return self._write('spec.json', spec)
+
+    def _write_settings(self, node: NodePorts, zone: str) -> str:
+        cloud = f'http://{self._platform[1]}'
+        settings = {
+            'node': {'name': node.name, 'zone': zone, 'region': 'morava'},
+            'listen': {
+                'callers': node.callers,
+                'admin': node.admin,
+                'peers': node.peers,
+            },
+            'platform': {
+                'keyvalue': f'http://{self._platform[0]}',
+                'hosts': cloud,
+                'cloud': cloud,
+                'weights': cloud,
+            },
+            'seeds': [other.peers for other in self.nodes],
+            'operator_key': KEY,
+            'limits': {'drain_ms': self._shape.drain_ms},
+        }
+        return self._write(f'{node.name}.json', settings)
+
+    def _write(self, name: str, document: dict[str, typing.Any]) -> str:
+        path = pathlib.Path(self._folder.name) / name
+        path.write_text(json.dumps(document), encoding='utf-8')
+        return str(path)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    shape: Shape,
+) -> collections.abc.AsyncIterator[Deployment]:
+    """Run a deployment with the example tables in force."""
+    deployment = Deployment(shape=shape)
+    try:
+        await deployment.start()
+        await deployment.apply()
+        yield deployment
+    finally:
+        deployment.stop()
+
+
+def example_spec() -> dict[str, typing.Any]:
+    """Read the example stand-ins."""
+    from teaselbridge.settings import load
+
+    document = load.read(str(ROOT / 'examples' / 'standins.json'))
+    assert isinstance(document, dict)
+    return document
+
+
+def _sum_metric(text: str, kind: str) -> float:
+    return sum(
+        sample.value
+        for family in prometheus_client.parser.text_string_to_metric_families(
+            text
+        )
+        for sample in family.samples
+        if sample.name == 'teaselbridge_decisions_total'
+        and sample.labels['kind'] == kind
+    )
+
+
+def free_port() -> int:
+    """Find a free loopback port."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def _free_run(count: int) -> int:
+    while True:
+        first = free_port()
+        with contextlib.ExitStack() as stack:
+            try:
+                for step in range(count):
+                    probe = stack.enter_context(socket.socket())
+                    probe.bind(('127.0.0.1', first + step))
+            except (OSError, OverflowError):
+                continue
+            return first
+
+
+async def _wait_for(url: str) -> None:
+    until = time.monotonic() + START_S
+    async with httpx.AsyncClient(trust_env=False) as client:
+        while True:
+            try:
+                response = await client.get(url)
+                if response.is_success:
+                    return
+            except httpx.HTTPError:
+                pass
+            if time.monotonic() > until:
+                raise TimeoutError(f'{url} does not answer')
+            await asyncio.sleep(0.05)
+
+
+async def _post(
+    url: str, body: dict[str, typing.Any]
+) -> dict[str, typing.Any]:
+    async with httpx.AsyncClient(trust_env=False) as client:
+        response = await client.post(url, json=body)
+        response.raise_for_status()
+        document: dict[str, typing.Any] = response.json()
+        return document
--- a/src/teaselbridge/backends/faults.py
+++ b/src/teaselbridge/backends/faults.py
@@ -24,14 +24,14 @@
     """A stream ended without an explicit end."""
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class MalformedError(BackendError):
     """A stream holds what is not part of the protocol."""
 
     detail: str
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class StatusError(BackendError):
     """A backend server refused.
 
--- a/src/teaselbridge/cli/config.py
+++ b/src/teaselbridge/cli/config.py
@@ -79,13 +79,15 @@
     @click.command('apply')
     @click.argument('path')
     @click.option('--base', type=int, help='Generation that was read.')
-    @click.option('--wait', is_flag=True, help='Until all nodes have it.')
+    @click.option(
+        '--wait', 'wait_all', is_flag=True, help='Until all nodes have it.'
+    )
     @click.option('--wait-s', default=WAIT_S, help='Longest wait.')
     @remote.options
-    def apply(
+    def apply_file(
         path: str,
         base: int | None,
-        wait: bool,
+        wait_all: bool,
         wait_s: float,
         address: str,
         key: str,
@@ -94,21 +96,25 @@
         """Put the tables of a file in force."""
         tables = checks.load_tables(path)
         target = remote.Target(address, key, ca)
-        reply = asyncio.run(_apply(target, tables, base))
+        reply = asyncio.run(apply(target, tables, base))
         _report(reply)
-        if wait:
-            asyncio.run(_wait(target, reply.generation, wait_s))
+        if wait_all:
+            asyncio.run(wait(target, reply.generation, wait_s))
 
-    return apply
+    return apply_file
 
 
 async def _read(target: remote.Target) -> model.Configuration:
     return await remote.get(target, '/v1/config', model.Configuration)
 
 
-async def _apply(
+async def apply(
     target: remote.Target, tables: model.Tables, base: int | None
 ) -> models.ApplyReply:
+    """Ask a node to put tables in force.
+
+    :param base: generation that was read, none to read it now.
+    """
     if base is None:
         base = (await _read(target)).generation
     request = models.ApplyRequest(base=base, tables=tables)
@@ -130,7 +136,7 @@
     raise click.exceptions.Exit(EXIT_FAILED)
 
 
-async def _wait(target: remote.Target, generation: int, wait_s: float) -> None:
+async def wait(target: remote.Target, generation: int, wait_s: float) -> None:
     """Wait until all live nodes have a generation in force."""
     began = time.monotonic()
     while True:
--- /dev/null
+++ b/src/teaselbridge/cli/load.py
@@ -0,0 +1,142 @@
+"""``teaselbridge load``: send a seeded trace on loopback and report."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import ipaddress
+import pathlib
+
+import click
+import msgspec
+
+from teaselbridge import errors
+from teaselbridge.settings import load as settings_load
+from teaselbridge.workload import results
+from teaselbridge.workload import run
+
+RATE_MOST = 2_000.0
+SECONDS_MOST = 600.0
+
+
+@dataclasses.dataclass(eq=False)
+class NotLoopbackError(errors.TeaselbridgeError):
+    """Load goes to loopback addresses only.
+
+    :param address: the one that was refused.
+    """
+
+    address: str
+
+    def __str__(self) -> str:
+        return f'{self.address} is no loopback address'
+
+
+def command() -> click.Command:
+    """Build the command."""
+
+    @click.command('load')
+    @click.option(
+        '--to',
+        'seeds',
+        multiple=True,
+        required=True,
+        help="A node's callers' interface, as ip:port; may be repeated.",
+    )
+    @click.option('--zone', 'zones', multiple=True, help="Callers' zones.")
+    @click.option('--seed', default=1, help='Seed of the trace.')
+    @click.option(
+        '--rate',
+        type=click.FloatRange(0.1, RATE_MOST),
+        default=20.0,
+        help='Requests a second.',
+    )
+    @click.option(
+        '--seconds',
+        type=click.FloatRange(1.0, SECONDS_MOST),
+        default=10.0,
+        help='Length of the trace.',
+    )
+    @click.option('--resend', default=0.0, help='Share of orders sent twice.')
+    @click.option('--control', default='', help="Stand-ins' control.")
+    @click.option('--json', 'report_path', default='', help='Report file.')
+    @click.option('--plot', 'plot_path', default='', help='PNG file.')
+    def load(
+        seeds: tuple[str, ...],
+        zones: tuple[str, ...],
+        seed: int,
+        rate: float,
+        seconds: float,
+        resend: float,
+        control: str,
+        report_path: str,
+        plot_path: str,
+    ) -> None:
+        """Send mixed work and count whole, late, refused and doubled."""
+        for address in seeds:
+            _check_loopback(address)
+        plan = run.Plan(
+            seeds=seeds,
+            zones=zones or ('',),
+            seed=seed,
+            rate=rate,
+            seconds=seconds,
+            resend=resend,
+            control=control,
+        )
+        report = asyncio.run(run.Run(plan=plan).go())
+        click.echo(table(report))
+        if report_path:
+            _write(report_path, report)
+        if plot_path:
+            from teaselbridge.workload import plot
+
+            plot.draw(report, plot_path)
+
+    return load
+
+
+def table(report: results.Report) -> str:
+    """Describe a report in lines."""
+    lines = ['work        sent whole  late refused wrong resumed']
+    rows = {**report.kinds, 'total': report.total}
+    for name, tally in rows.items():
+        lines.append(
+            f'{name:<10} {tally.sent:>5} {tally.whole:>5} {tally.late:>5} '
+            f'{tally.refused:>7} {tally.wrong:>5} {tally.resumed:>7}'
+        )
+    spreads = {
+        'first token': report.first,
+        'between tokens': report.between,
+        'service answer': report.answer,
+    }
+    for name, spread in spreads.items():
+        lines.append(
+            f'{name:<15} p50 {spread.p50:8.1f} ms  p95 {spread.p95:8.1f} ms'
+            f'  p99 {spread.p99:8.1f} ms'
+        )
+    lines.append(
+        f'doubled orders {report.doubled}, confirmed but never run '
+        f'{report.unrun}, outcome unknown {report.total.unknown}'
+    )
+    lines.append(
+        f'prompt tokens {report.prompt_tokens}, cached '
+        f'{report.cached_tokens}, recomputed {report.recomputed_tokens}'
+    )
+    if report.reasons:
+        lines.append(f'refusals {report.reasons}')
+    return '\n'.join(lines)
+
+
+def _check_loopback(address: str) -> None:
+    try:
+        host, _ = settings_load.split(address)
+    except ValueError as error:
+        raise NotLoopbackError(address) from error
+    if not ipaddress.ip_address(host).is_loopback:
+        raise NotLoopbackError(address)
+
+
+def _write(path: str, report: results.Report) -> None:
+    text = msgspec.json.format(msgspec.json.encode(report), indent=2)
+    pathlib.Path(path).write_bytes(text)
--- a/src/teaselbridge/cli/remote.py
+++ b/src/teaselbridge/cli/remote.py
@@ -21,7 +21,7 @@
 F = typing.TypeVar('F', bound=typing.Callable[..., typing.Any])
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class RemoteError(errors.TeaselbridgeError):
     """A node gave no usable answer.
 
--- a/src/teaselbridge/cli/serve.py
+++ b/src/teaselbridge/cli/serve.py
@@ -13,7 +13,7 @@
 from teaselbridge.telemetry import logs
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class ListenError(errors.TeaselbridgeError):
     """The node cannot listen on its addresses.
 
--- a/src/teaselbridge/decisions/calls.py
+++ b/src/teaselbridge/decisions/calls.py
@@ -35,6 +35,7 @@
     LEDGER_DOWN = 'ledger-unavailable'
     IN_DOUBT = 'outcome-unknown'
     SERVER_FAILED = 'backend-server-failed'
+    INTERNAL = 'internal-fault'
 
 
 STATUS = {
@@ -55,6 +56,7 @@
     Reason.LEDGER_DOWN: 503,
     Reason.IN_DOUBT: 409,
     Reason.SERVER_FAILED: 502,
+    Reason.INTERNAL: 500,
 }
 
 
@@ -128,6 +130,7 @@
     :param prefix: hash of the head of the prompt, for placement.
     :param fingerprint: hash of the body, to find crashing requests.
     :param resumed: tokens that an earlier node has already produced.
+    :param first: whether the caller says that it never sent this id before.
     """
 
     handle: int
@@ -146,6 +149,14 @@
     prefix: int = 0
     fingerprint: str = ''
     resumed: tuple[str, ...] = ()
+    first: bool = True
+
+    @property
+    def ran_before(self) -> Ran:
+        """Whether an earlier sending of the same id may have been run."""
+        if self.first and not self.resumed:
+            return Ran.NO
+        return Ran.UNKNOWN
 
 
 class FaultKind(enum.Enum):
--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -78,7 +78,7 @@
     if peer is None:
         refusal = calls.Refusal(
             calls.Reason.STOPPING,
-            calls.Ran.NO,
+            request.ran,
             'this node stops and knows no other',
             requests.RETRY_AFTER_MS,
         )
--- a/src/teaselbridge/decisions/orders.py
+++ b/src/teaselbridge/decisions/orders.py
@@ -202,13 +202,14 @@
         detail = 'the claim could not be written in time'
         refusal = calls.Refusal(
             calls.Reason.LEDGER_DOWN,
-            calls.Ran.NO,
+            request.ran,
             detail,
             requests.RETRY_AFTER_MS,
         )
         return give_up(state, request, refusal, now)
     if found.token != request.token:
         return _meet_twin(state, request, found, now)
+    request.claimed = True
     requests.enqueue(state, request)
     return [_record(request, effects.Mark.CLAIMED, '')]
 
@@ -295,7 +296,7 @@
     age = now.wall - request.call.id_time
     if age < -ledger.SKEW_MS:
         detail = 'the time in the request id lies in the future'
-        return calls.Refusal(calls.Reason.ID_INVALID, calls.Ran.NO, detail)
+        return calls.Refusal(calls.Reason.ID_INVALID, request.ran, detail)
     if age > request.call.route.window_ms:
         detail = 'the request id is older than outcomes are kept'
         return calls.Refusal(
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -56,6 +56,7 @@
         self.token = ''
         self.answer: calls.Answer | None = None
         self.in_doubt = False
+        self.claimed = False
         self.peer = ''
         self.peers_tried: list[str] = []
 
@@ -76,8 +77,13 @@
 
     @property
     def ran(self) -> calls.Ran:
-        """Whether it may have been run."""
-        return calls.Ran.UNKNOWN if self.in_doubt else calls.Ran.NO
+        """Whether it may have been run.
+
+        A held claim proves that no other sending of an order has run.
+        """
+        if self.in_doubt:
+            return calls.Ran.UNKNOWN
+        return calls.Ran.NO if self.claimed else self.call.ran_before
 
     def remaining(self, now: clock.Instant) -> int:
         """Milliseconds left until its deadline."""
@@ -92,15 +98,16 @@
     :return: none where it can.
     """
     if state.membership.withdrawn:
-        return _refusal(calls.Reason.WITHDRAWN, 'this node is cut off')
+        return _refusal(call, calls.Reason.WITHDRAWN, 'this node is cut off')
     if call.deadline <= now.mono:
-        return _refusal(calls.Reason.DEADLINE, 'the deadline has passed')
+        detail = 'the deadline has passed'
+        return _refusal(call, calls.Reason.DEADLINE, detail)
     if state.poison.is_refused(call.fingerprint, now.wall):
         detail = 'backend servers died running the same body'
-        return calls.Refusal(calls.Reason.POISON, calls.Ran.NO, detail)
+        return calls.Refusal(calls.Reason.POISON, call.ran_before, detail)
     if _held_by(state, call) >= call.route.workspace_limit:
         detail = 'too many requests of this workspace on this route'
-        return _refusal(calls.Reason.WORKSPACE_LIMIT, detail)
+        return _refusal(call, calls.Reason.WORKSPACE_LIMIT, detail)
     return _check_time(state, call, now)
 
 
@@ -226,11 +233,13 @@
     detail = f'{wait + service:.0f} ms needed, deadline is sooner'
     return calls.Refusal(
         calls.Reason.TOO_LATE,
-        calls.Ran.NO,
+        call.ran_before,
         detail,
         max(RETRY_AFTER_MS, round(wait)),
     )
 
 
-def _refusal(reason: calls.Reason, detail: str) -> calls.Refusal:
-    return calls.Refusal(reason, calls.Ran.NO, detail, RETRY_AFTER_MS)
+def _refusal(
+    call: calls.Call, reason: calls.Reason, detail: str
+) -> calls.Refusal:
+    return calls.Refusal(reason, call.ran_before, detail, RETRY_AFTER_MS)
--- a/src/teaselbridge/errors.py
+++ b/src/teaselbridge/errors.py
@@ -6,10 +6,14 @@
 
 
 class TeaselbridgeError(Exception):
-    """Base of every error that this package raises."""
+    """Base of every error that this package raises.
+
+    Errors with fields are data classes that are not frozen, since the
+    interpreter sets a traceback on an error that it passes on.
+    """
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class DocumentError(TeaselbridgeError):
     """A document does not have the expected shape.
 
--- a/src/teaselbridge/gateway/app.py
+++ b/src/teaselbridge/gateway/app.py
@@ -5,6 +5,7 @@
 import asyncio
 import typing
 
+from absl import logging
 import litestar
 import litestar.enums
 import litestar.exceptions
@@ -89,6 +90,7 @@
             exception_handlers={
                 parse.RefusedError: _refuse,
                 litestar.exceptions.HTTPException: _refuse_http,
+                Exception: _refuse_fault,
             },
             openapi_config=None,
             logging_config=None,
@@ -102,7 +104,7 @@
         raw = await self._read(request)
         if not self._loop.state.configured:
             detail = 'this node does not know the tables yet'
-            raise parse.refused(calls.Reason.WITHDRAWN, detail, '')
+            raise parse.refused(raw.headers, calls.Reason.WITHDRAWN, detail)
         call = check(raw, self._loop.state.index)
         queue = self._outlets.open(call)
         if call.stream:
@@ -218,5 +220,16 @@
         reason = calls.Reason.TOO_LARGE
     if error.status_code in (404, 405):
         reason = calls.Reason.NO_ROUTE
-    refusal = calls.Refusal(reason, calls.Ran.NO, error.detail)
+    refused = parse.refused(dict(request.headers), reason, error.detail)
+    return _refuse(request, refused)
+
+
+def _refuse_fault(
+    request: Request, error: Exception
+) -> litestar.Response[bytes]:
+    """Tell of a fault of our own, which says nothing about the request."""
+    logging.exception('a request met a fault of this node', exc_info=error)
+    refusal = calls.Refusal(
+        calls.Reason.INTERNAL, calls.Ran.UNKNOWN, 'a fault of this node'
+    )
     return problems.respond(refusal, '')
--- a/src/teaselbridge/gateway/headers.py
+++ b/src/teaselbridge/gateway/headers.py
@@ -14,6 +14,8 @@
 REQUEST_ID = 'x-request-id'
 IDEMPOTENCY_KEY = 'idempotency-key'
 DEADLINE = 'x-deadline-ms'
+ATTEMPT = 'x-request-attempt'
+FIRST_ATTEMPT = '1'
 LAST_EVENT_ID = 'last-event-id'
 AUTHORIZATION = 'authorization'
 BEARER = 'bearer '
@@ -28,10 +30,12 @@
 
     :param text: as the caller wrote it, or as it was made here.
     :param time: wall milliseconds in it, 0 where it has none.
+    :param first: whether it was surely never sent before.
     """
 
     text: str
     time: int
+    first: bool
 
 
 def request_id(headers: collections.abc.Mapping[str, str]) -> RequestId | None:
@@ -45,7 +49,17 @@
         text = str(uuid_utils.uuid7())
     if len(text) > ID_MOST or not text.isprintable():
         return None
-    return RequestId(text, time_of(text))
+    return RequestId(text, time_of(text), is_first(headers))
+
+
+def is_first(headers: collections.abc.Mapping[str, str]) -> bool:
+    """Tell whether a request was surely never sent before.
+
+    That is so where the caller says so, and where it gave no id.
+    """
+    if headers.get(ATTEMPT) == FIRST_ATTEMPT:
+        return True
+    return IDEMPOTENCY_KEY not in headers and REQUEST_ID not in headers
 
 
 def time_of(text: str) -> int:
--- a/src/teaselbridge/gateway/parse.py
+++ b/src/teaselbridge/gateway/parse.py
@@ -19,6 +19,10 @@
 
     from teaselbridge.tables import join
 
+Refuser: typing.TypeAlias = (
+    'collections.abc.Callable[[calls.Reason, str], RefusedError]'
+)
+
 MAX_TOKENS = 1_024
 PREFIX_CHARACTERS = 512
 PRIVATE_HEADERS = frozenset(
@@ -28,12 +32,13 @@
         'host',
         'idempotency-key',
         'x-deadline-ms',
+        'x-request-attempt',
         'x-request-id',
     }
 )
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class RefusedError(errors.TeaselbridgeError):
     """A request does not pass the checks.
 
@@ -98,24 +103,25 @@
     """
     workspace = workspace_of(raw.headers, index)
     request = _request_id(raw.headers)
-    body = _decode(raw.body, request.text)
+    refuse = _refuser(request)
+    body = _decode(raw.body, refuse)
     route = index.route_of_model(body.model)
     if route is None:
         detail = f'no route serves model `{body.model}`'
-        raise refused(calls.Reason.NO_ROUTE, detail, request.text)
+        raise refuse(calls.Reason.NO_ROUTE, detail)
     if not body.text:
         detail = 'neither `messages` nor `prompt` has text'
-        raise refused(calls.Reason.BAD_REQUEST, detail, request.text)
+        raise refuse(calls.Reason.BAD_REQUEST, detail)
     if len(body.resume_tokens) >= body.max_tokens:
         detail = '`resume_tokens` has all of `max_tokens` already'
-        raise refused(calls.Reason.BAD_REQUEST, detail, request.text)
+        raise refuse(calls.Reason.BAD_REQUEST, detail)
     head = body.text[:PREFIX_CHARACTERS]
     return calls.Call(
         handle=raw.handle,
         key=calls.RequestKey(workspace.name, request.text),
         route=route,
         kind=model.Kind.ENGINE,
-        deadline=raw.now + _deadline(raw.headers, route, request.text),
+        deadline=raw.now + _deadline(raw.headers, route, refuse),
         id_time=request.time,
         path=raw.path,
         body=raw.body,
@@ -125,6 +131,7 @@
         prefix=xxhash.xxh3_64_intdigest(head.encode()) >> 1,
         fingerprint=xxhash.xxh3_64_hexdigest(body.text.encode()),
         resumed=body.resume_tokens,
+        first=request.first,
     )
 
 
@@ -135,26 +142,28 @@
     """
     workspace = workspace_of(raw.headers, index)
     request = _request_id(raw.headers)
+    refuse = _refuser(request)
     route = index.route_of_path(raw.path)
     if route is None:
         detail = f'no route serves path `{raw.path}`'
-        raise refused(calls.Reason.NO_ROUTE, detail, request.text)
+        raise refuse(calls.Reason.NO_ROUTE, detail)
     if not route.idempotent and not request.time:
         detail = 'a non-idempotent request needs a UUID of version 7 as id'
-        raise refused(calls.Reason.ID_INVALID, detail, request.text)
+        raise refuse(calls.Reason.ID_INVALID, detail)
     path = raw.path + ('?' + raw.query if raw.query else '')
     return calls.Call(
         handle=raw.handle,
         key=calls.RequestKey(workspace.name, request.text),
         route=route,
         kind=model.Kind.SERVICE,
-        deadline=raw.now + _deadline(raw.headers, route, request.text),
+        deadline=raw.now + _deadline(raw.headers, route, refuse),
         id_time=request.time,
         method=raw.method,
         path=path,
         headers=_passed_headers(raw.headers),
         body=raw.body,
         fingerprint=_service_fingerprint(raw) if route.idempotent else '',
+        first=request.first,
     )
 
 
@@ -168,14 +177,29 @@
     workspace = index.workspace_of_key(names.bearer(headers))
     if workspace is None:
         detail = 'the bearer key belongs to no workspace'
-        raise refused(calls.Reason.BAD_KEY, detail, '')
+        raise refused(headers, calls.Reason.BAD_KEY, detail)
     return workspace
 
 
-def refused(reason: calls.Reason, detail: str, request: str) -> RefusedError:
-    """Build the error for a request that was not run."""
-    refusal = calls.Refusal(reason, calls.Ran.NO, detail)
-    return RefusedError(refusal, request)
+def refused(
+    headers: collections.abc.Mapping[str, str],
+    reason: calls.Reason,
+    detail: str,
+) -> RefusedError:
+    """Build the error for a request whose id was not read."""
+    request = names.RequestId('', 0, names.is_first(headers))
+    return _refuser(request)(reason, detail)
+
+
+def _refuser(request: names.RequestId) -> Refuser:
+    """Build errors for a request that was not run by this sending of it."""
+    ran = calls.Ran.NO if request.first else calls.Ran.UNKNOWN
+
+    def refuse(reason: calls.Reason, detail: str) -> RefusedError:
+        refusal = calls.Refusal(reason, ran, detail)
+        return RefusedError(refusal, request.text)
+
+    return refuse
 
 
 def _request_id(
@@ -184,28 +208,27 @@
     found = names.request_id(headers)
     if found is None:
         detail = f'an id has at most {names.ID_MOST} printable characters'
-        raise refused(calls.Reason.ID_INVALID, detail, '')
+        raise refused(headers, calls.Reason.ID_INVALID, detail)
     return found
 
 
 def _deadline(
     headers: collections.abc.Mapping[str, str],
     route: model.Route,
-    request: str,
+    refuse: Refuser,
 ) -> int:
     found = names.deadline_ms(headers, route.deadline_ms)
     if found is None:
         detail = f'{names.DEADLINE} is no positive number of milliseconds'
-        raise refused(calls.Reason.BAD_REQUEST, detail, request)
+        raise refuse(calls.Reason.BAD_REQUEST, detail)
     return found
 
 
-def _decode(body: bytes, request: str) -> _Completion:
+def _decode(body: bytes, refuse: Refuser) -> _Completion:
     try:
         return msgspec.json.decode(body, type=_Completion)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        reason = calls.Reason.BAD_REQUEST
-        raise refused(reason, str(error), request) from error
+        raise refuse(calls.Reason.BAD_REQUEST, str(error)) from error
 
 
 def _passed_headers(
--- a/src/teaselbridge/platform/cloud.py
+++ b/src/teaselbridge/platform/cloud.py
@@ -16,7 +16,7 @@
 NOTICE_WAIT_MS = 10_000
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class PlatformError(errors.TeaselbridgeError):
     """The host list or the cloud API gave no usable answer.
 
--- a/src/teaselbridge/platform/keyvalue.py
+++ b/src/teaselbridge/platform/keyvalue.py
@@ -20,7 +20,7 @@
     LEASE = 'lease'
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class KeyValueError(errors.TeaselbridgeError):
     """A call to the key-value service got no usable answer.
 
--- a/src/teaselbridge/standins/engine.py
+++ b/src/teaselbridge/standins/engine.py
@@ -60,6 +60,7 @@
     requests: int = 0
     prompt_tokens: int = 0
     cached_tokens: int = 0
+    recomputed_tokens: int = 0
     tokens: int = 0
     failed: int = 0
 
@@ -149,6 +150,19 @@
             old, _ = self._known.popitem(last=False)
             self._note('removed', old)
 
+    def again(self, text: str, seen: set[str]) -> int:
+        """Count the characters of a prompt that some engine did before.
+
+        :param seen: blocks that any engine has computed; added to.
+        :return: characters that are not cached here though seen.
+        """
+        blocks = _blocks(text)
+        found = sum(
+            block in seen and block not in self._known for block in blocks
+        )
+        seen.update(blocks)
+        return found * BLOCK_CHARACTERS
+
     def give(self, text: str) -> list[str]:
         """List a prompt's blocks that are kept, for another engine."""
         return [block for block in _blocks(text) if block in self._known]
@@ -169,7 +183,8 @@
     :param seed: seed of its generator.
     :param die: called when a request crashes it.
     :param checks_fencing: whether it refuses old fencing numbers.
-    :param load_ms: gives the time to load a version.
+    :param load: waits until the weights of a version are loaded.
+    :param seen: prompt blocks that any engine has computed.
     """
 
     def __init__(
@@ -185,6 +200,7 @@
         checks_fencing: bool = False,
         load: collections.abc.Callable[[str], collections.abc.Awaitable[None]]
         | None = None,
+        seen: set[str] | None = None,
     ) -> None:
         self._host = host
         self._speed = speed
@@ -194,6 +210,7 @@
         self._die = die
         self._checks_fencing = checks_fencing
         self._load = load
+        self._seen = set() if seen is None else seen
         self._born = clock.now().mono
         self._reports: collections.deque[tuple[int, Document]] = (
             collections.deque()
@@ -280,6 +297,8 @@
             total = -(-len(text) // TOKEN_CHARACTERS)
             self.figures.prompt_tokens += total
             self.figures.cached_tokens += cached
+            again = self.cache.again(text, self._seen)
+            self.figures.recomputed_tokens += again // TOKEN_CHARACTERS
             work = (total - cached) * self._speed.prefill_ms * verdict.slow
             await asyncio.sleep(work / clocks.SECOND)
             self.cache.add(text)
--- a/src/teaselbridge/standins/fleet.py
+++ b/src/teaselbridge/standins/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import typing
@@ -96,6 +97,8 @@
         self._numbers = itertools.count(1)
         self._backends: dict[str, Backend] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._seen: set[str] = set()
+        self._past: collections.Counter[str] = collections.Counter()
         self.book = services.OrderBook()
         self.store = keyvalue.Store(clock=self._clock)
         self.region = cloud.Region(
@@ -172,6 +175,7 @@
         backend = self._backends.pop(host, None)
         if backend is None:
             return
+        self._past.update(_figures(backend))
         await backend.hosted.kill()
         self.region.remove(host)
 
@@ -191,17 +195,11 @@
 
     def figures(self) -> Document:
         """Give what all engines have done, and the runs of orders."""
-        engines_found = [
-            dataclasses.asdict(backend.server.figures)
-            for backend in self._backends.values()
-            if isinstance(backend.server, engines.Engine)
-        ]
-        totals: Document = {}
-        for found in engines_found:
-            for name, value in found.items():
-                totals[name] = totals.get(name, 0) + value
+        totals = self._past.copy()
+        for backend in self._backends.values():
+            totals.update(_figures(backend))
         return {
-            'engines': totals,
+            'engines': dict(totals),
             'orders': dict(self.book.runs),
             'hosts': [
                 {
@@ -233,6 +231,7 @@
             die=lambda: self._start(self.kill(host)),
             checks_fencing=group.checks_fencing,
             load=load,
+            seen=self._seen,
         )
         return server, engines.build(server)
 
@@ -282,6 +281,12 @@
         )
 
 
+def _figures(backend: Backend) -> dict[str, int]:
+    if isinstance(backend.server, engines.Engine):
+        return dataclasses.asdict(backend.server.figures)
+    return {}
+
+
 def _port(spec: Spec, offset: int) -> str:
     host, _, port = spec.platform.rpartition(':')
     if port == '0':
--- a/src/teaselbridge/tables/check.py
+++ b/src/teaselbridge/tables/check.py
@@ -11,7 +11,7 @@
 from teaselbridge.tables import model
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class TableError(errors.TeaselbridgeError):
     """A row of a table is refused.
 
--- /dev/null
+++ b/src/teaselbridge/workload/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments: seeded traces, runs and reports."""
--- /dev/null
+++ b/src/teaselbridge/workload/run.py
@@ -0,0 +1,262 @@
+"""Sends a trace to the system and counts what comes of it."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import random
+import typing
+
+import httpx
+import msgspec
+import uuid_utils
+
+from teaselbridge.client import caller as callers
+from teaselbridge.client import outcomes
+from teaselbridge import clock as clocks
+from teaselbridge.standins import engine
+from teaselbridge.workload import results
+from teaselbridge.workload import trace
+
+LATE_REASON = 'deadline-passed'
+UNKNOWN = 'unknown'
+OUTSTANDING_MOST = 2_000
+OUTLIVE_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """What to send, and to whom.
+
+    :param seeds: ``ip:port`` of nodes.
+    :param zones: availability zones that callers are in.
+    :param seed: seed of the trace.
+    :param rate: requests a second.
+    :param seconds: length of the trace.
+    :param resend: share of orders that are sent twice at once.
+    :param control: ``ip:port`` of the stand-ins' control, or empty.
+    """
+
+    seeds: tuple[str, ...]
+    zones: tuple[str, ...] = ('',)
+    seed: int = 1
+    rate: float = 20.0
+    seconds: float = 10.0
+    resend: float = 0.0
+    control: str = ''
+
+
+class Run:
+    """One run of a trace.
+
+    :param plan: what to send.
+    """
+
+    def __init__(self, *, plan: Plan) -> None:
+        self._plan = plan
+        self._random = random.Random(plan.seed)
+        self._callers: dict[tuple[str, str], callers.Caller] = {}
+        self._tallies = {work.value: results.Tally() for work in trace.Work}
+        self._first = results.Times()
+        self._between = results.Times()
+        self._answer = results.Times()
+        self._reasons: collections.Counter[str] = collections.Counter()
+        self._confirmed: set[str] = set()
+        self._seconds = [
+            results.Second() for _ in range(int(plan.seconds) + 1)
+        ]
+
+    async def go(self) -> results.Report:
+        """Send the trace and wait for all outcomes."""
+        plan = self._plan
+        before = await self._figures()
+        arrivals = trace.make(
+            seed=plan.seed, rate=plan.rate, seconds=plan.seconds
+        )
+        await self._send_all(arrivals)
+        await asyncio.sleep(clocks.seconds(OUTLIVE_MS))
+        after = await self._figures()
+        for caller in self._callers.values():
+            await caller.close()
+        return self._report(before, after)
+
+    async def _send_all(self, arrivals: tuple[trace.Arrival, ...]) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        tasks: set[asyncio.Task[None]] = set()
+        limit = asyncio.Semaphore(OUTSTANDING_MOST)
+        for arrival in arrivals:
+            due = began + clocks.seconds(arrival.at_ms)
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            task = asyncio.create_task(self._send(arrival, limit))
+            tasks.add(task)
+        await asyncio.gather(*tasks)
+
+    async def _send(
+        self, arrival: trace.Arrival, limit: asyncio.Semaphore
+    ) -> None:
+        tally = self._tallies[arrival.kind.work.value]
+        second = self._seconds[arrival.at_ms // clocks.SECOND]
+        tally.sent += 1
+        async with limit:
+            try:
+                await self._send_one(arrival, tally)
+                second.whole += 1
+            except outcomes.RefusedError as error:
+                self._count_refusal(error, tally, second)
+            except outcomes.LateError:
+                tally.late += 1
+                second.late += 1
+            except outcomes.UnreachableError:
+                tally.refused += 1
+                second.refused += 1
+                self._reasons['unreachable'] += 1
+
+    def _count_refusal(
+        self,
+        error: outcomes.RefusedError,
+        tally: results.Tally,
+        second: results.Second,
+    ) -> None:
+        self._reasons[error.problem.reason] += 1
+        if error.problem.reason == LATE_REASON:
+            tally.late += 1
+            second.late += 1
+            return
+        tally.refused += 1
+        second.refused += 1
+        if error.problem.ran == UNKNOWN:
+            tally.unknown += 1
+
+    async def _send_one(
+        self, arrival: trace.Arrival, tally: results.Tally
+    ) -> None:
+        kind = arrival.kind
+        caller = self._caller(kind)
+        match kind.work:
+            case trace.Work.ORDER:
+                await self._order(caller, arrival, tally)
+            case trace.Work.LOOKUP:
+                path = kind.path + arrival.text
+                reply = await caller.send(
+                    'GET', path, deadline_ms=kind.deadline_ms
+                )
+                self._check_reply(reply, tally)
+            case _:
+                await self._complete(caller, arrival, tally)
+
+    async def _complete(
+        self,
+        caller: callers.Caller,
+        arrival: trace.Arrival,
+        tally: results.Tally,
+    ) -> None:
+        kind = arrival.kind
+        messages = [{'role': 'user', 'content': arrival.text}]
+        document = {
+            'model': kind.model,
+            'messages': messages,
+            'max_tokens': kind.tokens,
+        }
+        found = await caller.complete(document, deadline_ms=kind.deadline_ms)
+        tally.resumed += found.resumed
+        self._first.add(found.first_ms)
+        for gap in found.gaps_ms:
+            self._between.add(gap)
+        wanted = engine.whole(engine.chat_prompt(messages), kind.tokens)
+        if found.text != wanted:
+            tally.wrong += 1
+            return
+        tally.whole += 1
+
+    async def _order(
+        self,
+        caller: callers.Caller,
+        arrival: trace.Arrival,
+        tally: results.Tally,
+    ) -> None:
+        kind = arrival.kind
+        request = str(uuid_utils.uuid7())
+        body = msgspec.json.encode({'items': [arrival.text]})
+        sendings = 1 + (self._random.random() < self._plan.resend)
+        replies = await asyncio.gather(
+            *(
+                caller.send(
+                    'POST',
+                    kind.path,
+                    body,
+                    request=request,
+                    deadline_ms=kind.deadline_ms,
+                )
+                for _ in range(sendings)
+            )
+        )
+        self._confirmed.add(request)
+        if len({reply.body for reply in replies}) > 1:
+            tally.wrong += 1
+            return
+        self._check_reply(replies[0], tally)
+
+    def _check_reply(
+        self, reply: outcomes.Reply, tally: results.Tally
+    ) -> None:
+        self._answer.add(reply.total_ms)
+        if reply.status >= httpx.codes.BAD_REQUEST:
+            tally.wrong += 1
+            return
+        tally.whole += 1
+
+    def _caller(self, kind: trace.Kind) -> callers.Caller:
+        zone = self._random.choice(self._plan.zones)
+        name = (kind.key, zone)
+        if name not in self._callers:
+            self._callers[name] = callers.Caller(
+                seeds=self._plan.seeds,
+                key=kind.key,
+                zone=zone,
+                seed=self._random.randrange(1 << 30),
+            )
+        return self._callers[name]
+
+    async def _figures(self) -> dict[str, typing.Any]:
+        if not self._plan.control:
+            return {'engines': {}, 'orders': {}}
+        async with httpx.AsyncClient(trust_env=False) as client:
+            response = await client.get(
+                f'http://{self._plan.control}/standin/figures'
+            )
+        document: dict[str, typing.Any] = response.json()
+        return document
+
+    def _report(
+        self, before: dict[str, typing.Any], after: dict[str, typing.Any]
+    ) -> results.Report:
+        total = results.Tally()
+        for tally in self._tallies.values():
+            total = results.add(total, tally)
+        runs: dict[str, int] = after['orders']
+
+        def grown(name: str) -> int:
+            old: int = before['engines'].get(name, 0)
+            new: int = after['engines'].get(name, 0)
+            return new - old
+
+        unrun = [name for name in self._confirmed if runs.get(name, 0) < 1]
+        return results.Report(
+            seed=self._plan.seed,
+            rate=self._plan.rate,
+            seconds=self._plan.seconds,
+            kinds=self._tallies,
+            total=total,
+            first=self._first.spread(),
+            between=self._between.spread(),
+            answer=self._answer.spread(),
+            doubled=sum(count > 1 for count in runs.values()),
+            unrun=len(unrun) if self._plan.control else 0,
+            prompt_tokens=grown('prompt_tokens'),
+            cached_tokens=grown('cached_tokens'),
+            recomputed_tokens=grown('recomputed_tokens'),
+            reasons=dict(self._reasons),
+            timeline=tuple(self._seconds),
+        )
