Prove the promises by fuzzing and by failures over real sockets

Cause: no promise had a proof under failure. Change: several reducers in virtual time with fakes at their effects, driven by a hypothesis state machine against an oracle of the promises; six tests that break one mechanism each and expect the fuzzing to fail; failure tests with nodes and stand-ins over loopback (deaths, silence, reclaims, drains, lost answers, outage, races, bad input). Connections of slow senders are closed by a limit on the time that a request takes to arrive.

--- a/src/teaselbridge/cli/standins.py
+++ b/src/teaselbridge/cli/standins.py
@@ -10,6 +10,7 @@
 from teaselbridge import documents
 from teaselbridge.settings import load
 from teaselbridge.standins import fleet as fleets
+from teaselbridge.telemetry import logs
 
 
 def command() -> click.Command:
@@ -20,6 +21,7 @@
     def standins(path: str) -> None:
         """Run small stand-ins, for trials without a platform."""
         spec = documents.convert(load.read(path), fleets.Spec, path)
+        logs.hush()
         asyncio.run(_run(spec))
 
     return standins
--- a/src/teaselbridge/gateway/app.py
+++ b/src/teaselbridge/gateway/app.py
@@ -9,6 +9,7 @@
 import litestar
 import litestar.enums
 import litestar.exceptions
+import litestar.params
 
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
@@ -62,7 +63,9 @@
         """Build the web application."""
 
         @litestar.get('/v1/addresses')
-        async def list_addresses(zone: str = '') -> addresses.Addresses:
+        async def list_addresses(
+            zone: litestar.params.FromQuery[str] = '',
+        ) -> addresses.Addresses:
             return addresses.choose(self._loop.state, zone)
 
         @litestar.post(
@@ -72,7 +75,9 @@
             return await self._serve(request, parse.completion)
 
         @litestar.get('/v1/requests/{request_id:str}')
-        async def look_up(request: Request, request_id: str) -> Reply:
+        async def look_up(
+            request: Request, request_id: litestar.params.FromPath[str]
+        ) -> Reply:
             return await self._look_up(request, request_id)
 
         @litestar.route('/{path:path}', http_method=METHODS, status_code=200)
--- a/src/teaselbridge/runtime/node.py
+++ b/src/teaselbridge/runtime/node.py
@@ -77,6 +77,7 @@
             app=self._gateway(outlets),
             address=settings.listen.callers,
             tls=settings.tls,
+            request_ms=settings.limits.request_ms,
         )
         self._admin = web.Web(
             app=self._operators(),
@@ -131,16 +132,11 @@
         self._loop.post(events.DrainAsked(by))
 
     async def stop(self) -> None:
-        """Close everything at once."""
+        """Let open responses end, then close everything."""
         await self._callers.stop()
         await self._admin.stop()
         await asyncio.sleep(clocks.seconds(LINGER_MS))
-        await self._tasks.stop()
-        await self._transport.close()
-        await self._attempts.close()
-        await self._store.close()
-        await self._hosts.close()
-        await self._cloud.close()
+        await self._close()
         self._loop.record(
             effects.Record(
                 mark=effects.Mark.NODE_STOPPED,
@@ -148,6 +144,21 @@
             )
         )
 
+    async def abort(self) -> None:
+        """End without a word to anyone, as a killed process does."""
+        await self._tasks.stop()
+        await self._callers.kill()
+        await self._admin.kill()
+        await self._close()
+
+    async def _close(self) -> None:
+        await self._tasks.stop()
+        await self._transport.close()
+        await self._attempts.close()
+        await self._store.close()
+        await self._hosts.close()
+        await self._cloud.close()
+
     def _gateway(self, outlets: outlets_module.Outlets) -> typing.Any:
         scheme = 'http' if self._settings.tls is None else 'https'
         return gateway_app.Gateway(
--- a/src/teaselbridge/runtime/web.py
+++ b/src/teaselbridge/runtime/web.py
@@ -8,7 +8,9 @@
 import typing
 
 import uvicorn
+from uvicorn.protocols.http import h11_impl
 
+from teaselbridge import clock
 from teaselbridge.settings import load
 
 if typing.TYPE_CHECKING:
@@ -19,6 +21,7 @@
 BACKLOG = 1_024
 KEEP_ALIVE_S = 30
 USER_TIMEOUT_MS = 20_000
+REQUEST_MS = 30_000
 
 
 class Server(uvicorn.Server):
@@ -30,23 +33,80 @@
         yield
 
 
+def _protocol(request_ms: int) -> type[h11_impl.H11Protocol]:
+    """Build a protocol that closes connections of slow senders.
+
+    :param request_ms: longest time that a request may take to arrive.
+    """
+
+    class Protocol(h11_impl.H11Protocol):
+        """HTTP/1.1 with a limit on the time that a request arrives in."""
+
+        _timer: asyncio.TimerHandle | None = None
+
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            """Expect a first request."""
+            super().connection_made(typing.cast(asyncio.Transport, transport))
+            self._expect()
+
+        def data_received(self, data: bytes) -> None:
+            """Take in a part of a request."""
+            super().data_received(data)
+            if self._is_whole():
+                self._settle()
+            elif self._timer is None:
+                self._expect()
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            """Expect nothing more."""
+            self._settle()
+            super().connection_lost(exc)
+
+        def _is_whole(self) -> bool:
+            cycle = self.cycle
+            if cycle is None or cycle.response_complete:
+                return False
+            return not cycle.more_body
+
+        def _expect(self) -> None:
+            self._timer = self.loop.call_later(
+                clock.seconds(request_ms), self.transport.abort
+            )
+
+        def _settle(self) -> None:
+            if self._timer is not None:
+                self._timer.cancel()
+                self._timer = None
+
+    return Protocol
+
+
 class Web:
     """One listener of a node.
 
     :param app: the web application.
     :param address: ``ip:port`` to listen on.
     :param tls: certificate, none for plain HTTP.
+    :param request_ms: longest time that a request may take to arrive.
     """
 
     def __init__(
-        self, *, app: typing.Any, address: str, tls: model.Tls | None = None
+        self,
+        *,
+        app: typing.Any,
+        address: str,
+        tls: model.Tls | None = None,
+        request_ms: int = REQUEST_MS,
     ) -> None:
         self._address = address
         self._server = Server(
             uvicorn.Config(
                 app,
+                http=_protocol(request_ms),
                 log_config=None,
                 access_log=False,
+                proxy_headers=False,
+                server_header=False,
                 lifespan='off',
                 timeout_keep_alive=KEEP_ALIVE_S,
                 timeout_graceful_shutdown=2,
@@ -57,11 +117,6 @@
         self._socket: socket.socket | None = None
         self._task: asyncio.Task[None] | None = None
 
-    @property
-    def server(self) -> uvicorn.Server:
-        """The server itself."""
-        return self._server
-
     def bind(self) -> None:
         """Listen.
 
@@ -95,3 +150,14 @@
         self._server.should_exit = True
         if self._task is not None:
             await self._task
+
+    async def kill(self) -> None:
+        """Stop to listen and reset all connections."""
+        for listener in getattr(self._server, 'servers', []):
+            listener.close()
+        for connection in list(self._server.server_state.connections):
+            transport = getattr(connection, 'transport', None)
+            if transport is not None:
+                transport.abort()
+        self._server.force_exit = True
+        await self.stop()
--- a/src/teaselbridge/settings/model.py
+++ b/src/teaselbridge/settings/model.py
@@ -75,6 +75,7 @@
 
     :param queue: requests that may wait for a backend server.
     :param body_bytes: largest request body.
+    :param request_ms: longest time that a request may take to arrive.
     :param address_ttl_ms: how long callers may keep the address list.
     :param drain_ms: longest graceful stop.
     :param timeline_events: events that the time line keeps.
@@ -82,6 +83,7 @@
 
     queue: Count = 512
     body_bytes: Count = 1_048_576
+    request_ms: Millis = 30_000
     address_ttl_ms: Millis = 2_000
     drain_ms: Millis = 10_000
     timeline_events: Count = 20_000
--- a/src/teaselbridge/standins/cloud.py
+++ b/src/teaselbridge/standins/cloud.py
@@ -8,6 +8,7 @@
 import typing
 
 import litestar
+import litestar.params
 
 from teaselbridge import clock as clocks
 from teaselbridge.decisions import events
--- a/src/teaselbridge/standins/engine.py
+++ b/src/teaselbridge/standins/engine.py
@@ -16,6 +16,7 @@
 import typing
 
 import litestar
+import litestar.params
 import litestar.response
 import xxhash
 
@@ -31,6 +32,7 @@
 WORDS = 997
 
 Document: typing.TypeAlias = dict[str, typing.Any]
+Body: typing.TypeAlias = litestar.params.JSONBody[Document]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -339,14 +341,14 @@
     @litestar.post('/v1/chat/completions', status_code=200)
     async def chat(
         request: litestar.Request[typing.Any, typing.Any, typing.Any],
-        data: Document,
+        data: Body,
     ) -> litestar.response.Stream:
         return await _answer(engine, request, data, chat=True)
 
     @litestar.post('/v1/completions', status_code=200)
     async def plain(
         request: litestar.Request[typing.Any, typing.Any, typing.Any],
-        data: Document,
+        data: Body,
     ) -> litestar.response.Stream:
         return await _answer(engine, request, data, chat=False)
 
@@ -355,7 +357,7 @@
         return engine.report()
 
     @litestar.post('/control', status_code=200)
-    async def control(data: Document) -> Document:
+    async def control(data: Body) -> Document:
         answer = engine.order(data)
         if answer is None:
             raise litestar.exceptions.ClientException(
@@ -364,15 +366,17 @@
         return answer
 
     @litestar.get('/cache/events')
-    async def cache_events(after: int = 0) -> list[Document]:
+    async def cache_events(
+        after: litestar.params.FromQuery[int] = 0,
+    ) -> list[Document]:
         return [item for item in engine.cache.events if item['number'] > after]
 
     @litestar.post('/cache/export', status_code=200)
-    async def cache_export(data: Document) -> Document:
+    async def cache_export(data: Body) -> Document:
         return {'blocks': engine.cache.give(str(data['text']))}
 
     @litestar.post('/cache/import', status_code=200)
-    async def cache_import(data: Document) -> Document:
+    async def cache_import(data: Body) -> Document:
         engine.cache.take(list(data['blocks']))
         return {}
 
@@ -415,7 +419,7 @@
 async def _answer(
     engine: Engine,
     request: litestar.Request[typing.Any, typing.Any, typing.Any],
-    data: Document,
+    data: Body,
     *,
     chat: bool,
 ) -> litestar.response.Stream:
--- a/src/teaselbridge/standins/fleet.py
+++ b/src/teaselbridge/standins/fleet.py
@@ -9,6 +9,7 @@
 import typing
 
 import litestar
+import litestar.params
 
 from teaselbridge import clock as clocks
 from teaselbridge.decisions import events
@@ -21,6 +22,7 @@
 from teaselbridge.tables import model
 
 Document: typing.TypeAlias = dict[str, typing.Any]
+Body: typing.TypeAlias = litestar.params.JSONBody[Document]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -134,17 +136,15 @@
             for number in range(group.count):
                 zone = group.zones[number % len(group.zones)]
                 await self.launch(group, zone, group.version)
-        for hosted in self._shared:
-            await hosted.start()
+        await asyncio.gather(*(hosted.start() for hosted in self._shared))
 
     async def stop(self) -> None:
         """Stop everything."""
         for task in self._tasks:
             task.cancel()
-        for backend in list(self._backends.values()):
-            await backend.hosted.kill()
-        for hosted in self._shared:
-            await hosted.kill()
+        hosted = [backend.hosted for backend in self._backends.values()]
+        hosted += self._shared
+        await asyncio.gather(*(one.kill() for one in hosted))
 
     async def launch(self, group: Group, zone: str, version: str) -> str:
         """Start a backend server.
@@ -257,17 +257,17 @@
 
     def _control(self) -> litestar.Litestar:
         @litestar.post('/standin/reclaim', status_code=200)
-        async def reclaim(data: Document) -> Document:
+        async def reclaim(data: Body) -> Document:
             self.reclaim(str(data['host']), int(data['notice_ms']))
             return {}
 
         @litestar.post('/standin/kill', status_code=200)
-        async def kill(data: Document) -> Document:
+        async def kill(data: Body) -> Document:
             await self.kill(str(data['host']))
             return {}
 
         @litestar.post('/standin/silence', status_code=200)
-        async def silence(data: Document) -> Document:
+        async def silence(data: Body) -> Document:
             return {'connections': self.silence(str(data['host']))}
 
         @litestar.get('/standin/figures')
--- a/src/teaselbridge/standins/hosting.py
+++ b/src/teaselbridge/standins/hosting.py
@@ -88,21 +88,7 @@
 
     async def kill(self) -> None:
         """Stop to listen and reset all connections, as a dead host does."""
-        server = self._web.server
-        for listener in getattr(server, 'servers', []):
-            listener.close()
-        for connection in list(server.server_state.connections):
-            transport = getattr(connection, 'transport', None)
-            if transport is not None:
-                transport.abort()
-        server.force_exit = True
-        await self._web.stop()
-
-    async def stop(self) -> None:
-        """Stop gracefully."""
-        server = self._web.server
-        server.force_exit = True
-        await self._web.stop()
+        await self._web.kill()
 
     def silence(self) -> int:
         """Silence all connections in use; new ones work."""
--- a/src/teaselbridge/standins/keyvalue.py
+++ b/src/teaselbridge/standins/keyvalue.py
@@ -10,6 +10,7 @@
 import typing
 
 import litestar
+import litestar.params
 import litestar.response
 
 from teaselbridge import clock as clocks
@@ -21,6 +22,7 @@
 FOREVER_S = 3_600
 
 Document: typing.TypeAlias = dict[str, typing.Any]
+Body: typing.TypeAlias = litestar.params.JSONBody[Document]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -170,7 +172,7 @@
     """Build the web application of a store."""
 
     @litestar.post('/v3/kv/range', status_code=200)
-    async def read(data: Document) -> litestar.Response[Document]:
+    async def read(data: Body) -> litestar.Response[Document]:
         store.calls.reads += 1
         await _disturb(store)
         item = store.get(_text(data['key']))
@@ -178,7 +180,7 @@
         return _reply(store, {'kvs': kvs, 'count': str(len(kvs))})
 
     @litestar.post('/v3/kv/txn', status_code=200)
-    async def write(data: Document) -> litestar.Response[Document]:
+    async def write(data: Body) -> litestar.Response[Document]:
         store.calls.writes += 1
         await _disturb(store)
         _refuse_write(store)
@@ -197,7 +199,7 @@
         return _reply(store, document, revision)
 
     @litestar.post('/v3/lease/grant', status_code=200)
-    async def grant(data: Document) -> litestar.Response[Document]:
+    async def grant(data: Body) -> litestar.Response[Document]:
         store.calls.writes += 1
         await _disturb(store)
         _refuse_write(store)
@@ -207,7 +209,7 @@
         return _reply(store, {'ID': str(number), 'TTL': str(ttl)})
 
     @litestar.post('/v3/lease/keepalive', status_code=200)
-    async def keep(data: Document) -> litestar.Response[Document]:
+    async def keep(data: Body) -> litestar.Response[Document]:
         store.calls.writes += 1
         await _disturb(store)
         _refuse_write(store)
@@ -217,14 +219,14 @@
         return _reply(store, {'result': result})
 
     @litestar.post('/v3/lease/revoke', status_code=200)
-    async def revoke(data: Document) -> litestar.Response[Document]:
+    async def revoke(data: Body) -> litestar.Response[Document]:
         store.calls.writes += 1
         await _disturb(store)
         store.lapse(int(data['ID']))
         return _reply(store, {})
 
     @litestar.post('/v3/watch', status_code=200)
-    async def watch(data: Document) -> litestar.response.Stream:
+    async def watch(data: Body) -> litestar.response.Stream:
         store.calls.watches += 1
         await _disturb(store)
         create = data['create_request']
@@ -235,7 +237,7 @@
         )
 
     @litestar.post('/standin/faults', status_code=200)
-    async def set_faults(data: Document) -> Document:
+    async def set_faults(data: Body) -> Document:
         store.faults = Faults(**data)
         return {}
 
--- a/src/teaselbridge/standins/service.py
+++ b/src/teaselbridge/standins/service.py
@@ -8,10 +8,12 @@
 import typing
 
 import litestar
+import litestar.params
 
 from teaselbridge import clock as clocks
 
 Document: typing.TypeAlias = dict[str, typing.Any]
+Body: typing.TypeAlias = litestar.params.JSONBody[Document]
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,14 +80,13 @@
     @litestar.post(['/orders', '/orders/{shop:str}'], status_code=201)
     async def order(
         request: litestar.Request[typing.Any, typing.Any, typing.Any],
-        data: Document,
-        shop: str = '',
+        data: Body,
     ) -> Document:
         number = request.headers.get('idempotency-key', '')
         return await service.order(number, data)
 
     @litestar.get(['/catalogue/{item:str}', '/titles/{item:str}'])
-    async def look_up(item: str) -> Document:
+    async def look_up(item: litestar.params.FromPath[str]) -> Document:
         return await service.look_up(item)
 
     @litestar.get('/load')
--- a/src/teaselbridge/telemetry/logs.py
+++ b/src/teaselbridge/telemetry/logs.py
@@ -21,12 +21,18 @@
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold('info')
-    logging.get_absl_handler().use_absl_log_file()
-    logging.get_absl_handler().python_handler.stream = _stderr()
     for name in QUIET:
         python_logging.getLogger(name).setLevel(python_logging.WARNING)
 
 
+def hush() -> None:
+    """Let the web server say nothing of connections that were broken off.
+
+    Stand-ins break connections off on purpose.
+    """
+    python_logging.getLogger('uvicorn.error').setLevel(python_logging.CRITICAL)
+
+
 def change(entry: timeline.Entry) -> None:
     """Log a change of state; single requests are only counted.
 
@@ -43,9 +49,3 @@
     }
     told = {name: value for name, value in fields.items() if value}
     logging.info('%s', json.dumps(told))
-
-
-def _stderr() -> typing.TextIO:
-    import sys
-
-    return sys.stderr
--- /dev/null
+++ b/tests/failures/test_configuration.py
@@ -0,0 +1,80 @@
+"""Accepted tables come into force everywhere and never revert."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from teaselbridge.cli import config
+from teaselbridge.standins import keyvalue
+from teaselbridge.tables import model
+from tests.failures import base
+
+
+def with_workspace(name: str) -> model.Tables:
+    """Make tables with one more workspace."""
+    row = model.Workspace(name=name, key=f'key-of-{name}')
+    rows = (*base.TABLES.workspaces, row)
+    return dataclasses.replace(base.TABLES, workspaces=rows)
+
+
+class TestConfiguration(base.TestCase):
+    """Changes of the tables under failures."""
+
+    def test_answer_lost_after_the_write(self) -> None:
+        async def run() -> None:
+            async with base.running() as trial:
+                trial.fleet.store.faults = keyvalue.Faults(lose_answers=1)
+                reply = await trial.apply(with_workspace('a'))
+                self.assertEqual('applied', reply.state)
+                self.assertEqual(2, reply.generation)
+
+        self.go(run())
+
+    def test_two_operators_race(self) -> None:
+        """One wins; the other hears who did and what differs."""
+
+        async def run() -> None:
+            async with base.running() as trial:
+                replies = await asyncio.gather(
+                    config.apply(trial.target(0), with_workspace('a'), 1),
+                    config.apply(trial.target(1), with_workspace('b'), 1),
+                )
+                states = sorted(reply.state for reply in replies)
+                self.assertEqual(['applied', 'lost-race'], states)
+                lost = next(
+                    reply for reply in replies if reply.state == 'lost-race'
+                )
+                rows = {change.row for change in lost.changes}
+                self.assertEqual({'a', 'b'}, rows)
+
+        self.go(run())
+
+    def test_service_down(self) -> None:
+        """Nothing is accepted, all serve on, and nothing is lost."""
+
+        async def run() -> None:
+            async with base.running() as trial:
+                trial.fleet.store.faults = keyvalue.Faults(down=True)
+                reply = await config.apply(
+                    trial.target(), with_workspace('a'), 1
+                )
+                self.assertEqual('failed', reply.state)
+                served = await trial.caller().complete(base.chat('on', 3))
+                self.assertEqual(3, len(served.tokens))
+                trial.fleet.store.faults = keyvalue.Faults()
+                reply = await trial.apply(with_workspace('b'))
+                self.assertEqual('applied', reply.state)
+
+        self.go(run())
+
+    def test_watches_gone_silent(self) -> None:
+        """Nodes read anew where the watch tells nothing any more."""
+
+        async def run() -> None:
+            async with base.running(count=3) as trial:
+                trial.fleet.store.faults = keyvalue.Faults(silent_watches=True)
+                reply = await trial.apply(with_workspace('a'))
+                self.assertEqual('applied', reply.state)
+
+        self.go(run())
--- /dev/null
+++ b/tests/fuzz/machine.py
@@ -0,0 +1,187 @@
+"""State machine that hypothesis drives against the oracle."""
+
+from __future__ import annotations
+
+import itertools
+
+import hypothesis
+import hypothesis.stateful
+import hypothesis.strategies as st
+
+from teaselbridge.decisions import events
+from teaselbridge.peers import messages
+from teaselbridge.tables import model
+from tests.fuzz import world as worlds
+
+SETTLE_MS = 30_000
+FORCE_MS = 19_000
+NODES = st.integers(0, 2)
+PICK = st.integers(0, 1_000)
+
+
+class Machine(hypothesis.stateful.RuleBasedStateMachine):
+    """Requests, faults and repairs in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._numbers = itertools.count(1)
+        self._world: worlds.World | None = None
+
+    @hypothesis.stateful.initialize(seed=st.integers(0, 1 << 30))
+    def begin(self, seed: int) -> None:
+        self._world = worlds.World(seed=seed)
+
+    @hypothesis.stateful.rule(span=st.integers(1, 3_000))
+    def advance(self, span: int) -> None:
+        self._world.advance(span)
+
+    @hypothesis.stateful.rule(pick=PICK, count=st.integers(1, 4))
+    def send_chat(self, pick: int, count: int) -> None:
+        self._send(worlds.CHAT, pick, count)
+
+    @hypothesis.stateful.rule(pick=PICK, count=st.integers(1, 4))
+    def send_order(self, pick: int, count: int) -> None:
+        self._send(worlds.ORDERS, pick, count)
+
+    @hypothesis.stateful.rule(pick=PICK)
+    def resend_order(self, pick: int) -> None:
+        orders = [
+            logical
+            for logical in self._world.logicals
+            if logical.route is worlds.ORDERS
+        ]
+        if orders:
+            self._world.resend(orders[pick % len(orders)])
+
+    @hypothesis.stateful.rule(pick=PICK)
+    def kill_node(self, pick: int) -> None:
+        live = self._world.live_nodes()
+        if len(live) > 1:
+            self._world.kill_node(live[pick % len(live)].name)
+
+    @hypothesis.stateful.rule(pick=NODES)
+    def replace_node(self, pick: int) -> None:
+        name = f'n{pick + 1}'
+        if not self._world.nodes[name].alive:
+            self._world.start_node(name)
+
+    @hypothesis.stateful.rule(pick=PICK, span=st.integers(2_000, 9_000))
+    def drain_node(self, pick: int, span: int) -> None:
+        live = self._world.live_nodes()
+        if len(live) > 1:
+            node = live[pick % len(live)]
+            by = self._world.now + span
+            self._world.post(node, events.DrainAsked(by))
+
+    @hypothesis.stateful.rule(pick=NODES, span=st.integers(100, 8_000))
+    def pause_node(self, pick: int, span: int) -> None:
+        self._world.pause_node(f'n{pick + 1}', span)
+
+    @hypothesis.stateful.rule(pick=PICK)
+    def kill_server(self, pick: int) -> None:
+        server = self._server(pick)
+        if server is not None:
+            server.kill()
+
+    @hypothesis.stateful.rule(pick=PICK)
+    def silence_server(self, pick: int) -> None:
+        server = self._server(pick)
+        if server is not None:
+            server.silence()
+
+    @hypothesis.stateful.rule(pick=PICK, span=st.integers(500, 4_000))
+    def reclaim_server(self, pick: int, span: int) -> None:
+        """One node hears of it; the others learn from it or the list."""
+        world = self._world
+        server = self._server(pick)
+        live = world.live_nodes()
+        if server is None or server.leaving_since is not None or not live:
+            return
+        server.leaving_since = world.now
+        server.row = worlds.replaced(server.row)
+        event = events.ReclaimNoticed((server.row.host,), span)
+        world.post(live[pick % len(live)], event)
+        world.later(span, server.kill)
+
+    @hypothesis.stateful.rule(engine=st.booleans())
+    def add_server(self, engine: bool) -> None:
+        if engine:
+            self._world.add_server('lm', model.Kind.ENGINE)
+        else:
+            self._world.add_server('shop', model.Kind.SERVICE)
+
+    @hypothesis.stateful.rule(
+        down=st.booleans(), lossy=st.sampled_from([0.0, 0.3, 0.9])
+    )
+    def disturb_keyvalue(self, down: bool, lossy: float) -> None:
+        self._world.keyvalue.down = down
+        self._world.keyvalue.lossy = lossy
+
+    @hypothesis.stateful.rule(
+        left=NODES, right=NODES, loss=st.sampled_from([0.0, 0.2])
+    )
+    def disturb_network(self, left: int, right: int, loss: float) -> None:
+        self._world.loss = loss
+        if left == right:
+            self._world.cut.clear()
+            return
+        pair = frozenset({f'n{left + 1}', f'n{right + 1}'})
+        self._world.cut.add(pair)
+
+    @hypothesis.stateful.rule(pick=PICK)
+    def apply_tables(self, pick: int) -> None:
+        live = self._world.live_nodes()
+        if live:
+            node = live[pick % len(live)]
+            self._world.apply(node, next(self._numbers))
+
+    def teardown(self) -> None:
+        if self._world is None:
+            return
+        self._world.heal()
+        self._world.add_server('lm', model.Kind.ENGINE)
+        self._world.add_server('shop', model.Kind.SERVICE)
+        self._world.advance(FORCE_MS)
+        self._check_configuration()
+        self._world.advance(SETTLE_MS - FORCE_MS)
+        self._check_requests()
+        self._check_members()
+
+    def _send(self, route: model.Route, pick: int, count: int) -> None:
+        live = self._world.live_nodes()
+        for number in range(count):
+            if live:
+                name = live[(pick + number) % len(live)].name
+                self._world.send(route, name)
+
+    def _server(self, pick: int):
+        alive = [
+            server for server in self._world.servers.values() if server.alive
+        ]
+        return alive[pick % len(alive)] if alive else None
+
+    def _check_configuration(self) -> None:
+        """What was accepted is in force everywhere."""
+        newest = max(self._world.oracle.accepted)
+        for node in self._world.live_nodes():
+            found = node.state.index.generation
+            assert found >= newest, f'{node.name} has only {found}'
+            wanted = self._world.oracle.accepted.get(found)
+            have = node.state.index.configuration.tables
+            assert wanted in (None, have), 'other tables in force'
+
+    def _check_requests(self) -> None:
+        """Every caller that still waits has had its last word."""
+        for logical in self._world.logicals:
+            assert not logical.waiting, f'{logical.key.id} still waits'
+
+    def _check_members(self) -> None:
+        """All live nodes see each other."""
+        live = {node.name for node in self._world.live_nodes()}
+        for node in self._world.live_nodes():
+            seen = {
+                member.name
+                for member in node.state.membership.alive
+                if member.status is messages.Status.ALIVE
+            }
+            assert seen == live - {node.name}, f'{node.name} sees {seen}'
