Move versions by steps, lease pools, plan capacity

Cause: version moves, leases with fencing and capacity were missing. Change: leases (grant, key under the lease, fence from its revision, validity counted from before the call less the longest way of an order), moves by steps with a durable record, sequential test per route and version, verdicts by gossip, capacity plan that survives a lost zone, orders of versions to blank engines; moves and status commands; cloud stand-in starts hosts. Found in virtual time: a blank engine's empty version was taken as the one its host was started for, so requests failed on it and a good version was blamed; the reported version now stands, even when empty.

--- a/src/teaselbridge/admin/app.py
+++ b/src/teaselbridge/admin/app.py
@@ -107,6 +107,11 @@
         ) -> models.TimelineReply:
             return self._select(dict(request.query_params))
 
+        @litestar.get('/v1/moves')
+        async def show_moves() -> models.MovesReply:
+            known = self._loop.state.moves
+            return models.MovesReply(moves=known.all, verdicts=known.verdicts)
+
         @litestar.post('/v1/drain', status_code=202)
         async def drain() -> models.NodeStatus:
             now = self._loop.now()
@@ -122,6 +127,7 @@
                 show_config,
                 apply_config,
                 show_timeline,
+                show_moves,
                 drain,
             ],
             guards=[self._guard],
--- a/src/teaselbridge/admin/models.py
+++ b/src/teaselbridge/admin/models.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from teaselbridge.peers import messages
 from teaselbridge.tables import diff
 from teaselbridge.tables import model
 from teaselbridge.telemetry import timeline
@@ -79,6 +80,27 @@
     ejected: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseStatus:
+    """Who controls a pool.
+
+    :param holder: node that was last seen to hold the lease.
+    :param fence: fencing number, 0 where another node holds it.
+    """
+
+    pool: str
+    holder: str
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MovesReply:
+    """Newest move of each pool, with verdicts."""
+
+    moves: tuple[messages.Move, ...]
+    verdicts: tuple[messages.Verdict, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NodeStatus:
     """What a node says of itself and of its surroundings.
@@ -87,6 +109,9 @@
     :param keyvalue_up: whether the key-value service answers.
     :param held: requests that it holds.
     :param queued: requests that wait for a backend server.
+    :param leases: pools and who controls them, as far as the node saw.
+    :param moves: newest move of each pool.
+    :param refused_bodies: request bodies that servers died of.
     """
 
     node: str
@@ -100,6 +125,9 @@
     queued: int
     members: tuple[MemberStatus, ...]
     servers: tuple[ServerStatus, ...]
+    leases: tuple[LeaseStatus, ...] = ()
+    moves: tuple[messages.Move, ...] = ()
+    refused_bodies: tuple[messages.Crashes, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/teaselbridge/admin/status.py
+++ b/src/teaselbridge/admin/status.py
@@ -8,6 +8,7 @@
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
+    from teaselbridge.decisions import leases
     from teaselbridge.decisions import servers
     from teaselbridge.decisions import state as states
     from teaselbridge.peers import messages
@@ -31,6 +32,9 @@
         servers=tuple(
             _server(server, now.mono) for server in state.servers.all
         ),
+        leases=tuple(_lease(state, lease, now) for lease in state.leases.all),
+        moves=state.moves.all,
+        refused_bodies=state.poison.crashes,
     )
 
 
@@ -43,6 +47,17 @@
     )
 
 
+def _lease(
+    state: states.State, lease: leases.Lease, now: clock.Instant
+) -> models.LeaseStatus:
+    held = state.leases.held(lease.pool, now)
+    return models.LeaseStatus(
+        pool=lease.pool,
+        holder=state.options.me.name if held else lease.holder,
+        fence=0 if held is None else held.fence,
+    )
+
+
 def _member(member: messages.Member) -> models.MemberStatus:
     return models.MemberStatus(
         name=member.name,
--- a/src/teaselbridge/cli/main.py
+++ b/src/teaselbridge/cli/main.py
@@ -20,6 +20,7 @@
     'config',
     'drain',
     'load',
+    'moves',
     'serve',
     'settings',
     'standins',
--- a/src/teaselbridge/cli/status.py
+++ b/src/teaselbridge/cli/status.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from teaselbridge.admin import models
+from teaselbridge.cli import moves as moves_command
 from teaselbridge.cli import remote
+from teaselbridge.peers import messages
 
 
 def command() -> click.Command:
@@ -28,6 +30,7 @@
             return
         _print_nodes(found)
         _print_servers(found)
+        _print_pools(found)
 
     return status
 
@@ -86,3 +89,25 @@
             f'{host:<17} {server.pool:<13} {server.version:<8} '
             f'{server.zone:<13} {inflight[host]}/{server.slots}{state}'
         )
+
+
+def _print_pools(
+    found: dict[str, models.NodeStatus | remote.RemoteError],
+) -> None:
+    holders: dict[str, str] = {}
+    moves: dict[str, messages.Move] = {}
+    for answer in found.values():
+        if isinstance(answer, remote.RemoteError):
+            continue
+        for lease in answer.leases:
+            if lease.fence:
+                holders[lease.pool] = f'{lease.holder} ({lease.fence})'
+        for move in answer.moves:
+            known = moves.get(move.pool)
+            if known is None or known.order < move.order:
+                moves[move.pool] = move
+    click.echo('\npool              controlled by          version')
+    for pool in sorted(holders.keys() | moves.keys()):
+        newest = moves.get(pool)
+        words = '' if newest is None else moves_command.describe(newest)
+        click.echo(f'{pool:<17} {holders.get(pool, "nobody"):<22} {words}')
--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -8,6 +8,7 @@
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions import moves
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import poison
 from teaselbridge.decisions import requests
@@ -20,6 +21,15 @@
 
 RETRYABLE = frozenset({429, 500, 502, 503, 504})
 RECLAIM_MARGIN_MS = 1_000
+GAPS_LEAST = 3
+BLAMED = frozenset(
+    {
+        calls.FaultKind.ERROR,
+        calls.FaultKind.RESET,
+        calls.FaultKind.SILENT,
+        calls.FaultKind.CUT,
+    }
+)
 _SETTLING = (requests.Phase.STORING, requests.Phase.CLAIMING)
 
 
@@ -35,6 +45,7 @@
     request.progressed = now.mono
     if request.first:
         request.first = False
+        request.first_at = now.mono
         state.pace.first(route, span)
     else:
         state.pace.between(route, span)
@@ -53,7 +64,8 @@
     request = _current(state, event.handle, event.attempt)
     if request is None:
         return []
-    out = _succeed(state, request)
+    out = _judge(state, request, failed=False, span=_token_span(request))
+    out += _succeed(state, request)
     call = request.call
     state.pace.tokens(call.route.name, len(request.tokens))
     if request.attempt > 1 or call.resumed:
@@ -89,8 +101,10 @@
             calls.FaultKind.ERROR, calls.Ran.UNKNOWN, f'status {status}'
         )
         return _fail(state, request, fault, event.answer, now)
-    state.pace.answer(request.call.route.name, now.mono - request.started)
-    out = _succeed(state, request)
+    span = now.mono - request.started
+    state.pace.answer(request.call.route.name, span)
+    out = _judge(state, request, failed=status in RETRYABLE, span=span)
+    out += _succeed(state, request)
     if request.is_order:
         return out + orders.store(state, request, event.answer, now)
     return out + _deliver(state, request, event.answer)
@@ -200,6 +214,8 @@
         return out
     if fault.kind is calls.FaultKind.SILENT:
         out.append(effects.DropConnections(server.row.address))
+    if fault.kind in BLAMED and not server.leaving:
+        out += _judge(state, request, failed=True, span=0.0)
     if fault.kind is calls.FaultKind.RESET:
         out += poison.crash(state, request.call, server, now)
     return out + servers.fail(server, fault.kind.value, now)
@@ -268,6 +284,29 @@
     return orders.give_up(state, request, refusal, now)
 
 
+def _judge(
+    state: states.State,
+    request: requests.Request,
+    *,
+    failed: bool,
+    span: float,
+) -> list[effects.Effect]:
+    """Count an outcome for or against the server's version."""
+    server = state.servers.get(request.host)
+    if server is None:
+        return []
+    route = request.call.route.name
+    return moves.outcome(state, server, route, failed=failed, span=span)
+
+
+def _token_span(request: requests.Request) -> float:
+    """Mean milliseconds between the tokens of the last attempt."""
+    gaps = len(request.tokens) - request.base - 1
+    if gaps < GAPS_LEAST:
+        return 0.0
+    return (request.progressed - request.first_at) / gaps
+
+
 def _succeed(
     state: states.State, request: requests.Request
 ) -> list[effects.Effect]:
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -88,6 +88,7 @@
     request.started = now.mono
     request.progressed = now.mono
     request.first = True
+    request.base = len(request.tokens)
     request.in_doubt = True
     server.inflight += 1
     if state.poison.is_suspect(call.fingerprint):
--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -11,6 +11,7 @@
 
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import leases
 from teaselbridge.decisions import membership
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import requests
@@ -102,6 +103,7 @@
     if now.mono < drain.by and not (settled and now.mono >= listed_until):
         return out
     drain.stopped = True
+    out += leases.give_up(state)
     out += membership.announce(
         state, draining=True, status=messages.Status.LEFT
     )
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -147,6 +147,7 @@
 
     :param revision: expected modification revision, 0 for a new key.
     :param keep_ms: how long the value must be kept, 0 for ever.
+    :param lease: lease that the key is to end with, 0 for none.
     """
 
     ticket: tickets.Ticket
@@ -154,6 +155,79 @@
     value: bytes
     revision: int
     keep_ms: int = 0
+    lease: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantLease:
+    """Ask for a lease."""
+
+    ticket: tickets.Ticket
+    ttl_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeepLease:
+    """Renew a lease."""
+
+    ticket: tickets.Ticket
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevokeLease:
+    """End a lease, and with it its key."""
+
+    ticket: tickets.Ticket
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StartHost:
+    """Order a host of the cloud.
+
+    :param token: repeated orders with one token start one host.
+    :param until: monotonic milliseconds; it must not be sent later.
+    """
+
+    token: str
+    pool: str
+    version: str
+    zone: str
+    host_class: str
+    reclaimable: bool
+    until: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StopHost:
+    """Give a host back to the cloud.
+
+    :param until: monotonic milliseconds; it must not be sent later.
+    """
+
+    host: str
+    until: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OrderServer:
+    """Order a backend server to run a version.
+
+    :param fence: number of the lease's holder.
+    :param until: monotonic milliseconds; it must not be sent later.
+    """
+
+    host: str
+    address: str
+    version: str
+    fence: int
+    until: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadPrices:
+    """Ask the cloud for its prices."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -317,6 +391,17 @@
     POISON = 'request-poison'
     KEYVALUE_DOWN = 'keyvalue-down'
     KEYVALUE_UP = 'keyvalue-up'
+    LEASE_TAKEN = 'lease-taken'
+    LEASE_LOST = 'lease-lost'
+    MOVE_BEGAN = 'move-began'
+    MOVE_STEP = 'move-step'
+    MOVE_DONE = 'move-done'
+    MOVE_UNDONE = 'move-undone'
+    MOVE_VERDICT = 'move-verdict'
+    HOST_ORDERED = 'host-ordered'
+    HOST_REFUSED = 'host-refused'
+    HOST_RELEASED = 'host-released'
+    VERSION_ORDERED = 'version-ordered'
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -351,6 +436,13 @@
     | SendStatus
     | ReadKey
     | SwapKey
+    | GrantLease
+    | KeepLease
+    | RevokeLease
+    | StartHost
+    | StopHost
+    | OrderServer
+    | ReadPrices
     | SendPeer
     | AnswerApply
     | UseConfiguration
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -195,6 +195,63 @@
     in_doubt: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseGranted:
+    """The key-value service granted a lease.
+
+    :param number: number of the lease.
+    """
+
+    ticket: tickets.Ticket
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseKept:
+    """The key-value service answered a renewal.
+
+    :param stands: whether the lease still stood.
+    """
+
+    ticket: tickets.Ticket
+    stands: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Price:
+    """Price of one kind of host.
+
+    :param zone: availability zone.
+    :param host_class: machine class.
+    :param reclaimable: whether the cloud may take it back.
+    :param hourly: price for an hour.
+    """
+
+    zone: str
+    host_class: str
+    reclaimable: bool
+    hourly: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PricesRead:
+    """The cloud told its prices."""
+
+    prices: tuple[Price, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostStarted:
+    """The cloud decided on the start of a host.
+
+    :param token: token of the order.
+    :param host: name of the host, none where it was refused.
+    """
+
+    token: str
+    host: str | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerSpoke:
     """A message of another node came.
@@ -261,6 +318,10 @@
     | KeyRead
     | KeySwapped
     | KeyFailed
+    | LeaseGranted
+    | LeaseKept
+    | PricesRead
+    | HostStarted
     | PeerSpoke
     | ApplyAsked
     | LookAsked
--- a/src/teaselbridge/decisions/membership.py
+++ b/src/teaselbridge/decisions/membership.py
@@ -9,10 +9,12 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import typing
 
 from teaselbridge.decisions import configuration
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import moves
 from teaselbridge.decisions import servers
 from teaselbridge.peers import messages
 
@@ -20,6 +22,8 @@
     from teaselbridge import clock
     from teaselbridge.decisions import state as states
 
+T = typing.TypeVar('T')
+
 PERIOD_MS = 500
 PROBE_MS = 300
 HELPERS = 2
@@ -55,46 +59,64 @@
     sent: int
 
 
+class Topic(enum.Enum):
+    """Kinds of news."""
+
+    MEMBER = 'member'
+    LEAVING = 'leaving'
+    CRASHES = 'crashes'
+    MOVE = 'move'
+    VERDICT = 'verdict'
+
+
 class News:
     """What is still worth telling, with how often to tell it."""
 
     def __init__(self) -> None:
-        self._members: dict[str, int] = {}
-        self._leaving: dict[str, int] = {}
-        self._crashes: dict[str, int] = {}
+        self._told: dict[Topic, dict[str, int]] = {
+            topic: {} for topic in Topic
+        }
         self.fresh = False
         self.repeats = REPEATS
 
     def add_member(self, name: str) -> None:
         """A member changed."""
-        self._members[name] = self.repeats
-        self.fresh = True
+        self._add(Topic.MEMBER, name)
 
     def add_leaving(self, host: str) -> None:
         """A backend server leaves."""
-        self._leaving[host] = self.repeats
-        self.fresh = True
+        self._add(Topic.LEAVING, host)
 
     def add_crashes(self, fingerprint: str) -> None:
         """A request body was seen to crash a server."""
-        self._crashes[fingerprint] = self.repeats
-        self.fresh = True
+        self._add(Topic.CRASHES, fingerprint)
+
+    def add_move(self, pool: str) -> None:
+        """A move of a pool took a step."""
+        self._add(Topic.MOVE, pool)
+
+    def add_verdict(self, pool: str, number: int) -> None:
+        """A version was found bad."""
+        self._add(Topic.VERDICT, f'{pool}/{number}')
 
     def add_generation(self, number: int) -> None:
         """A generation was put in force; each message tells it."""
         self.fresh = True
 
-    def take_members(self) -> list[str]:
-        """Names of members to tell of, each counted as told."""
-        return _take(self._members)
-
-    def take_leaving(self) -> list[str]:
-        """Hosts to tell of, each counted as told."""
-        return _take(self._leaving)
-
-    def take_crashes(self) -> list[str]:
-        """Fingerprints to tell of, each counted as told."""
-        return _take(self._crashes)
+    def take(self, topic: Topic) -> list[str]:
+        """Names to tell of, the least told first, each counted as told."""
+        told = self._told[topic]
+        chosen = sorted(told, key=lambda name: told[name], reverse=True)
+        chosen = chosen[:CARRIED]
+        for name in chosen:
+            told[name] -= 1
+            if told[name] <= 0:
+                del told[name]
+        return chosen
+
+    def _add(self, topic: Topic, name: str) -> None:
+        self._told[topic][name] = self.repeats
+        self.fresh = True
 
 
 class Membership:
@@ -225,6 +247,10 @@
     for crashes in gossip.crashes:
         if state.poison.merge(crashes):
             state.membership.news.add_crashes(crashes.fingerprint)
+    for move in gossip.moves:
+        out += moves.hear(state, move)
+    for verdict in gossip.verdicts:
+        out += moves.hear_verdict(state, verdict)
     out += configuration.hear(state, gossip.generation, address)
     return out
 
@@ -526,21 +552,31 @@
     state: states.State, target: messages.Member | None
 ) -> messages.Gossip:
     ship = state.membership
-    members = [_lookup(ship, name) for name in ship.news.take_members()]
+    news = ship.news
+    members = [_lookup(ship, name) for name in news.take(Topic.MEMBER)]
     if target is not None and target.status is messages.Status.SUSPECT:
         members.append(target)
     crashes = {item.fingerprint: item for item in state.poison.crashes}
-    told = ship.news.take_crashes()
+    verdicts = {
+        f'{item.pool}/{item.number}': item for item in state.moves.verdicts
+    }
+    moves = [state.moves.get(pool) for pool in news.take(Topic.MOVE)]
     return messages.Gossip(
         members=tuple(member for member in members if member is not None),
         leaving=tuple(
-            messages.Leaving(host=host) for host in ship.news.take_leaving()
+            messages.Leaving(host=host) for host in news.take(Topic.LEAVING)
         ),
-        crashes=tuple(crashes[key] for key in told if key in crashes),
+        crashes=_chosen(crashes, news.take(Topic.CRASHES)),
+        moves=tuple(move for move in moves if move is not None),
+        verdicts=_chosen(verdicts, news.take(Topic.VERDICT)),
         generation=state.index.generation,
     )
 
 
+def _chosen(known: dict[str, T], names: list[str]) -> tuple[T, ...]:
+    return tuple(known[name] for name in names if name in known)
+
+
 def _everything(state: states.State) -> messages.Gossip:
     ship = state.membership
     return messages.Gossip(
@@ -550,6 +586,8 @@
             for host in sorted(state.servers.leaving)
         ),
         crashes=state.poison.crashes,
+        moves=state.moves.all,
+        verdicts=state.moves.verdicts,
         generation=state.index.generation,
     )
 
@@ -558,15 +596,6 @@
     return ship.me if name == ship.me.name else ship.get(name)
 
 
-def _take(told: dict[str, int]) -> list[str]:
-    chosen = sorted(told, key=lambda name: told[name], reverse=True)[:CARRIED]
-    for name in chosen:
-        told[name] -= 1
-        if told[name] <= 0:
-            del told[name]
-    return chosen
-
-
 def _repeats(peers: int) -> int:
     return REPEATS * max(1, peers.bit_length())
 
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -6,13 +6,16 @@
 
 from teaselbridge.decisions import arrival
 from teaselbridge.decisions import attempts
+from teaselbridge.decisions import capacity
 from teaselbridge.decisions import changes
 from teaselbridge.decisions import configuration
 from teaselbridge.decisions import dispatch
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions import leases
 from teaselbridge.decisions import membership
+from teaselbridge.decisions import moves
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import servers
@@ -24,6 +27,31 @@
     from teaselbridge.decisions import state as states
 
 
+class Settler(typing.Protocol):
+    """A module that makes calls to the key-value service."""
+
+    def read(
+        self, state: states.State, event: events.KeyRead, now: clock.Instant
+    ) -> list[effects.Effect]:
+        """A key was read."""
+
+    def swapped(
+        self,
+        state: states.State,
+        event: events.KeySwapped,
+        now: clock.Instant,
+    ) -> list[effects.Effect]:
+        """A write was decided."""
+
+    def failed(
+        self,
+        state: states.State,
+        event: events.KeyFailed,
+        now: clock.Instant,
+    ) -> list[effects.Effect]:
+        """A call got no answer."""
+
+
 def reduce(
     state: states.State, event: events.Event, now: clock.Instant
 ) -> list[effects.Effect]:
@@ -73,6 +101,14 @@
     state: states.State, event: events.Event, now: clock.Instant
 ) -> list[effects.Effect]:
     match event:
+        case events.LeaseGranted():
+            return leases.granted(state, event, now)
+        case events.LeaseKept():
+            return leases.kept(state, event, now)
+        case events.PricesRead():
+            return capacity.read_prices(state, event)
+        case events.HostStarted():
+            return capacity.started(state, event, now)
         case events.HostsRead():
             return servers.read_hosts(state, event, now)
         case events.ReclaimNoticed():
@@ -95,6 +131,9 @@
     out += servers.ask_loads(state, now)
     out += orders.settle(state, state.ledger.tick(now), now)
     out += changes.tick(state, now)
+    out += leases.tick(state, now)
+    out += moves.tick(state, now)
+    out += capacity.tick(state, now)
     state.poison.expire(now.wall)
     for request in list(state.requests.values()):
         out += attempts.tick(state, request, now)
@@ -110,11 +149,15 @@
     now: clock.Instant,
 ) -> list[effects.Effect]:
     out = _hear_keyvalue(state, event, now)
-    ticket = event.ticket
-    if isinstance(ticket, tickets.BucketTicket):
-        return out + _settle_bucket(state, event, now)
-    if isinstance(ticket, tickets.ApplyTicket):
-        return out + _settle_change(state, event, now)
+    match event.ticket:
+        case tickets.BucketTicket():
+            return out + _settle_bucket(state, event, now)
+        case tickets.ApplyTicket():
+            return out + _dispatch(changes, state, event, now)
+        case tickets.LeaseTicket():
+            return out + _dispatch(leases, state, event, now)
+        case tickets.MoveTicket():
+            return out + _dispatch(moves, state, event, now)
     if isinstance(event, events.KeyRead):
         out += configuration.read(state, event, now)
     return out
@@ -135,18 +178,19 @@
     return orders.settle(state, step, now)
 
 
-def _settle_change(
+def _dispatch(
+    module: Settler,
     state: states.State,
     event: events.KeyRead | events.KeySwapped | events.KeyFailed,
     now: clock.Instant,
 ) -> list[effects.Effect]:
     match event:
         case events.KeyRead():
-            return changes.read(state, event, now)
+            return module.read(state, event, now)
         case events.KeySwapped():
-            return changes.swapped(state, event, now)
+            return module.swapped(state, event, now)
         case events.KeyFailed():
-            return changes.failed(state, event, now)
+            return module.failed(state, event, now)
 
 
 def _hear_keyvalue(
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -50,6 +50,8 @@
         self.started = 0
         self.progressed = 0
         self.first = True
+        self.first_at = 0
+        self.base = 0
         self.tokens = list(call.resumed)
         self.tried: list[str] = []
         self.due = 0
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -26,6 +26,8 @@
     """One backend server, as this node knows it.
 
     :param row: its row in the host list.
+    :param version: version that it runs; until its first report that which
+        its host was started for, empty while it loads one.
     :param slots: requests that it runs at a time.
     :param others: requests of other nodes in it, by the last report.
     :param reported: monotonic milliseconds of the last report, 0 for none.
@@ -108,7 +110,9 @@
         return [
             server
             for server in self.in_pool(pool)
-            if not server.leaving and server.ejected_until <= now.mono
+            if not server.leaving
+            and server.version
+            and server.ejected_until <= now.mono
         ]
 
     def add(self, row: events.HostRow) -> Server:
@@ -222,7 +226,7 @@
     server.slots = max(1, event.slots)
     server.others = max(0, event.running + event.waiting - server.inflight)
     server.reported = now.mono
-    server.version = event.version or server.version
+    server.version = event.version
     if event.leaving:
         return leave(state, event.host, 'load report', now)
     return []
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -7,9 +7,12 @@
 import typing
 
 from teaselbridge.decisions import admission
+from teaselbridge.decisions import capacity
 from teaselbridge.decisions import changes
+from teaselbridge.decisions import leases
 from teaselbridge.decisions import ledger
 from teaselbridge.decisions import membership
+from teaselbridge.decisions import moves
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import poison
 from teaselbridge.decisions import retry
@@ -68,6 +71,9 @@
         self.ledger = ledger.Ledger()
         self.membership = membership.Membership(me=options.me)
         self.changes = changes.Changes()
+        self.leases = leases.Leases()
+        self.moves = moves.Moves()
+        self.capacity = capacity.Capacity()
         self.configured = False
         self.keyvalue_heard = 0
         self.keyvalue_up = True
--- a/src/teaselbridge/decisions/tickets.py
+++ b/src/teaselbridge/decisions/tickets.py
@@ -30,4 +30,24 @@
     number: int
 
 
-Ticket = BucketTicket | WatchTicket | ApplyTicket
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseTicket:
+    """A call on behalf of a pool's lease.
+
+    :param pool: name of the pool.
+    """
+
+    pool: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveTicket:
+    """A read or write of the record of a pool's move.
+
+    :param pool: name of the pool.
+    """
+
+    pool: str
+
+
+Ticket = BucketTicket | WatchTicket | ApplyTicket | LeaseTicket | MoveTicket
--- a/src/teaselbridge/decisions/versions.py
+++ b/src/teaselbridge/decisions/versions.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from teaselbridge.decisions import placement
+from teaselbridge.peers import messages
+from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
     from teaselbridge.decisions import calls
     from teaselbridge.decisions import servers
     from teaselbridge.decisions import state as states
-    from teaselbridge.tables import model
 
 HASH_SPAN = 1 << 63
+PARTS = 10_000
 
 
 def narrow(
@@ -22,7 +25,8 @@
 ) -> list[servers.Server]:
     """Keep the servers of the version that a request goes to.
 
-    A version without a usable server gives its share to the others.
+    A version without a usable server gives its share to the others, but a
+    version that is being tried or was taken back never gets more.
 
     :param usable: servers that may get new work.
     :return: servers of one version.
@@ -30,8 +34,12 @@
     pool = state.index.pool(call.route.pool)
     if pool is None:
         return usable
-    running = {server.version for server in usable}
-    shares = [item for item in pool.versions if item.name in running]
+    running = collections.Counter(
+        server.version for server in usable if server.version
+    )
+    shares = [
+        item for item in _shares(state, pool, running) if item.name in running
+    ]
     version = pick(shares, call.key.id)
     if version is None:
         return []
@@ -54,3 +62,32 @@
         if point < 0:
             return item.name
     return shares[-1].name
+
+
+def _shares(
+    state: states.State,
+    pool: model.Pool,
+    running: collections.Counter[str],
+) -> list[model.Version]:
+    """Give each version's share at this moment.
+
+    A node that does not know yet how far a move has come keeps to the
+    version that most servers run, which is the old one while it matters.
+    """
+    if sum(item.weight > 0 for item in pool.versions) > 1:
+        return list(pool.versions)
+    move = state.moves.get(pool.name)
+    if move is None:
+        return [
+            model.Version(name=name, weight=1)
+            for name, _ in running.most_common(1)
+        ]
+    if move.old == move.new:
+        return [model.Version(name=move.new, weight=1)]
+    if move.stage is messages.Stage.DONE and move.new not in running:
+        return [model.Version(name=move.old, weight=1)]
+    new = round(PARTS * state.moves.share(move))
+    return [
+        model.Version(name=move.old, weight=PARTS - new),
+        model.Version(name=move.new, weight=new),
+    ]
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -68,14 +68,68 @@
     until: int
 
 
+class Stage(enum.Enum):
+    """How far a move has come."""
+
+    PREPARING = 'preparing'
+    RUNNING = 'running'
+    DONE = 'done'
+    UNDONE = 'undone'
+
+
+ENDED = frozenset({Stage.DONE, Stage.UNDONE})
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Move:
+    """A pool's move from one version to another.
+
+    :param number: grows with each move of the pool.
+    :param sequence: grows with each step of the move.
+    :param old: version that is left.
+    :param new: version that is wanted.
+    :param wished_by: time in the operator's row, to tell wishes apart.
+    :param deadline: wall milliseconds by which it must be done.
+    :param began: wall milliseconds.
+    :param stepped: wall milliseconds of the last step.
+    :param share: share of traffic for the new version.
+    :param reason: why it is as it is.
+    """
+
+    pool: str
+    number: int
+    sequence: int
+    old: str
+    new: str
+    wished_by: int
+    deadline: int
+    began: int
+    stepped: int
+    stage: Stage
+    share: float
+    reason: str
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """The higher is the newer."""
+        return (self.number, self.sequence)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Generation:
-    """A generation of the configuration exists.
+class Verdict:
+    """A new version is bad; final for its move.
 
-    :param number: the generation.
+    :param number: number of the move.
+    :param node: node that found it.
+    :param route: route on which it shows.
+    :param cause: what shows, with figures.
     """
 
+    pool: str
     number: int
+    node: str
+    route: str
+    cause: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -85,12 +139,16 @@
     :param members: what is believed of nodes.
     :param leaving: backend servers that leave.
     :param crashes: request bodies that crash servers.
+    :param moves: how far moves have come.
+    :param verdicts: new versions that are bad.
     :param generation: newest generation of the configuration.
     """
 
     members: tuple[Member, ...] = ()
     leaving: tuple[Leaving, ...] = ()
     crashes: tuple[Crashes, ...] = ()
+    moves: tuple[Move, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
     generation: int = 0
 
 
--- a/src/teaselbridge/platform/cloud.py
+++ b/src/teaselbridge/platform/cloud.py
@@ -59,7 +59,30 @@
     hosts: tuple[events.HostRow, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Prices:
+    """Answer to a question for prices."""
+
+    prices: tuple[events.Price, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HostOrder:
+    """An order of a host.
+
+    :param token: repeated orders with one token start one host.
+    """
+
+    token: str
+    pool: str
+    version: str
+    zone: str
+    host_class: str
+    reclaimable: bool
+
+
 T = typing.TypeVar('T')
+REFUSED = frozenset({409, 429, 503})
 
 
 class HostList:
@@ -105,6 +128,43 @@
         data = await _get(self._client, '/v1/notices', query, timeout)
         return _decode(data, Notices)
 
+    async def prices(self) -> tuple[events.Price, ...]:
+        """Read the prices of all kinds of hosts.
+
+        :raises PlatformError: there was no usable answer.
+        """
+        data = await _get(self._client, '/v1/prices', {}, TIMEOUT_MS)
+        return _decode(data, Prices).prices
+
+    async def start(self, order: HostOrder) -> str | None:
+        """Order a host.
+
+        :return: its name, none where the cloud refuses.
+        :raises PlatformError: there was no usable answer.
+        """
+        try:
+            response = await self._client.post(
+                '/v1/hosts', content=msgspec.json.encode(order)
+            )
+        except httpx.HTTPError as error:
+            raise PlatformError(repr(error)) from error
+        if response.status_code in REFUSED:
+            return None
+        if not response.is_success:
+            raise PlatformError(f'status {response.status_code}')
+        return _decode(response.content, events.HostRow).host
+
+    async def stop(self, host: str) -> None:
+        """Give a host back.
+
+        :raises PlatformError: there was no usable answer.
+        """
+        try:
+            response = await self._client.delete(f'/v1/hosts/{host}')
+            response.raise_for_status()
+        except httpx.HTTPError as error:
+            raise PlatformError(repr(error)) from error
+
     async def close(self) -> None:
         """Close all connections."""
         await self._client.aclose()
--- a/src/teaselbridge/platform/keyvalue.py
+++ b/src/teaselbridge/platform/keyvalue.py
@@ -18,6 +18,7 @@
     CONFIGURATION = 'configuration'
     LEDGER = 'ledger'
     LEASE = 'lease'
+    MOVE = 'move'
 
 
 @dataclasses.dataclass(eq=False)
--- a/src/teaselbridge/runtime/attempts.py
+++ b/src/teaselbridge/runtime/attempts.py
@@ -84,6 +84,11 @@
         loop.handle(effects.DropConnections, self._drop)
         loop.handle(effects.ReportLoad, self._report)
 
+    @property
+    def clients(self) -> Clients:
+        """Kept connections to backend servers."""
+        return self._clients
+
     async def close(self) -> None:
         """Close all connections."""
         await self._clients.close()
--- a/src/teaselbridge/runtime/keys.py
+++ b/src/teaselbridge/runtime/keys.py
@@ -42,6 +42,9 @@
         self._leases: dict[int, _Lease] = {}
         loop.handle(effects.ReadKey, self._read)
         loop.handle(effects.SwapKey, self._swap)
+        loop.handle(effects.GrantLease, self._grant)
+        loop.handle(effects.KeepLease, self._keep)
+        loop.handle(effects.RevokeLease, self._revoke)
         loop.handle(effects.Watch, self._set_watch)
 
     def _read(self, effect: effects.ReadKey) -> None:
@@ -50,6 +53,37 @@
     def _swap(self, effect: effects.SwapKey) -> None:
         self._tasks.start(self._swap_key(effect))
 
+    def _grant(self, effect: effects.GrantLease) -> None:
+        self._tasks.start(self._grant_lease(effect))
+
+    def _keep(self, effect: effects.KeepLease) -> None:
+        self._tasks.start(self._keep_lease(effect))
+
+    def _revoke(self, effect: effects.RevokeLease) -> None:
+        self._tasks.start(self._revoke_lease(effect))
+
+    async def _grant_lease(self, effect: effects.GrantLease) -> None:
+        try:
+            number = await self._store.grant(effect.ttl_ms)
+        except keyvalue.KeyValueError as error:
+            self._loop.post(events.KeyFailed(effect.ticket, error.in_doubt))
+            return
+        self._loop.post(events.LeaseGranted(effect.ticket, number))
+
+    async def _keep_lease(self, effect: effects.KeepLease) -> None:
+        try:
+            stands = await self._store.keep(effect.number)
+        except keyvalue.KeyValueError as error:
+            self._loop.post(events.KeyFailed(effect.ticket, error.in_doubt))
+            return
+        self._loop.post(events.LeaseKept(effect.ticket, stands))
+
+    async def _revoke_lease(self, effect: effects.RevokeLease) -> None:
+        try:
+            await self._store.revoke(effect.number)
+        except keyvalue.KeyValueError:
+            pass  # it lapses by itself
+
     def _set_watch(self, effect: effects.Watch) -> None:
         if self._watch_task is not None:
             self._watch_task.cancel()
@@ -69,7 +103,7 @@
 
     async def _swap_key(self, effect: effects.SwapKey) -> None:
         try:
-            lease = 0
+            lease = effect.lease
             if effect.keep_ms:
                 lease = await self._lease(effect.keep_ms)
             swap = await self._store.swap(
@@ -137,7 +171,12 @@
     until: int
 
 
+_PURPOSES: dict[type, keyvalue.Purpose] = {
+    tickets.BucketTicket: keyvalue.Purpose.LEDGER,
+    tickets.LeaseTicket: keyvalue.Purpose.LEASE,
+    tickets.MoveTicket: keyvalue.Purpose.MOVE,
+}
+
+
 def _purpose(ticket: tickets.Ticket) -> keyvalue.Purpose:
-    if isinstance(ticket, tickets.BucketTicket):
-        return keyvalue.Purpose.LEDGER
-    return keyvalue.Purpose.CONFIGURATION
+    return _PURPOSES.get(type(ticket), keyvalue.Purpose.CONFIGURATION)
--- a/src/teaselbridge/runtime/node.py
+++ b/src/teaselbridge/runtime/node.py
@@ -21,6 +21,7 @@
 from teaselbridge.runtime import keys
 from teaselbridge.runtime import links
 from teaselbridge.runtime import loop as loops
+from teaselbridge.runtime import orders
 from teaselbridge.runtime import outlets as outlets_module
 from teaselbridge.runtime import surroundings
 from teaselbridge.runtime import web
@@ -68,6 +69,13 @@
         self._attempts = attempts_module.Attempts(
             loop=self._loop, tasks=self._tasks
         )
+        orders.Orders(
+            cloud=self._cloud,
+            clients=self._attempts.clients,
+            clock=clock,
+            loop=self._loop,
+            tasks=self._tasks,
+        )
         outlets = outlets_module.Outlets(loop=self._loop)
         keys.Keys(store=self._store, loop=self._loop, tasks=self._tasks)
         links.connect(self._transport, self._loop)
--- a/src/teaselbridge/standins/engine.py
+++ b/src/teaselbridge/standins/engine.py
@@ -16,6 +16,7 @@
 import typing
 
 import litestar
+import litestar.exceptions
 import litestar.params
 import litestar.response
 import xxhash
@@ -174,6 +175,13 @@
         self.events.append({'number': number, 'type': kind, 'block': block})
 
 
+class Busy(litestar.exceptions.HTTPException):
+    """A request that was refused and surely not run."""
+
+    status_code = 503
+    headers = {'x-request-ran': 'no'}
+
+
 class Engine:
     """One model engine.
 
@@ -267,6 +275,8 @@
         if CRASH in prompt:
             self._die()
             await asyncio.Event().wait()
+        if not self.version or self.leaving:
+            raise Busy('no version is loaded, or the server leaves')
         verdict = self._judge(str(data.get('model', '')))
         self.figures.requests += 1
         if verdict.fails:
