Add experiments in virtual time; sharpen the version test

Cause: policies could not be compared on one seeded trace, and the version test's false alarms were unknown. The test now allows for chance in the old version's share of errors, pools all routes beside each one, gathers small shares at two nodes, and what failed on a new version goes back to the old one.

--- /dev/null
+++ b/src/teaselbridge/cli/experiment.py
@@ -0,0 +1,121 @@
+"""``teaselbridge experiment``: the decisions in virtual time."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import click
+
+from teaselbridge.decisions import fleetplan
+from teaselbridge.decisions import placement
+from teaselbridge import errors
+from teaselbridge.experiment import report
+from teaselbridge.experiment import run as runs
+from teaselbridge.experiment import scenario as scenarios
+
+
+@dataclasses.dataclass(eq=False)
+class UnknownScenarioError(errors.TeaselbridgeError):
+    """There is no scenario of that name.
+
+    :param name: the one that was asked for.
+    :param known: those that there are.
+    """
+
+    name: str
+    known: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return f'`{self.name}`, there are: ' + ', '.join(self.known)
+
+
+def command() -> click.Command:
+    """Build the command."""
+
+    @click.group('experiment')
+    def experiment() -> None:
+        """Run named scenarios against a model, in virtual time."""
+
+    experiment.add_command(_list_command())
+    experiment.add_command(_run_command())
+    experiment.add_command(_compare_command())
+    return experiment
+
+
+def _list_command() -> click.Command:
+    @click.command('list')
+    def list_scenarios() -> None:
+        """List scenarios and comparisons."""
+        for scenario in scenarios.SCENARIOS.values():
+            click.echo(f'{scenario.name:<16} {scenario.about}')
+        for name, parts in scenarios.comparisons().items():
+            click.echo(f'{name:<16} compares {len(parts)} runs')
+
+    return list_scenarios
+
+
+def _run_command() -> click.Command:
+    @click.command('run')
+    @click.argument('name')
+    @click.option('--seed', default=1, help='Seed of all chance.')
+    @click.option(
+        '--policy',
+        type=click.Choice(list(placement.POLICIES)),
+        default='prefix-aware',
+    )
+    @click.option(
+        '--planner',
+        type=click.Choice(list(fleetplan.PLANNERS)),
+        default='survivor',
+    )
+    @click.option('--json', 'json_path', default='', help='Report file.')
+    @click.option('--plot', 'plot_path', default='', help='PNG file.')
+    def run(
+        name: str,
+        seed: int,
+        policy: str,
+        planner: str,
+        json_path: str,
+        plot_path: str,
+    ) -> None:
+        """Run one scenario."""
+        known = scenarios.SCENARIOS
+        if name not in known:
+            raise UnknownScenarioError(name, tuple(known))
+        scenario = dataclasses.replace(
+            known[name], seed=seed, policy=policy, planner=planner
+        )
+        _show([runs.run(scenario)], json_path, plot_path)
+
+    return run
+
+
+def _compare_command() -> click.Command:
+    @click.command('compare')
+    @click.argument('name')
+    @click.option('--seed', default=1, help='Seed of all chance.')
+    @click.option('--json', 'json_path', default='', help='Report file.')
+    @click.option('--plot', 'plot_path', default='', help='PNG file.')
+    def compare(name: str, seed: int, json_path: str, plot_path: str) -> None:
+        """Run several scenarios on the same seed, beside each other."""
+        known = scenarios.comparisons()
+        if name not in known:
+            raise UnknownScenarioError(name, tuple(known))
+        outcomes = [
+            runs.run(dataclasses.replace(scenario, seed=seed))
+            for scenario in known[name]
+        ]
+        _show(outcomes, json_path, plot_path)
+
+    return compare
+
+
+def _show(
+    outcomes: list[runs.Outcome], json_path: str, plot_path: str
+) -> None:
+    for line in report.lines(outcomes):
+        click.echo(line)
+    if json_path:
+        report.write(outcomes, json_path)
+    if plot_path:
+        report.draw(outcomes, plot_path)
--- a/src/teaselbridge/cli/main.py
+++ b/src/teaselbridge/cli/main.py
@@ -19,6 +19,7 @@
 COMMANDS = (
     'config',
     'drain',
+    'experiment',
     'load',
     'moves',
     'serve',
--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -215,6 +215,7 @@
     if fault.kind is calls.FaultKind.SILENT:
         out.append(effects.DropConnections(server.row.address))
     if fault.kind in BLAMED and not server.leaving:
+        request.failed_on = server.version
         out += _judge(state, request, failed=True, span=0.0)
     if fault.kind is calls.FaultKind.RESET:
         out += poison.crash(state, request.call, server, now)
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -54,7 +54,7 @@
     call = request.call
     nodes = state.membership.nodes
     usable = state.servers.usable(call.route.pool, now)
-    wanted = versions.narrow(state, call, usable)
+    wanted = versions.narrow(state, request, usable)
     candidates = [server for server in wanted if server.has_room(nodes)]
     if state.poison.is_suspect(call.fingerprint):
         candidates = [item for item in candidates if not item.suspects]
--- a/src/teaselbridge/decisions/evidence.py
+++ b/src/teaselbridge/decisions/evidence.py
@@ -20,8 +20,12 @@
 SLOW_FACTOR = 1.6
 SLOW_FLOOR = 0.08
 SLOW_WORSE_BY = 0.4
-FORGET = 0.02
+FORGET = 0.005
+MARGIN = 2.0
+COUNT_LEAST = 20
+RATE_UNKNOWN = 0.1
 SPAN_LEAST = 8
+ALL_ROUTES = '*'
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,10 +33,25 @@
     """Share of bad outcomes of the old version, smoothed."""
 
     value: float = 0.0
+    count: int = 0
 
     def add(self, bad: bool) -> None:
         """Take in an outcome."""
-        self.value += FORGET * (float(bad) - self.value)
+        self.count += 1
+        weight = max(FORGET, 1 / self.count)
+        self.value += weight * (float(bad) - self.value)
+
+    def most(self, floor: float) -> float:
+        """Give the share that is still usual, chance allowed for.
+
+        :param floor: share below which nothing is unusual.
+        """
+        if self.count < COUNT_LEAST:
+            return RATE_UNKNOWN
+        known = min(float(self.count), 1 / FORGET)
+        share = max(self.value, 1 / known)
+        chance = MARGIN * math.sqrt(share * (1 - share) / known)
+        return min(RATE_MOST, max(floor, self.value + chance))
 
 
 @dataclasses.dataclass(slots=True)
@@ -109,27 +128,33 @@
             old.span = span
         old.slow.add(span > SLOW_FACTOR * old.span)
         old.count += 1
-        old.span += max(FORGET, 1 / old.count) * (span - old.span)
+        weight = max(FORGET, 1 / old.count)
+        old.span += weight * (span - old.span)
 
     def new_outcome(
         self, route: str, failed: bool, span: float
     ) -> Fault | None:
         """Take in an outcome of the new version.
 
+        Each route is tested by itself, for faults on one route only, and
+        all routes together, which finds a fault on all of them sooner.
+
         :param span: milliseconds a token or answer took, 0 for unknown.
         :return: the fault, once the evidence suffices.
         """
         old = self._old.setdefault(route, _Old())
-        new = self._new.setdefault(route, _New())
-        usual = min(RATE_MOST, max(RATE_FLOOR, old.errors.value))
-        if new.errors.add(failed, usual, WORSE_BY):
-            detail = f'{new.errors.bad} errors, {usual:.0%} are usual'
-            return Fault(route, detail)
+        usual = old.errors.most(RATE_FLOOR)
+        for place in (route, ALL_ROUTES):
+            errors = self._new.setdefault(place, _New()).errors
+            if errors.add(failed, usual, WORSE_BY):
+                detail = f'{errors.bad} errors, {usual:.0%} are usual'
+                return Fault(place, detail)
         if failed or not span or old.count < SPAN_LEAST:
             return None
-        usual = min(RATE_MOST, max(SLOW_FLOOR, old.slow.value))
+        usual = old.slow.most(SLOW_FLOOR)
         slow = span > SLOW_FACTOR * old.span
-        if new.slow.add(slow, usual, SLOW_WORSE_BY):
-            detail = f'{span:.1f} ms where {old.span:.1f} ms are usual'
-            return Fault(route, detail)
+        for place in (route, ALL_ROUTES):
+            if self._new[place].slow.add(slow, usual, SLOW_WORSE_BY):
+                detail = f'{span:.1f} ms where {old.span:.1f} ms are usual'
+                return Fault(place, detail)
         return None
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -54,6 +54,7 @@
         self.base = 0
         self.tokens = list(call.resumed)
         self.tried: list[str] = []
+        self.failed_on = ''
         self.due = 0
         self.token = ''
         self.answer: calls.Answer | None = None
--- a/src/teaselbridge/decisions/versions.py
+++ b/src/teaselbridge/decisions/versions.py
@@ -10,28 +10,32 @@
 from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
-    from teaselbridge.decisions import calls
+    from teaselbridge.decisions import requests
     from teaselbridge.decisions import servers
     from teaselbridge.decisions import state as states
 
 HASH_SPAN = 1 << 63
 PARTS = 10_000
+TRIED_BELOW = 0.2
+TRIAL_NODES = 2
+TRIAL_MOST = 0.5
 
 
 def narrow(
     state: states.State,
-    call: calls.Call,
+    request: requests.Request,
     usable: list[servers.Server],
 ) -> list[servers.Server]:
     """Keep the servers of the version that a request goes to.
 
     A version without a usable server gives its share to the others, but a
-    version that is being tried or was taken back never gets more.
+    version that is being tried or was taken back never gets more. What
+    failed on a version that is being tried goes back to the old one.
 
     :param usable: servers that may get new work.
     :return: servers of one version.
     """
-    pool = state.index.pool(call.route.pool)
+    pool = state.index.pool(request.call.route.pool)
     if pool is None:
         return usable
     running = collections.Counter(
@@ -40,7 +44,10 @@
     shares = [
         item for item in _shares(state, pool, running) if item.name in running
     ]
-    version = pick(shares, call.key.id)
+    others = [item for item in shares if item.name != request.failed_on]
+    version = pick(others, request.call.key.id)
+    if version is None:
+        version = pick(shares, request.call.key.id)
     if version is None:
         return []
     return [server for server in usable if server.version == version]
@@ -86,8 +93,31 @@
         return [model.Version(name=move.new, weight=1)]
     if move.stage is messages.Stage.DONE and move.new not in running:
         return [model.Version(name=move.old, weight=1)]
-    new = round(PARTS * state.moves.share(move))
+    new = round(PARTS * _local_share(state, move))
     return [
         model.Version(name=move.old, weight=PARTS - new),
         model.Version(name=move.new, weight=new),
     ]
+
+
+def _local_share(state: states.State, move: messages.Move) -> float:
+    """Give this node's own share for the new version.
+
+    Small shares are tried at two nodes instead of all: evidence that is
+    gathered in few places suffices after fewer requests.
+    """
+    share = state.moves.share(move)
+    if not 0 < share < TRIED_BELOW:
+        return share
+    me = state.options.me.name
+    names = {me} | {
+        member.name for member in state.membership.alive if not member.draining
+    }
+    order = sorted(
+        names,
+        key=lambda name: placement.hash_of('trial', move.pool, name),
+        reverse=True,
+    )
+    if me not in order[:TRIAL_NODES]:
+        return 0.0
+    return min(TRIAL_MOST, share * len(names) / TRIAL_NODES)
--- /dev/null
+++ b/src/teaselbridge/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: the decisions in virtual time against a model."""
--- a/src/teaselbridge/standins/engine.py
+++ b/src/teaselbridge/standins/engine.py
@@ -23,14 +23,16 @@
 
 from teaselbridge import clock as clocks
 from teaselbridge.standins import behaviour as behaviours
+from teaselbridge.standins import cache as caches
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
 TOKEN_CHARACTERS = 4
-BLOCK_CHARACTERS = 64
 CRASH = 'crash the server'
 WORDS = 997
+EVENTS_LATE = 5
+EVENTS_GAP_EVERY = 10
 
 Document: typing.TypeAlias = dict[str, typing.Any]
 Body: typing.TypeAlias = litestar.params.JSONBody[Document]
@@ -112,69 +114,6 @@
         self.running -= 1
 
 
-class PrefixCache:
-    """Blocks of prompts that need no work again.
-
-    :param blocks: blocks to keep, least recently used ones go first.
-    """
-
-    def __init__(self, *, blocks: int) -> None:
-        self._most = blocks
-        self._known: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
-        self.events: collections.deque[Document] = collections.deque(
-            maxlen=1_000
-        )
-        self._numbers = itertools.count(1)
-
-    def match(self, text: str) -> int:
-        """Count the characters of a prompt that are cached."""
-        found = 0
-        for block in _blocks(text):
-            if block not in self._known:
-                break
-            self._known.move_to_end(block)
-            found += BLOCK_CHARACTERS
-        return min(found, len(text))
-
-    def add(self, text: str) -> None:
-        """Keep a prompt's blocks."""
-        self.take(_blocks(text))
-
-    def take(self, blocks: list[str]) -> None:
-        """Keep blocks, of this or another engine."""
-        for block in blocks:
-            if block not in self._known:
-                self._note('stored', block)
-            self._known[block] = None
-            self._known.move_to_end(block)
-        while len(self._known) > self._most:
-            old, _ = self._known.popitem(last=False)
-            self._note('removed', old)
-
-    def again(self, text: str, seen: set[str]) -> int:
-        """Count the characters of a prompt that some engine did before.
-
-        :param seen: blocks that any engine has computed; added to.
-        :return: characters that are not cached here though seen.
-        """
-        blocks = _blocks(text)
-        found = sum(
-            block in seen and block not in self._known for block in blocks
-        )
-        seen.update(blocks)
-        return found * BLOCK_CHARACTERS
-
-    def give(self, text: str) -> list[str]:
-        """List a prompt's blocks that are kept, for another engine."""
-        return [block for block in _blocks(text) if block in self._known]
-
-    def _note(self, kind: str, block: str) -> None:
-        number = next(self._numbers)
-        self.events.append({'number': number, 'type': kind, 'block': block})
-
-
 class Busy(litestar.exceptions.HTTPException):
     """A request that was refused and surely not run."""
 
@@ -231,7 +170,7 @@
         self.wanted = version
         self.leaving = False
         self.slots = Slots(most=speed.slots)
-        self.cache = PrefixCache(blocks=speed.cache_blocks)
+        self.cache = caches.PrefixCache(blocks=speed.cache_blocks)
         self.figures = Figures()
         self.orders: list[Document] = []
 
@@ -378,8 +317,14 @@
     @litestar.get('/cache/events')
     async def cache_events(
         after: litestar.params.FromQuery[int] = 0,
-    ) -> list[Document]:
-        return [item for item in engine.cache.events if item['number'] > after]
+    ) -> list[caches.CacheEvent]:
+        """Give events late, and leave some out."""
+        known = [item for item in engine.cache.events if item.number > after]
+        return [
+            item
+            for item in known[:-EVENTS_LATE]
+            if item.number % EVENTS_GAP_EVERY
+        ]
 
     @litestar.post('/cache/export', status_code=200)
     async def cache_export(data: Body) -> Document:
@@ -454,15 +399,6 @@
     return chat_prompt(messages), partial
 
 
-def _blocks(text: str) -> list[str]:
-    digest = xxhash.xxh3_64()
-    blocks = []
-    for start in range(0, len(text), BLOCK_CHARACTERS):
-        digest.update(text[start : start + BLOCK_CHARACTERS].encode())
-        blocks.append(digest.hexdigest())
-    return blocks
-
-
 def _choice(text: str, *, chat: bool) -> Document:
     choice: Document = {'index': 0, 'finish_reason': None}
     if chat:
--- a/tests/fuzz/machine.py
+++ b/tests/fuzz/machine.py
@@ -59,7 +59,7 @@
     def kill_node(self, pick: int) -> None:
         live = self._world.live_nodes()
         node = live[pick % len(live)] if live else None
-        others = [one for one in live if one.state.drain is None]
+        others = [one for one in live if not one.drain_asked]
         if node is not None and others != [node]:
             self._world.kill_node(node.name)
 
@@ -73,13 +73,12 @@
     def drain_node(self, pick: int, span: int) -> None:
         """Drain a node, but never the last one that takes work."""
         staying = [
-            node
-            for node in self._world.live_nodes()
-            if node.state.drain is None
+            node for node in self._world.live_nodes() if not node.drain_asked
         ]
         if len(staying) > 1:
             node = staying[pick % len(staying)]
             by = self._world.now + span
+            node.drain_asked = True
             self._world.post(node, events.DrainAsked(by))
 
     @hypothesis.stateful.rule(pick=NODES, span=st.integers(100, 8_000))
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -84,6 +84,7 @@
         self.paused_until = 0
         self.was_paused = False
         self.watching = False
+        self.drain_asked = False
         self.inbox: list[events.Event] = []
 
 
