--- a/src/teaselbridge/cli/remote.py
+++ b/src/teaselbridge/cli/remote.py
@@ -144,7 +144,7 @@
     content: bytes,
 ) -> httpx.Response:
     scheme = 'https' if target.ca else 'http'
-    headers = {'authorization': f'Bearer {target.key}'}
+    headers = {'authorization': f'Bearer {target.key}'} if target.key else {}
     try:
         async with httpx.AsyncClient(
             timeout=clock.seconds(TIMEOUT_MS),
--- /dev/null
+++ b/tests/decisions/test_admission.py
@@ -0,0 +1,113 @@
+"""Tests of the order of waiting requests and of retry budgets."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from teaselbridge.decisions import admission
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import retry
+from teaselbridge.tables import model
+
+
+def call(
+    handle: int, workspace: str = 'a', priority: int = 5, deadline: int = 1_000
+) -> calls.Call:
+    """Make a request."""
+    return calls.Call(
+        handle=handle,
+        key=calls.RequestKey(workspace, str(handle)),
+        route=model.Route(
+            name=f'r{priority}',
+            match=model.Match(model='m'),
+            pool='p',
+            priority=priority,
+        ),
+        kind=model.Kind.ENGINE,
+        deadline=deadline,
+        path='/',
+        max_tokens=10,
+    )
+
+
+class TestQueue(testtools.TestCase):
+    """Priority, fair shares, deadlines."""
+
+    def _serve(self, *waiting: calls.Call, weight: int = 1) -> list[int]:
+        queue = admission.Queue()
+        for one in waiting:
+            queue.push(one)
+        served = []
+        while (found := queue.peek('p')) is not None:
+            queue.charge(found, weight)
+            queue.remove(found.handle)
+            served.append(found.handle)
+        return served
+
+    def test_priority_goes_first(self) -> None:
+        self.assertEqual(
+            [2, 1], self._serve(call(1, priority=5), call(2, priority=1))
+        )
+
+    def test_earliest_deadline_within_a_workspace(self) -> None:
+        served = self._serve(
+            call(1, deadline=300), call(2, deadline=100), call(3, deadline=200)
+        )
+        self.assertEqual([2, 3, 1], served)
+
+    def test_large_workspace_does_not_starve_a_small_one(self) -> None:
+        large = [call(number, 'large', deadline=1) for number in range(20)]
+        small = [call(100, 'small', deadline=999)]
+        served = self._serve(*large, *small)
+        self.assertLessEqual(served.index(100), 1)
+
+    def test_idle_time_is_not_saved_up(self) -> None:
+        queue = admission.Queue()
+        for number in range(10):
+            queue.push(call(number, 'a'))
+            queue.charge(queue.peek('p'), 1)
+            queue.remove(number)
+        queue.push(call(50, 'a'))
+        queue.push(call(51, 'a'))
+        for number in range(60, 70):
+            queue.push(call(number, 'b'))
+        served = []
+        for _ in range(4):
+            found = queue.peek('p')
+            queue.charge(found, 1)
+            queue.remove(found.handle)
+            served.append(found.key.workspace)
+        self.assertIn('a', served)
+
+    def test_worst_is_the_last_priority(self) -> None:
+        queue = admission.Queue()
+        queue.push(call(1, priority=1))
+        queue.push(call(2, priority=9))
+        self.assertEqual(2, queue.worst().handle)
+
+
+class TestBudgets(testtools.TestCase):
+    """Retries stay a share of first attempts."""
+
+    def test_share(self) -> None:
+        budgets = retry.Budgets()
+        route = call(1).route
+        for _ in range(1_000):
+            budgets.earn(route)
+            while budgets.spend(route):
+                pass
+        budgets = retry.Budgets()
+        retries = 0
+        for _ in range(1_000):
+            budgets.earn(route)
+            while budgets.spend(route):
+                retries += 1
+        most = route.retry_share * 1_000 + retry.BUDGET_START
+        self.assertLessEqual(retries, most)
+
+    def test_backoff_is_bounded(self) -> None:
+        generator = random.Random(1)
+        spans = [retry.backoff(20, generator) for _ in range(200)]
+        self.assertLessEqual(max(spans), retry.BACKOFF_MOST_MS)
--- /dev/null
+++ b/tests/decisions/test_ledger.py
@@ -0,0 +1,156 @@
+"""Tests of the ledger of claims."""
+
+from __future__ import annotations
+
+import testtools
+
+from teaselbridge import clock
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import claims
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import ledger
+
+NOW = clock.Instant(1_000, 1_800_000_000_000)
+ANSWER = calls.Answer(201, (), b'done')
+
+
+def operation(
+    wish: claims.Wish, token: str, number: int = 1, **more: object
+) -> claims.Operation:
+    """Make an operation on one of the requests."""
+    found = {
+        'handle': number,
+        'key': calls.RequestKey('w', f'request-{number}'),
+        'id_time': NOW.wall,
+        'token': token,
+        'node': 'n1',
+        'until': NOW.mono + 5_000,
+        'keep_ms': 1_000,
+    }
+    return claims.Operation(wish=wish, **{**found, **more})
+
+
+class TestApply(testtools.TestCase):
+    """Content of a bucket after operations."""
+
+    def _apply(self, *operations: claims.Operation) -> claims.Claim:
+        content = ledger.apply({}, operations)
+        return content['w/request-1']
+
+    def test_first_claim_wins(self) -> None:
+        found = self._apply(
+            operation(claims.Wish.CLAIM, 'a'),
+            operation(claims.Wish.CLAIM, 'b'),
+        )
+        self.assertEqual('a', found.token)
+
+    def test_closed_claim_is_free(self) -> None:
+        found = self._apply(
+            operation(claims.Wish.CLAIM, 'a'),
+            operation(claims.Wish.CLOSE, 'a'),
+            operation(claims.Wish.CLAIM, 'b'),
+        )
+        self.assertEqual('b', found.token)
+
+    def test_late_claim_does_not_undo_its_own_closing(self) -> None:
+        found = self._apply(
+            operation(claims.Wish.CLOSE, 'a'),
+            operation(claims.Wish.CLAIM, 'a'),
+        )
+        self.assertIs(claims.Stage.NOT_RUN, found.stage)
+
+    def test_others_cannot_close_or_finish(self) -> None:
+        found = self._apply(
+            operation(claims.Wish.CLAIM, 'a'),
+            operation(claims.Wish.CLOSE, 'b'),
+            operation(claims.Wish.FINISH, 'b', answer=ANSWER),
+        )
+        self.assertEqual('a', found.token)
+        self.assertIs(claims.Stage.RUNNING, found.stage)
+
+    def test_outcome_is_final(self) -> None:
+        found = self._apply(
+            operation(claims.Wish.CLAIM, 'a'),
+            operation(claims.Wish.FINISH, 'a', answer=ANSWER),
+            operation(claims.Wish.CLAIM, 'b'),
+        )
+        self.assertEqual(ANSWER, found.answer)
+
+
+class TestLedger(testtools.TestCase):
+    """Reads, writes and lost answers of one bucket."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.ledger = ledger.Ledger()
+
+    def _read(
+        self,
+        step: ledger.Step,
+        value: bytes | None,
+        now: clock.Instant = NOW,
+    ) -> ledger.Step:
+        (read,) = step.effects
+        event = events.KeyRead(read.ticket, value, 7)
+        return self.ledger.read(event, now)
+
+    def _swap(self, step: ledger.Step) -> effects.SwapKey:
+        return next(
+            effect
+            for effect in step.effects
+            if isinstance(effect, effects.SwapKey)
+        )
+
+    def test_operations_gather_while_a_write_is_under_way(self) -> None:
+        first = operation(claims.Wish.CLAIM, 'a', 1)
+        step = self._read(self.ledger.submit(first, NOW), None)
+        write = self._swap(step)
+        numbers = [
+            number
+            for number in range(2, 200)
+            if ledger.bucket_of(
+                operation(claims.Wish.CLAIM, '', number).key, NOW.wall
+            )
+            == write.key
+        ]
+        for number in numbers:
+            more = operation(claims.Wish.CLAIM, f't{number}', number)
+            self.assertEqual(ledger.Step(), self.ledger.submit(more, NOW))
+        event = events.KeySwapped(write.ticket, True, 8)
+        step = self.ledger.swapped(event, NOW)
+        self.assertEqual(1, len(step.settled))
+        gathered = ledger.decode(self._swap(step).value)
+        self.assertEqual(len(numbers) + 1, len(gathered))
+
+    def test_write_in_doubt_is_read_back(self) -> None:
+        mine = operation(claims.Wish.CLAIM, 'a')
+        write = self._swap(self._read(self.ledger.submit(mine, NOW), None))
+        failed = events.KeyFailed(write.ticket, True)
+        self.ledger.failed(failed, NOW)
+        later = NOW.later(ledger.BACKOFF_MOST_MS)
+        step = self._read(self.ledger.tick(later), write.value, later)
+        (settled,) = step.settled
+        self.assertEqual('a', settled.claim.token)
+
+    def test_lost_race_shows_the_winner(self) -> None:
+        mine = operation(claims.Wish.CLAIM, 'a')
+        write = self._swap(self._read(self.ledger.submit(mine, NOW), None))
+        lost = events.KeySwapped(write.ticket, False, 0)
+        step = self.ledger.swapped(lost, NOW)
+        theirs = operation(claims.Wish.CLAIM, 'b')
+        value = ledger.encode(ledger.apply({}, [theirs]))
+        (settled,) = self._read(step, value).settled
+        self.assertEqual('b', settled.claim.token)
+
+    def test_out_of_time_even_while_a_write_hangs(self) -> None:
+        mine = operation(claims.Wish.CLAIM, 'a')
+        self._read(self.ledger.submit(mine, NOW), None)
+        (settled,) = self.ledger.tick(NOW.later(5_000)).settled
+        self.assertTrue(settled.failed)
+
+    def test_work_of_a_silent_gatherer_is_taken_back(self) -> None:
+        mine = operation(claims.Wish.CLAIM, 'a')
+        self.ledger.hand_over(mine, NOW)
+        step = self.ledger.tick(NOW.later(ledger.REMOTE_MS))
+        self.assertIsInstance(step.effects[0], effects.ReadKey)
