Serve TLS with reload, encrypt peers, build one file

Cause: callers, operators and nodes spoke in clear; no single file to ship. Change: certificates for callers and operators, replaced without a restart (tried in a scratch context first, as a failed load leaves half of it); CURVE keys for messages between nodes; make dist by shiv.

--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,14 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test fix check
+.PHONY: demo test fix check dist
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check \
 	    -c constraints.txt 'pip>=25.1'
 	$(BIN)/pip install --quiet --disable-pip-version-check \
-	    -c constraints.txt --group test --group lint -e '.[report]'
+	    -c constraints.txt --group test --group lint --group dist -e '.[report]'
 	touch $(STAMP)
 
 demo: $(STAMP)
@@ -28,3 +28,10 @@
 
 test: check
 	$(BIN)/python -m pytest
+
+dist: $(STAMP)
+	mkdir -p dist
+	$(BIN)/shiv --quiet --console-script teaselbridge --compressed \
+	    --python '/usr/bin/env python3.11' --output-file dist/teaselbridge \
+	    --constraint constraints.txt .
+	ls -l dist/teaselbridge
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -368,6 +368,8 @@
     NODE_STOPPED = 'node-stopped'
     NODE_WITHDRAWN = 'node-withdrawn'
     NODE_RESTORED = 'node-restored'
+    CERTIFICATE_USED = 'certificate-used'
+    CERTIFICATE_REFUSED = 'certificate-refused'
     MEMBER_ALIVE = 'member-alive'
     MEMBER_SUSPECT = 'member-suspect'
     MEMBER_DEAD = 'member-dead'
--- a/src/teaselbridge/peers/transport.py
+++ b/src/teaselbridge/peers/transport.py
@@ -21,6 +21,7 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from teaselbridge.settings import model
     from teaselbridge.telemetry import metrics
 
 HEARTBEAT_MS = 1_000
@@ -69,11 +70,18 @@
     :param name: name of the node.
     :param address: ``ip:port`` to bind.
     :param meter: counts bytes.
+    :param keys: key pair that all nodes share, none for plain messages.
     """
 
     def __init__(
-        self, *, name: str, address: str, meter: metrics.Meter
+        self,
+        *,
+        name: str,
+        address: str,
+        meter: metrics.Meter,
+        keys: model.PeerKeys | None = None,
     ) -> None:
+        self._keys = keys
         self._name = name
         self._address = address
         self._meter = meter
@@ -93,6 +101,9 @@
         router.setsockopt(zmq.MAXMSGSIZE, MESSAGE_BYTES)
         router.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         router.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        self._secure(router)
+        if self._keys is not None:
+            router.setsockopt(zmq.CURVE_SERVER, 1)
         router.bind(f'tcp://{self._address}')
         self._router = router
 
@@ -155,9 +166,19 @@
         dealer.setsockopt(zmq.SNDHWM, QUEUE_MESSAGES)
         dealer.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         dealer.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        self._secure(dealer)
+        if self._keys is not None:
+            server = self._keys.public.encode()
+            dealer.setsockopt(zmq.CURVE_SERVERKEY, server)
         dealer.connect(f'tcp://{address}')
         self._dealers[address] = dealer
         return dealer
 
+    def _secure(self, socket: zmq.Socket[bytes] | zmq.asyncio.Socket) -> None:
+        if self._keys is None:
+            return
+        socket.setsockopt(zmq.CURVE_PUBLICKEY, self._keys.public.encode())
+        socket.setsockopt(zmq.CURVE_SECRETKEY, self._keys.secret.encode())
+
     def _drop(self, address: str) -> None:
         self._dealers.pop(address).close(0)
--- a/src/teaselbridge/runtime/node.py
+++ b/src/teaselbridge/runtime/node.py
@@ -18,6 +18,7 @@
 from teaselbridge.platform import cloud as clouds
 from teaselbridge.platform import etcd
 from teaselbridge.runtime import attempts as attempts_module
+from teaselbridge.runtime import certificates
 from teaselbridge.runtime import keys
 from teaselbridge.runtime import links
 from teaselbridge.runtime import loop as loops
@@ -32,6 +33,7 @@
     from teaselbridge.settings import model
 
 LINGER_MS = 300
+CERTIFICATE_MS = 1_000
 
 
 class Node:
@@ -65,6 +67,7 @@
             name=settings.node.name,
             address=settings.listen.peers,
             meter=self._meter,
+            keys=settings.peer_keys,
         )
         self._attempts = attempts_module.Attempts(
             loop=self._loop, tasks=self._tasks
@@ -122,6 +125,7 @@
         self._tasks.start(surroundings.follow_hosts(self._hosts, self._loop))
         self._tasks.start(surroundings.follow_notices(self._cloud, self._loop))
         self._tasks.start(self._loop.tick())
+        self._tasks.start(self._follow_certificate())
         await self._callers.start()
         await self._admin.start()
 
@@ -167,6 +171,21 @@
         await self._hosts.close()
         await self._cloud.close()
 
+    async def _follow_certificate(self) -> None:
+        """Use a new certificate without a restart."""
+        if self._settings.tls is None:
+            return
+        files = certificates.Files(tls=self._settings.tls)
+        while True:
+            await asyncio.sleep(clocks.seconds(CERTIFICATE_MS))
+            if not files.have_changed():
+                continue
+            error = self._callers.reload_tls() or self._admin.reload_tls()
+            mark = effects.Mark.CERTIFICATE_USED
+            if error:
+                mark = effects.Mark.CERTIFICATE_REFUSED
+            self._loop.record(effects.Record(mark=mark, detail=error))
+
     def _gateway(self, outlets: outlets_module.Outlets) -> typing.Any:
         scheme = 'http' if self._settings.tls is None else 'https'
         return gateway_app.Gateway(
--- a/src/teaselbridge/runtime/web.py
+++ b/src/teaselbridge/runtime/web.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import ssl
 import typing
 
 import uvicorn
@@ -99,6 +100,7 @@
         request_ms: int = REQUEST_MS,
     ) -> None:
         self._address = address
+        self._tls = tls
         self._server = Server(
             uvicorn.Config(
                 app,
@@ -145,6 +147,24 @@
         while not self._server.started and not self._task.done():
             await asyncio.sleep(0.001)
 
+    def reload_tls(self) -> str:
+        """Load the certificate files anew, for new connections.
+
+        :return: what is wrong with them; the old ones stay in use then.
+        """
+        context = self._server.config.ssl
+        if context is None or self._tls is None:
+            return ''
+        tls = self._tls
+        trial = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        try:
+            # A failed load leaves half of it in the context.
+            trial.load_cert_chain(tls.certificate, tls.key)
+            context.load_cert_chain(tls.certificate, tls.key)
+        except (OSError, ssl.SSLError) as error:
+            return repr(error)
+        return ''
+
     async def stop(self) -> None:
         """Stop to listen, let open responses end, and close."""
         self._server.should_exit = True
--- a/src/teaselbridge/settings/model.py
+++ b/src/teaselbridge/settings/model.py
@@ -69,6 +69,23 @@
     key: str
 
 
+Z85Key = typing.Annotated[str, msgspec.Meta(min_length=40, max_length=40)]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerKeys:
+    """Key pair that all nodes of a deployment share, for CURVE.
+
+    Both halves are secret: who knows the public one may join.
+
+    :param public: public half in Z85, 40 characters.
+    :param secret: secret half in Z85, 40 characters.
+    """
+
+    public: Z85Key
+    secret: Z85Key
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Limits:
     """Bounds of what one node holds.
@@ -99,6 +116,8 @@
     :param seeds: ``ip:port`` of peers to join through.
     :param operator_key: shared key that the admin interface asks for.
     :param tls: certificate for callers and operators, none for plain HTTP.
+    :param peer_keys: key pair of the messages between nodes, none for
+        plain ones.
     :param limits: bounds of what the node holds.
     """
 
@@ -108,4 +127,5 @@
     seeds: tuple[str, ...] = ()
     operator_key: str = ''
     tls: Tls | None = None
+    peer_keys: PeerKeys | None = None
     limits: Limits = Limits()
--- a/src/teaselbridge/telemetry/metrics.py
+++ b/src/teaselbridge/telemetry/metrics.py
@@ -92,3 +92,9 @@
         labels = {'kind': kind, 'label': label}
         name = 'teaselbridge_decisions_total'
         return self._registry.get_sample_value(name, labels) or 0.0
+
+    def sent(self, message: str) -> float:
+        """Read how many bytes of a kind of message were sent."""
+        labels = {'direction': 'sent', 'message': message}
+        name = 'teaselbridge_peer_bytes_total'
+        return self._registry.get_sample_value(name, labels) or 0.0
--- a/tests/failures/base.py
+++ b/tests/failures/base.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import typing
 
 import httpx
@@ -99,6 +100,12 @@
         self._callers.append(found)
         return found
 
+    def secure_caller(self, address: str, ca: str) -> caller.Caller:
+        """Make a caller that trusts a certificate."""
+        found = caller.Caller(seeds=(address,), key=WORKSPACE_KEY, ca=ca)
+        self._callers.append(found)
+        return found
+
     async def apply(self, tables: model.Tables) -> models.ApplyReply:
         """Put tables in force at all nodes."""
         reply = await config.apply(self.target(), tables, None)
@@ -149,6 +156,7 @@
     services: int = 2,
     tables: model.Tables = TABLES,
     bad_versions: dict[str, behaviour.Behaviour] | None = None,
+    peer_keys: settings_model.PeerKeys | None = None,
     **limits: typing.Any,
 ) -> collections.abc.AsyncIterator[Trial]:
     """Run nodes on stand-ins with tables in force."""
@@ -157,7 +165,10 @@
     await fleet.start()
     trial = Trial(fleet, [])
     try:
-        trial.settings = _settings(fleet, count, limits)
+        trial.settings = [
+            dataclasses.replace(item, peer_keys=peer_keys)
+            for item in _settings(fleet, count, limits)
+        ]
         for settings in trial.settings:
             node = nodes.Node(settings=settings)
             await node.start()
@@ -169,6 +180,16 @@
         await trial.close()
 
 
+def more_settings(trial: Trial) -> settings_model.Settings:
+    """Make settings for a node that joins a trial."""
+    (settings,) = _settings(trial.fleet, 1, {})
+    return dataclasses.replace(
+        settings,
+        node=dataclasses.replace(settings.node, name='entry-more'),
+        seeds=tuple(item.listen.peers for item in trial.settings),
+    )
+
+
 def answer_of(text: str, tokens: int) -> str:
     """Give the undisturbed answer to a chat message."""
     messages = [{'role': 'user', 'content': text}]
