Split membership, sync by digest, tell crashes at once

Change: members, gossip and membership apart; a sync sends a digest first; crashes are sent to peers in the same step that finds them; the stand-in notes its load when it changes. Conclusion: spread of marks must not wait for a tick.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,6 @@
 dist: $(STAMP)
 	mkdir -p dist
 	$(BIN)/shiv --quiet --console-script teaselbridge --compressed \
-	    --python '/usr/bin/env python3.11' --output-file dist/teaselbridge \
+	    --compile-pyc --python '/usr/bin/env python3.11' --output-file dist/teaselbridge \
 	    --constraint constraints.txt .
 	ls -l dist/teaselbridge
--- a/src/teaselbridge/decisions/poison.py
+++ b/src/teaselbridge/decisions/poison.py
@@ -11,6 +11,7 @@
 import typing
 
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import gossip
 from teaselbridge.peers import messages
 
 if typing.TYPE_CHECKING:
@@ -37,6 +38,10 @@
         """All that is known."""
         return tuple(self._crashes.values())
 
+    def get(self, fingerprint: str) -> messages.Crashes:
+        """Give what is known of a body that was seen to crash a server."""
+        return self._crashes[fingerprint]
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Tell whether a server died running this body."""
         return fingerprint in self._crashes
@@ -119,14 +124,18 @@
     if not state.poison.merge(seen):
         return []
     state.membership.news.add_crashes(call.fingerprint)
+    known = state.poison.get(call.fingerprint)
+    news = messages.Gossip(crashes=(known,), generation=state.index.generation)
+    out = gossip.tell_all(state, news)
     if not state.poison.is_refused(call.fingerprint, now.wall):
-        return []
+        return out
     return [
+        *out,
         effects.Record(
             mark=effects.Mark.POISON,
             request=call.key.id,
             route=call.route.name,
             host=server.host,
             detail=f'body {call.fingerprint} is refused from now on',
-        )
+        ),
     ]
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -11,7 +11,7 @@
 from teaselbridge.decisions import changes
 from teaselbridge.decisions import leases
 from teaselbridge.decisions import ledger
-from teaselbridge.decisions import membership
+from teaselbridge.decisions import members
 from teaselbridge.decisions import moves
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import poison
@@ -69,7 +69,7 @@
         self.budgets = retry.Budgets()
         self.poison = poison.Poison()
         self.ledger = ledger.Ledger()
-        self.membership = membership.Membership(me=options.me)
+        self.membership = members.Membership(me=options.me)
         self.changes = changes.Changes()
         self.leases = leases.Leases()
         self.moves = moves.Moves()
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -195,12 +195,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SyncAsked:
-    """Send me all that you know; here is all that I know.
+    """Send me all that you know, unless it is what I know.
 
     :param reply_to: ``ip:port`` that the answer goes to.
+    :param digest: hash of all that the sender knows.
+    :param both_ways: whether the sender wants to be asked in turn.
+    :param gossip: the sender itself.
     """
 
     reply_to: str
+    digest: int
+    both_ways: bool
     gossip: Gossip
 
 
--- a/src/teaselbridge/standins/engine.py
+++ b/src/teaselbridge/standins/engine.py
@@ -70,6 +70,15 @@
     failed: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Load:
+    """Load at a time, in monotonic milliseconds."""
+
+    at: int
+    running: int
+    waiting: int
+
+
 class Slots:
     """Running requests; others wait by priority."""
 
@@ -161,9 +170,7 @@
         self._load = load
         self._seen = set() if seen is None else seen
         self._born = clock.now().mono
-        self._reports: collections.deque[tuple[int, Document]] = (
-            collections.deque()
-        )
+        self._loads = collections.deque([_Load(0, 0, 0)])
         self._fence = 0
         self._order: asyncio.Task[None] | None = None
         self.version = version
@@ -174,16 +181,24 @@
         self.figures = Figures()
         self.orders: list[Document] = []
 
+    @property
+    def running(self) -> int:
+        """Requests that it runs now."""
+        return self.slots.running
+
     def report(self) -> Document:
         """Give the load as it was a while ago."""
-        now = self._clock.now().mono
-        self._reports.append((now, self._describe()))
-        while (
-            len(self._reports) > 1
-            and now - self._reports[1][0] >= self._speed.report_lag_ms
-        ):
-            self._reports.popleft()
-        return {**self._reports[0][1], 'leaving': self.leaving}
+        seen = self._clock.now().mono - self._speed.report_lag_ms
+        while len(self._loads) > 1 and self._loads[1].at <= seen:
+            self._loads.popleft()
+        load = self._loads[0]
+        return {
+            'version': self.version,
+            'slots': self._speed.slots,
+            'running': load.running,
+            'waiting': load.waiting,
+            'leaving': self.leaving,
+        }
 
     def order(self, data: Document) -> Document | None:
         """Take an order to load a version.
@@ -242,6 +257,7 @@
         chat: bool,
     ) -> collections.abc.AsyncIterator[str]:
         await self.slots.take(priority)
+        self._note_load()
         try:
             text = prompt + partial
             cached = self.cache.match(text) // TOKEN_CHARACTERS
@@ -263,19 +279,17 @@
             yield 'data: [DONE]\n\n'
         finally:
             self.slots.give()
+            self._note_load()
 
     def _token_s(self, verdict: behaviours.Verdict) -> float:
         share = self.slots.running / self._speed.slots
         factor = 1 + self._speed.batch_factor * share
         return self._speed.token_ms * factor * verdict.slow / clocks.SECOND
 
-    def _describe(self) -> Document:
-        return {
-            'version': self.version,
-            'slots': self._speed.slots,
-            'running': self.slots.running,
-            'waiting': self.slots.waiting,
-        }
+    def _note_load(self) -> None:
+        now = self._clock.now().mono
+        load = _Load(now, self.slots.running, self.slots.waiting)
+        self._loads.append(load)
 
     async def _change(self, wanted: str) -> None:
         if self._load is not None:
--- a/src/teaselbridge/standins/fleet.py
+++ b/src/teaselbridge/standins/fleet.py
@@ -243,7 +243,7 @@
                 {
                     'host': host,
                     'pool': backend.row.pool,
-                    'running': backend.server.report()['running'],
+                    'running': backend.server.running,
                 }
                 for host, backend in self._backends.items()
             ],
--- a/src/teaselbridge/standins/service.py
+++ b/src/teaselbridge/standins/service.py
@@ -44,6 +44,11 @@
         self._book = book
         self._running = 0
 
+    @property
+    def running(self) -> int:
+        """Requests that it runs now."""
+        return self._running
+
     def report(self) -> Document:
         """Give the load."""
         return {
--- a/tests/failures/base.py
+++ b/tests/failures/base.py
@@ -128,9 +128,7 @@
     def busy(self, pool: str) -> str:
         """Give the host of a pool that runs a request."""
         for host, backend in self.fleet.backends.items():
-            if backend.row.pool != pool:
-                continue
-            if backend.server.report()['running']:
+            if backend.row.pool == pool and backend.server.running:
                 return host
         return ''
 
