Bound the ledger's writes; add users, waves and orders to experiments

Change: after a write a bucket gathers for 25 ms; an idle one is still written at once; a wake-up effect finer than the tick. Scenarios for orders, a wave of reclaims during a move, and each user's part of the work; cost in the load report; a test of a second edit during a move. Conclusion: writes are bounded by shards and wait, not by the load.

--- a/src/teaselbridge/cli/experiment.py
+++ b/src/teaselbridge/cli/experiment.py
@@ -29,6 +29,9 @@
         return f'`{self.name}`, there are: ' + ', '.join(self.known)
 
 
+USERS = click.Choice([*scenarios.USERS, 'both'])
+
+
 def command() -> click.Command:
     """Build the command."""
 
@@ -68,11 +71,13 @@
         type=click.Choice(list(fleetplan.PLANNERS)),
         default='survivor',
     )
+    @click.option('--user', type=USERS, default='both', help='Whose work.')
     @click.option('--json', 'json_path', default='', help='Report file.')
     @click.option('--plot', 'plot_path', default='', help='PNG file.')
     def run(
         name: str,
         seed: int,
+        user: str,
         policy: str,
         planner: str,
         json_path: str,
@@ -85,6 +90,7 @@
         scenario = dataclasses.replace(
             known[name], seed=seed, policy=policy, planner=planner
         )
+        scenario = scenarios.for_user(scenario, user)
         _show([runs.run(scenario)], json_path, plot_path)
 
     return run
@@ -94,15 +100,22 @@
     @click.command('compare')
     @click.argument('name')
     @click.option('--seed', default=1, help='Seed of all chance.')
+    @click.option('--user', type=USERS, default='both', help='Whose work.')
     @click.option('--json', 'json_path', default='', help='Report file.')
     @click.option('--plot', 'plot_path', default='', help='PNG file.')
-    def compare(name: str, seed: int, json_path: str, plot_path: str) -> None:
+    def compare(
+        name: str, seed: int, user: str, json_path: str, plot_path: str
+    ) -> None:
         """Run several scenarios on the same seed, beside each other."""
         known = scenarios.comparisons()
         if name not in known:
             raise UnknownScenarioError(name, tuple(known))
         outcomes = [
-            runs.run(dataclasses.replace(scenario, seed=seed))
+            runs.run(
+                scenarios.for_user(
+                    dataclasses.replace(scenario, seed=seed), user
+                )
+            )
             for scenario in known[name]
         ]
         _show(outcomes, json_path, plot_path)
--- a/src/teaselbridge/cli/load.py
+++ b/src/teaselbridge/cli/load.py
@@ -121,7 +121,8 @@
     )
     lines.append(
         f'prompt tokens {report.prompt_tokens}, cached '
-        f'{report.cached_tokens}, recomputed {report.recomputed_tokens}'
+        f'{report.cached_tokens}, recomputed {report.recomputed_tokens}, '
+        f'cost of hosts {report.cost:.5f}'
     )
     if report.reasons:
         lines.append(f'refusals {report.reasons}')
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -322,6 +322,16 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wake:
+    """Post that time has passed, sooner than the next tick.
+
+    :param delay_ms: milliseconds from now.
+    """
+
+    delay_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stop:
     """Everything held has ended or moved; the process may exit."""
@@ -450,6 +460,7 @@
     | UseConfiguration
     | Watch
     | ReportLoad
+    | Wake
     | Stop
     | Count
     | Record
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -16,6 +16,11 @@
     """Time has passed; due work is done."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Woke:
+    """A wait that was asked for is over."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallArrived:
     """A caller sent a request that passed the gateway's checks."""
@@ -305,6 +310,7 @@
 
 Event = (
     Ticked
+    | Woke
     | CallArrived
     | CallerLeft
     | TokenCame
--- a/src/teaselbridge/decisions/ledger.py
+++ b/src/teaselbridge/decisions/ledger.py
@@ -1,8 +1,9 @@
 """Claims that make a non-idempotent request run at most once.
 
 A claim is written under single-key compare-and-swap before the request is
-sent to a backend server. Claims share values, called buckets, so that one
-write carries all claims that gathered while the last write was under way.
+sent to a backend server. Claims share values, called buckets. A bucket that
+was idle is written at once; after that one write carries all operations
+that gathered meanwhile, so the writes a second have a bound.
 A bucket belongs to a slice of time, which ids carry, so it stops growing
 and is dropped whole once its ids are too old to be accepted.
 
@@ -33,7 +34,8 @@
 
 SLICE_MS = 2_000
 SHARDS = 4
-REMOTE_MS = 150
+REMOTE_MS = 200
+GATHER_MS = 25
 IDLE_MS = 30_000
 SKEW_MS = 60_000
 BACKOFF_MS = 50
@@ -76,6 +78,7 @@
     writing: list[entries.Operation] = dataclasses.field(default_factory=list)
     written: entries.Claims = dataclasses.field(default_factory=dict)
     busy: bool = False
+    woken: bool = False
     due: int = 0
     failures: int = 0
     used: int = 0
@@ -147,6 +150,7 @@
         bucket.failures = 0
         if not event.swapped:
             self._requeue(bucket)
+            bucket.due = now.mono
             return self._advance(bucket, now)
         bucket.claims = bucket.written
         bucket.revision = event.revision
@@ -170,6 +174,7 @@
         """Go on where a wait is over, and give up what is out of time."""
         step = self._take_back(now)
         for bucket in list(self._buckets.values()):
+            bucket.woken = False
             step = _join(step, self._expire(bucket, now))
             step = _join(step, self._advance(bucket, now))
             idle = not (bucket.busy or bucket.waiting or bucket.writing)
@@ -206,9 +211,18 @@
         bucket.writing = _in_time(bucket.writing, now)
         return Step(settled=tuple(Settled(item, None, True) for item in late))
 
+    def _wait(self, bucket: _Bucket, now: clock.Instant) -> Step:
+        """Let operations gather until the next write is due."""
+        if bucket.woken:
+            return Step()
+        bucket.woken = True
+        return Step((effects.Wake(bucket.due - now.mono),))
+
     def _advance(self, bucket: _Bucket, now: clock.Instant) -> Step:
-        if bucket.busy or not bucket.waiting or bucket.due > now.mono:
+        if bucket.busy or not bucket.waiting:
             return Step()
+        if bucket.due > now.mono:
+            return self._wait(bucket, now)
         bucket.used = now.mono
         ticket = tickets.BucketTicket(bucket.key)
         if bucket.claims is None:
@@ -220,6 +234,7 @@
         if changed == bucket.claims:
             return Step(settled=_settle(operations, bucket.claims))
         bucket.busy = True
+        bucket.due = now.mono + GATHER_MS
         bucket.writing = operations
         bucket.written = changed
         claims = sum(item.wish is entries.Wish.CLAIM for item in operations)
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -79,6 +79,8 @@
             return attempts.token(state, event, now)
         case events.Ticked():
             return _tick(state, now)
+        case events.Woke():
+            return orders.settle(state, state.ledger.tick(now), now)
         case events.CallArrived():
             return arrival.arrive(state, event, now)
         case events.CallerLeft():
--- a/src/teaselbridge/experiment/report.py
+++ b/src/teaselbridge/experiment/report.py
@@ -28,6 +28,12 @@
             f'{one.between.p95:>9.1f} ms {one.recomputed_tokens:>11} '
             f'{one.cost_per_1000:>11.4f}'
         )
+        if one.claims:
+            found.append(
+                f'               {one.claims} claims and their outcomes in '
+                f'{one.bucket_writes} writes, {one.doubled} doubled; '
+                f'{one.resumed} resumed'
+            )
         if one.move is not None:
             found.append(
                 f'               {one.move.end} after {one.move.end_s:.1f} s,'
--- a/src/teaselbridge/experiment/run.py
+++ b/src/teaselbridge/experiment/run.py
@@ -45,6 +45,10 @@
 
     :param goodput: whole answers in time that came during the trace, a
         second.
+    :param claims: claims of orders that were written.
+    :param bucket_writes: writes of the ledger that carried claims and
+        outcomes.
+    :param resumed: attempts that went on where another had stopped.
     :param cost: price of the engines' hosts over the trace.
     :param cost_per_1000: price of a thousand whole answers.
     :param wall_s: seconds that the run took here.
@@ -63,6 +67,9 @@
     cached_tokens: int
     recomputed_tokens: int
     doubled: int
+    claims: int
+    bucket_writes: int
+    resumed: int
     cost: float
     cost_per_1000: float
     move: MoveOutcome | None
@@ -95,6 +102,9 @@
         cached_tokens=figures.cached_tokens,
         recomputed_tokens=figures.recomputed_tokens,
         doubled=sum(count > 1 for count in world.runs.values()),
+        claims=world.counts[effects.Counter.CLAIMS],
+        bucket_writes=world.counts[effects.Counter.BUCKET_WRITES],
+        resumed=world.counts[effects.Counter.RESUMED],
         cost=world.cost,
         cost_per_1000=1_000 * world.cost / max(1, total.whole),
         move=_move(world),
--- a/src/teaselbridge/experiment/scenario.py
+++ b/src/teaselbridge/experiment/scenario.py
@@ -18,6 +18,15 @@
 ZONES = ('kariakoo', 'msasani', 'ubungo', 'kigamboni')
 SLOTS = 8
 FULL_RATE = 200.0
+USERS = {
+    'blazej': (trace.Work.ASSISTANT, trace.Work.ORDER),
+    'pamoja': (
+        trace.Work.REVIEW,
+        trace.Work.REWRITE,
+        trace.Work.CAPTION,
+        trace.Work.LOOKUP,
+    ),
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,6 +56,7 @@
     :param mix: kinds of work.
     :param nodes: entry hosts.
     :param engines: model engines at the start.
+    :param services: plain services.
     :param least: fewest engines that capacity may leave.
     :param most: most engines.
     :param cache_blocks: blocks of an engine's prefix cache.
@@ -64,6 +74,7 @@
     mix: tuple[trace.Kind, ...] = trace.MIX
     nodes: int = 6
     engines: int = 9
+    services: int = 4
     least: int = 9
     most: int = 16
     cache_blocks: int = 1_200
@@ -110,8 +121,8 @@
         kind=model.Kind.SERVICE,
         versions=(model.Version(name='s1'),),
         zones=ZONES,
-        least=4,
-        most=4,
+        least=scenario.services,
+        most=scenario.services,
     )
     return model.Tables(routes=tuple(routes), pools=(engines, services))
 
@@ -151,6 +162,36 @@
     )
 
 
+def _ordering(rate: int) -> Scenario:
+    """Make a scenario with orders only, to see how writes carry them."""
+    orders = tuple(kind for kind in trace.MIX if kind.work is trace.Work.ORDER)
+    return Scenario(
+        name=f'orders-{rate}',
+        about=f'{rate} orders a second and nothing else',
+        rate=float(rate),
+        seconds=10.0,
+        mix=orders,
+        nodes=9,
+        engines=2,
+        least=2,
+        services=24,
+    )
+
+
+def for_user(scenario: Scenario, user: str) -> Scenario:
+    """Keep one user's part of a scenario's work.
+
+    :param user: ``blazej`` or ``pamoja``, or ``both``.
+    """
+    if user not in USERS:
+        return scenario
+    mix = tuple(kind for kind in scenario.mix if kind.work in USERS[user])
+    share = sum(kind.share for kind in mix)
+    whole = sum(kind.share for kind in scenario.mix)
+    rate = scenario.rate * share / whole
+    return dataclasses.replace(scenario, mix=mix, rate=rate)
+
+
 def _moving(name: str, about: str, **bad: typing.Any) -> Scenario:
     versions = {'v2': behaviour.Behaviour(**bad)} if bad else {}
     return Scenario(
@@ -225,6 +266,21 @@
                 ),
             ),
         ),
+        dataclasses.replace(
+            _moving('wave', 'a zone and an entry host go during a good move'),
+            faults=(
+                Fault(at_s=15.0, kind='move', target='v2', notice_s=60.0),
+                Fault(
+                    at_s=35.0,
+                    kind='reclaim-zone',
+                    target='msasani',
+                    notice_s=3.0,
+                ),
+                Fault(at_s=35.0, kind='refuse-zone', target='msasani'),
+                Fault(at_s=35.0, kind='drain-node', notice_s=3.0),
+            ),
+        ),
+        *(_ordering(rate) for rate in (100, 400, 1_600)),
         _moving('move-good', 'a good version moves'),
         _moving('move-errors', 'a version that fails', error_share=0.5),
         _moving('move-slow', 'a version that is slow', slow_factor=2.5),
@@ -278,6 +334,12 @@
                 'half-dies',
                 'half-silent',
                 'zone-reclaimed',
+                'wave',
             )
         ],
+        'orders': [
+            scenario
+            for name, scenario in SCENARIOS.items()
+            if name.startswith('orders-')
+        ],
     }
--- a/src/teaselbridge/experiment/world.py
+++ b/src/teaselbridge/experiment/world.py
@@ -101,6 +101,9 @@
         self.seconds = [
             results.Second() for _ in range(int(scenario.seconds) + 1)
         ]
+        self.counts: collections.Counter[effects.Counter] = (
+            collections.Counter()
+        )
         self.whole_in_window = 0
         self.cost = 0.0
         self.refused_zones: set[str] = set()
@@ -160,7 +163,7 @@
         self.keyvalue.put(configuration.KEY, msgspec.json.encode(first))
         for number in range(self.scenario.engines):
             self._launch('engines', 'v1', _zone(number), loaded=True)
-        for number in range(4):
+        for number in range(self.scenario.services):
             self._launch('services', 's1', _zone(number), loaded=True)
         for number in range(self.scenario.nodes):
             self._start_node(number)
@@ -251,6 +254,12 @@
                     found[0].cancel(found[1])
             case effects.SendPeer():
                 self._deliver(node, effect)
+            case effects.Wake():
+                self.time.later(
+                    effect.delay_ms, lambda: self.post(node, events.Woke())
+                )
+            case effects.Count():
+                self.counts[effect.counter] += effect.amount
             case effects.Record():
                 self.records.append(effect)
                 self.record_times.append(self.time.now)
--- a/src/teaselbridge/runtime/loop.py
+++ b/src/teaselbridge/runtime/loop.py
@@ -52,6 +52,7 @@
         self._performers: dict[type, Performer] = {
             effects.Count: meter.count,
             effects.Record: self.record,
+            effects.Wake: self._wake,
         }
 
     @property
@@ -107,6 +108,11 @@
         for effect in reducer.reduce(self._state, event, self.now()):
             self._performers[type(effect)](effect)
 
+    def _wake(self, effect: effects.Wake) -> None:
+        delay = clocks.seconds(effect.delay_ms)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay, self.post, events.Woke())
+
     def _show(self) -> None:
         state = self._state
         self._meter.show(
--- a/src/teaselbridge/workload/results.py
+++ b/src/teaselbridge/workload/results.py
@@ -75,6 +75,7 @@
     :param prompt_tokens: prompt tokens that engines took in.
     :param cached_tokens: of these, found in a prefix cache.
     :param recomputed_tokens: of these, computed before by some engine.
+    :param cost: price of all hosts over the run.
     :param reasons: refusals by reason.
     :param timeline: counts in each second, for the plot.
     """
@@ -92,6 +93,7 @@
     prompt_tokens: int
     cached_tokens: int
     recomputed_tokens: int
+    cost: float
     reasons: dict[str, int]
     timeline: tuple[Second, ...]
 
--- a/src/teaselbridge/workload/run.py
+++ b/src/teaselbridge/workload/run.py
@@ -257,6 +257,7 @@
             prompt_tokens=grown('prompt_tokens'),
             cached_tokens=grown('cached_tokens'),
             recomputed_tokens=grown('recomputed_tokens'),
+            cost=after.get('cost', 0.0) - before.get('cost', 0.0),
             reasons=dict(self._reasons),
             timeline=tuple(self._seconds),
         )
--- a/tests/failures/test_moves.py
+++ b/tests/failures/test_moves.py
@@ -146,6 +146,30 @@
 
         self.go(run())
 
+    def test_second_edit_during_a_move(self) -> None:
+        """The newer wish takes the place of the older one."""
+
+        async def run() -> None:
+            async with base.running() as trial:
+                stop = asyncio.Event()
+                load = asyncio.create_task(self._under_load(trial, stop))
+                await trial.until(
+                    lambda: trial.nodes[0].loop.state.moves.get('engines')
+                )
+                await trial.apply(moving('v2', 40.0))
+                await trial.until(lambda: self._share(trial) > 0)
+                await trial.apply(moving('v3', 40.0))
+                move = await moves.wait_ended(
+                    trial.target(), 'engines', 'v3', WAIT_S
+                )
+                stop.set()
+                lengths = await load
+                self.assertIs(messages.Stage.DONE, move.stage, move.reason)
+                self.assertEqual('v1', move.old)
+                self.assertEqual({6}, set(lengths))
+
+        self.go(run())
+
     def test_holder_dies_during_a_move(self) -> None:
         async def run() -> None:
             async with base.running(count=3) as trial:
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -341,6 +341,8 @@
         match effect:
             case effects.SendPeer():
                 self._deliver(node, effect)
+            case effects.Wake():
+                self.post_later(node, events.Woke(), effect.delay_ms)
             case (
                 effects.ReadKey()
                 | effects.SwapKey()
