Refuse hopeless work while it waits; predict waits by priority

Change: the pace of each pool and priority is followed by itself, a stalled one counts by how long it has stood; waiting work that cannot finish any more is refused at once. One function builds the time line's entries of requests, which stood in five modules.

--- a/src/teaselbridge/decisions/admission.py
+++ b/src/teaselbridge/decisions/admission.py
@@ -126,12 +126,12 @@
             lane.charge(call, weight)
 
     def ahead(self, call: calls.Call) -> int:
-        """Count the requests of its pool that go before a new one."""
+        """Count the waiting requests of a request's pool and priority."""
         return sum(
             1
             for entry in self._entries.values()
             if entry.call.route.pool == call.route.pool
-            and entry.call.route.priority <= call.route.priority
+            and entry.call.route.priority == call.route.priority
         )
 
     def worst(self) -> calls.Call | None:
@@ -153,13 +153,26 @@
     tokens: float = TOKENS
 
 
+@dataclasses.dataclass(slots=True)
+class _LanePace:
+    """How fast the waiting requests of a pool and priority go.
+
+    :param gap: milliseconds from one to the next, smoothed.
+    :param last: monotonic milliseconds when the last one went.
+    :param waiting: whether others waited then.
+    """
+
+    gap: float = 0.0
+    last: int = 0
+    waiting: bool = False
+
+
 class Pace:
     """Recent speed, smoothed: of routes, and of each pool's queue."""
 
     def __init__(self) -> None:
         self._routes: dict[str, _Figures] = {}
-        self._gaps: dict[str, float] = {}
-        self._dispatched: dict[str, int] = {}
+        self._lanes: dict[tuple[str, int], _LanePace] = {}
 
     def first(self, route: str, span: int) -> None:
         """Take in the time to a first token, in milliseconds."""
@@ -181,23 +194,33 @@
         figures = self._figures(route)
         figures.tokens += SMOOTHING * (count - figures.tokens)
 
-    def dispatch(self, pool: str, now: int, waiting: bool) -> None:
-        """Take in that a request of a pool's queue was sent.
+    def dispatch(self, call: calls.Call, now: int, waiting: bool) -> None:
+        """Take in that a waiting request was sent.
 
         :param now: monotonic milliseconds.
-        :param waiting: whether others still wait; an idle queue says
-            nothing about how fast a full one drains.
+        :param waiting: whether others of its priority still wait; an idle
+            queue says nothing about how fast a full one drains.
         """
-        last = self._dispatched.get(pool)
-        self._dispatched[pool] = now
-        if last is None or not waiting:
-            return
-        gap = self._gaps.get(pool, 0.0)
-        self._gaps[pool] = gap + SMOOTHING * (now - last - gap)
+        lane = self._lanes.setdefault(_lane_of(call), _LanePace())
+        span = now - lane.last
+        if lane.waiting:
+            lane.gap += SMOOTHING * (span - lane.gap)
+        lane.last = now
+        lane.waiting = waiting
+
+    def wait(self, call: calls.Call, ahead: int, now: int) -> float:
+        """Predict the wait behind others of the same priority.
 
-    def wait(self, pool: str, ahead: int) -> float:
-        """Predict the wait behind others, in milliseconds."""
-        return ahead * self._gaps.get(pool, 0.0)
+        More urgent work counts by how much it slows this priority down.
+
+        :param now: monotonic milliseconds.
+        :return: milliseconds.
+        """
+        lane = self._lanes.get(_lane_of(call))
+        if lane is None or not ahead:
+            return 0.0
+        stalled = now - lane.last if lane.waiting else 0
+        return max(ahead * lane.gap, float(stalled))
 
     def service(self, call: calls.Call, done: int) -> float:
         """Predict the time of service, in milliseconds.
@@ -220,3 +243,7 @@
 
     def _figures(self, route: str) -> _Figures:
         return self._routes.setdefault(route, _Figures())
+
+
+def _lane_of(call: calls.Call) -> tuple[str, int]:
+    return (call.route.pool, call.route.priority)
--- a/src/teaselbridge/decisions/arrival.py
+++ b/src/teaselbridge/decisions/arrival.py
@@ -28,7 +28,11 @@
     state.requests[call.handle] = request
     out: list[effects.Effect] = [
         effects.Count(effects.Counter.ARRIVED, call.route.name),
-        _record(call),
+        requests.record(
+            request,
+            effects.Mark.ARRIVED,
+            f'workspace {call.key.workspace}',
+        ),
     ]
     if drain.is_closed(state, now):
         return out + drain.turn_away(state, request)
@@ -78,13 +82,3 @@
         requests.RETRY_AFTER_MS,
     )
     return orders.give_up(state, shed, refusal, now)
-
-
-def _record(call: calls.Call) -> effects.Record:
-    return effects.Record(
-        mark=effects.Mark.ARRIVED,
-        request=call.key.id,
-        route=call.route.name,
-        pool=call.route.pool,
-        detail=f'workspace {call.key.workspace}',
-    )
--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -74,7 +74,7 @@
         out.append(effects.Count(counter, call.route.name, again))
     out.append(effects.Count(effects.Counter.ANSWERED, call.route.name))
     detail = f'{len(request.tokens)} tokens, {request.attempt} attempts'
-    out.append(_record(request, effects.Mark.ANSWERED, detail))
+    out.append(requests.record(request, effects.Mark.ANSWERED, detail))
     if request.attached:
         out.append(
             effects.SendEnd(
@@ -200,7 +200,7 @@
 ) -> list[effects.Effect]:
     out: list[effects.Effect] = [
         effects.Count(effects.Counter.FAULTS, fault.kind.value),
-        _record(
+        requests.record(
             request,
             effects.Mark.FAULT,
             f'{fault.kind.value}, ran {fault.ran.value}: {fault.detail}',
@@ -323,7 +323,7 @@
     route = request.call.route.name
     out.append(effects.Count(effects.Counter.ANSWERED, route))
     detail = f'status {found.status}, {request.attempt} attempts'
-    out.append(_record(request, effects.Mark.ANSWERED, detail))
+    out.append(requests.record(request, effects.Mark.ANSWERED, detail))
     if request.attached:
         out.append(effects.SendAnswer(request.outlet, found, False))
     return out
@@ -349,16 +349,3 @@
     if request.phase is not requests.Phase.RUNNING:
         return None
     return request
-
-
-def _record(
-    request: requests.Request, mark: effects.Mark, detail: str
-) -> effects.Record:
-    return effects.Record(
-        mark=mark,
-        request=request.call.key.id,
-        route=request.call.route.name,
-        pool=request.call.route.pool,
-        host=request.host,
-        detail=detail,
-    )
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -25,6 +25,17 @@
 BETWEEN_MOST_MS = 5_000
 
 
+def give_up_hopeless(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Refuse a waiting request as soon as it cannot finish in time."""
+    if request.phase is not requests.Phase.QUEUED:
+        return []
+    if not _is_hopeless(state, request, now):
+        return []
+    return _give_up(state, request, now)
+
+
 def pump(state: states.State, now: clock.Instant) -> list[effects.Effect]:
     """Send as many waiting requests as the servers have room for."""
     out: list[effects.Effect] = []
@@ -79,8 +90,8 @@
     call = request.call
     state.queue.charge(call, state.index.weight_of(call.key.workspace))
     state.queue.remove(request.handle)
-    waiting = state.queue.peek(call.route.pool) is not None
-    state.pace.dispatch(call.route.pool, now.mono, waiting)
+    waiting = state.queue.ahead(call) > 0
+    state.pace.dispatch(call, now.mono, waiting)
     request.phase = requests.Phase.RUNNING
     request.attempt += 1
     request.host = server.host
@@ -95,7 +106,11 @@
         server.suspects += 1
     return [
         effects.Count(effects.Counter.ATTEMPTS, call.route.name),
-        _record(request, server),
+        requests.record(
+            request,
+            effects.Mark.ATTEMPT,
+            f'attempt {request.attempt}, {len(request.tokens)} sent',
+        ),
         effects.StartAttempt(
             call=call,
             attempt=request.attempt,
@@ -141,16 +156,3 @@
 def _between_limit(state: states.State, request: requests.Request) -> int:
     usual = BETWEEN_FACTOR * state.pace.between_ms(request.call.route.name)
     return min(BETWEEN_MOST_MS, max(BETWEEN_LEAST_MS, round(usual)))
-
-
-def _record(
-    request: requests.Request, server: servers.Server
-) -> effects.Record:
-    return effects.Record(
-        mark=effects.Mark.ATTEMPT,
-        request=request.call.key.id,
-        route=request.call.route.name,
-        pool=request.call.route.pool,
-        host=server.host,
-        detail=f'attempt {request.attempt}, {len(request.tokens)} sent',
-    )
--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -135,7 +135,9 @@
     state.held[call.key] = call.handle
     requests.enqueue(state, request)
     out.append(
-        _record(request, effects.Mark.ADOPTED, f'{len(message.tokens)} sent')
+        requests.record(
+            request, effects.Mark.ADOPTED, f'{len(message.tokens)} sent'
+        )
     )
     return out
 
@@ -152,7 +154,7 @@
         return []
     out = requests.drop(state, request)
     out.append(effects.Count(effects.Counter.MOVED, 'handed over'))
-    out.append(_record(request, effects.Mark.MOVED, request.peer))
+    out.append(requests.record(request, effects.Mark.MOVED, request.peer))
     if request.attached:
         out.append(effects.SendMoved(request.outlet, request.peer))
     return out
@@ -255,15 +257,3 @@
     near = [member for member in peers if member.zone == zone]
     peers = near or peers
     return state.random.choice(peers) if peers else None
-
-
-def _record(
-    request: requests.Request, mark: effects.Mark, detail: str
-) -> effects.Record:
-    return effects.Record(
-        mark=mark,
-        request=request.call.key.id,
-        route=request.call.route.name,
-        pool=request.call.route.pool,
-        detail=detail,
-    )
--- a/src/teaselbridge/decisions/orders.py
+++ b/src/teaselbridge/decisions/orders.py
@@ -279,7 +279,7 @@
         return _meet_twin(state, request, found, now)
     request.claimed = True
     requests.enqueue(state, request)
-    return [_record(request, effects.Mark.CLAIMED, '')]
+    return [requests.record(request, effects.Mark.CLAIMED, '')]
 
 
 def _looked(
@@ -342,7 +342,7 @@
         counter = effects.Counter.STORED_ANSWERS
     out.append(effects.Count(counter, request.call.route.name))
     detail = f'status {answer.status}, stored {stored}'
-    out.append(_record(request, effects.Mark.ANSWERED, detail))
+    out.append(requests.record(request, effects.Mark.ANSWERED, detail))
     if request.attached:
         out.append(effects.SendAnswer(request.outlet, answer, stored))
     return out
@@ -352,7 +352,7 @@
     state: states.State, request: requests.Request
 ) -> list[effects.Effect]:
     out = requests.drop(state, request)
-    out.append(_record(request, effects.Mark.MOVED, request.peer))
+    out.append(requests.record(request, effects.Mark.MOVED, request.peer))
     if request.attached:
         out.append(effects.SendMoved(request.outlet, request.peer))
     return out
@@ -392,16 +392,3 @@
         keep_ms=request.call.route.window_ms + 2 * ledger.SKEW_MS,
     )
     return _route(state, operation, now)
-
-
-def _record(
-    request: requests.Request, mark: effects.Mark, detail: str
-) -> effects.Record:
-    return effects.Record(
-        mark=mark,
-        request=request.call.key.id,
-        route=request.call.route.name,
-        pool=request.call.route.pool,
-        host=request.host,
-        detail=detail,
-    )
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -139,6 +139,8 @@
     state.poison.expire(now.wall)
     for request in list(state.requests.values()):
         out += attempts.tick(state, request, now)
+        if request.handle in state.requests:
+            out += dispatch.give_up_hopeless(state, request, now)
         if request.is_order and request.handle in state.requests:
             out += orders.tick(state, request, now)
     out += drain.tick(state, now)
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -124,21 +124,28 @@
     if refusal.reason is calls.Reason.DEADLINE:
         counter = effects.Counter.LATE
     out.append(effects.Count(counter, f'{route}:{refusal.reason.value}'))
-    out.append(
-        effects.Record(
-            mark=effects.Mark.REFUSED,
-            request=request.call.key.id,
-            route=route,
-            pool=request.call.route.pool,
-            host=request.host,
-            detail=f'{refusal.reason.value}, ran {refusal.ran.value}',
-        )
-    )
+    detail = f'{refusal.reason.value}, ran {refusal.ran.value}'
+    out.append(record(request, effects.Mark.REFUSED, detail))
     if request.attached:
         out.append(effects.SendRefusal(request.outlet, refusal))
     return out
 
 
+def record(
+    request: Request, mark: effects.Mark, detail: str
+) -> effects.Record:
+    """Build the time line's entry for what happened to a request."""
+    call = request.call
+    return effects.Record(
+        mark=mark,
+        request=call.key.id,
+        route=call.route.name,
+        pool=call.route.pool,
+        host=request.host,
+        detail=detail,
+    )
+
+
 def drop(state: states.State, request: Request) -> list[effects.Effect]:
     """Forget a request, and give up its attempt."""
     out = release(state, request)
@@ -229,7 +236,7 @@
     state: states.State, call: calls.Call, now: clock.Instant
 ) -> calls.Refusal | None:
     ahead = state.queue.ahead(call)
-    wait = state.pace.wait(call.route.pool, ahead)
+    wait = state.pace.wait(call, ahead, now.mono)
     service = state.pace.service(call, len(call.resumed))
     if now.mono + wait + service <= call.deadline:
         return None
