Give engines no work before they report; make the fuzzing sharper

The trace: requests went to new engines that had no version loaded yet, and six refusals in a row ended them. Change: an engine's version is unknown until its first report; a refusal that surely ran nothing costs neither attempt nor budget; no first token from a full engine is no fault of it. Fuzzing: servers may leave for 15 s, a tenth of the orders take longer than their deadline.

--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -209,7 +209,9 @@
     server = state.servers.get(request.host)
     if server is None:
         return out
-    if fault.kind is calls.FaultKind.BUSY:
+    if fault.kind is calls.FaultKind.BUSY or _was_queued(
+        request, fault, server
+    ):
         server.others = max(server.others, server.slots - server.inflight + 1)
         return out
     if fault.kind is calls.FaultKind.SILENT:
@@ -222,12 +224,25 @@
     return out + servers.fail(server, fault.kind.value, now)
 
 
+def _was_queued(
+    request: requests.Request, fault: calls.Fault, server: servers.Server
+) -> bool:
+    """Tell whether no first token came because the server was full.
+
+    A full engine lets less urgent work wait; that is no fault of it.
+    """
+    silent = fault.kind is calls.FaultKind.SILENT
+    return silent and request.first and server.load >= 1
+
+
 def _may_retry(
     state: states.State,
     request: requests.Request,
     fault: calls.Fault,
     now: clock.Instant,
 ) -> bool:
+    if fault.kind is calls.FaultKind.BUSY and fault.ran is calls.Ran.NO:
+        return True
     if request.attempt >= retry.ATTEMPTS_MOST:
         return False
     if state.poison.is_refused(request.call.fingerprint, now.wall):
@@ -238,6 +253,8 @@
     server = state.servers.get(request.host)
     if server is None or server.leaving:
         return True
+    if _was_queued(request, fault, server):
+        return True
     return state.budgets.spend(request.call.route)
 
 
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -7,6 +7,7 @@
 
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
@@ -28,8 +29,8 @@
     """One backend server, as this node knows it.
 
     :param row: its row in the host list.
-    :param version: version that it runs; until its first report that which
-        its host was started for, empty while it loads one.
+    :param version: version that it runs, empty while that is not known or
+        it still loads one.
     :param slots: requests that it runs at a time.
     :param others: requests of other nodes in it, by the last report.
     :param reported: monotonic milliseconds of the last report, 0 for none.
@@ -119,9 +120,12 @@
             and server.ejected_until <= now.mono
         ]
 
-    def add(self, row: events.HostRow) -> Server:
-        """Add a server that appeared in the host list."""
-        server = Server(row=row, version=row.version)
+    def add(self, row: events.HostRow, version: str) -> Server:
+        """Add a server that appeared in the host list.
+
+        :param version: version that it surely runs, empty for unknown.
+        """
+        server = Server(row=row, version=version)
         server.leaving = row.host in self._leaving
         self._by_host[row.host] = server
         self._by_pool.setdefault(row.pool, []).append(server)
@@ -179,7 +183,7 @@
             out.append(_record(effects.Mark.SERVER_GONE, server, ''))
     for row in listed.values():
         if state.servers.get(row.host) is None:
-            server = state.servers.add(row)
+            server = state.servers.add(row, _known_version(state, row))
             out.append(_record(effects.Mark.SERVER_SEEN, server, row.version))
         if row.state is events.HostState.LEAVING:
             out += leave(state, row.host, 'host list', now)
@@ -187,6 +191,18 @@
     return out
 
 
+def _known_version(state: states.State, row: events.HostRow) -> str:
+    """Say what a new server runs.
+
+    A service starts with its version. An engine may still have to load it,
+    so only its first report tells.
+    """
+    pool = state.index.pool(row.pool)
+    if pool is not None and pool.kind is model.Kind.SERVICE:
+        return row.version
+    return ''
+
+
 def leave(
     state: states.State, host: str, cause: str, now: clock.Instant
 ) -> list[effects.Effect]:
--- a/tests/fuzz/fakes.py
+++ b/tests/fuzz/fakes.py
@@ -19,6 +19,8 @@
 CALL_TIMEOUT_MS = 1_500
 TOKEN_MS = 20
 WORK_MS = 30
+SLOW_SHARE = 0.1
+SLOW_MS = 7_000
 BAD = 'bad'
 
 Call: typing.TypeAlias = (
@@ -263,7 +265,8 @@
             )
             self._world.post_later(running.node, event, 1)
 
-        self._world.later(WORK_MS, answer)
+        slow = self._world.random.random() < SLOW_SHARE
+        self._world.later(SLOW_MS if slow else WORK_MS, answer)
 
     def _watch(self, running: _Running, limit: int) -> None:
         def check() -> None:
--- a/tests/fuzz/machine.py
+++ b/tests/fuzz/machine.py
@@ -97,7 +97,7 @@
         if server is not None:
             server.silence()
 
-    @hypothesis.stateful.rule(pick=PICK, span=st.integers(500, 4_000))
+    @hypothesis.stateful.rule(pick=PICK, span=st.integers(500, 15_000))
     def reclaim_server(self, pick: int, span: int) -> None:
         """One node hears of it; the others learn from it or the list."""
         world = self._world
