Break configuration in two places for the oracle's test

Cause: with only adopt broken, the fuzzing no longer met an older generation, as peers do not send one; the test of the oracle did not fail as it should. Change: the broken variant also fetches older generations from peers.

--- a/tests/fuzz/test_oracle.py
+++ b/tests/fuzz/test_oracle.py
@@ -19,6 +19,7 @@
 from teaselbridge.decisions import ledger
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import servers
+from teaselbridge.peers import messages
 from teaselbridge.tables import join
 from tests.fuzz import machine
 
@@ -70,7 +71,17 @@
             state.index = join.Index(configuration=found)
             return [configuration.effects.UseConfiguration(found)]
 
-        self._breaks(configuration, 'adopt', adopt)
+        def hear(state, generation, reply_to):
+            """Fetch what is older as well."""
+            if generation == state.index.generation or not reply_to:
+                return []
+            asked = messages.ConfigurationAsked(
+                have=0, reply_to=state.options.me.peers
+            )
+            return [configuration.effects.SendPeer(reply_to, asked)]
+
+        with mock.patch.object(configuration, 'hear', hear):
+            self._breaks(configuration, 'adopt', adopt)
 
     def test_refusals_that_always_say_not_run(self) -> None:
         def ran(_):
