--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -30,6 +30,7 @@
 from teaselbridge.runtime import node as nodes
 from teaselbridge.settings import model as settings_model
 from teaselbridge.standins import fleet as fleets
+from teaselbridge.standins import hosting
 from teaselbridge.tables import check
 from teaselbridge.telemetry import logs
 
@@ -107,7 +108,7 @@
 def _ports(count: int) -> list[str]:
     found: set[int] = set()
     while len(found) < count:
-        found.add(deployment.free_port())
+        found.add(hosting.free_port())
     return [f'127.0.0.1:{port}' for port in sorted(found)]
 
 
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -21,6 +21,7 @@
 from teaselbridge.admin import models
 from teaselbridge.cli import config
 from teaselbridge.cli import remote
+from teaselbridge.standins import hosting
 from teaselbridge.tables import check
 
 if typing.TYPE_CHECKING:
@@ -73,9 +74,9 @@
         self.nodes = [
             NodePorts(
                 name=f'entry-{number}',
-                callers=f'127.0.0.1:{free_port()}',
-                admin=f'127.0.0.1:{free_port()}',
-                peers=f'127.0.0.1:{free_port()}',
+                callers=f'127.0.0.1:{hosting.free_port()}',
+                admin=f'127.0.0.1:{hosting.free_port()}',
+                peers=f'127.0.0.1:{hosting.free_port()}',
             )
             for number in range(1, len(shape.zones) + 1)
         ]
@@ -290,17 +291,9 @@
     )
 
 
-def free_port() -> int:
-    """Find a free loopback port."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def _free_run(count: int) -> int:
     while True:
-        first = free_port()
+        first = hosting.free_port()
         with contextlib.ExitStack() as stack:
             try:
                 for step in range(count):
--- a/src/teaselbridge/standins/hosting.py
+++ b/src/teaselbridge/standins/hosting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 import typing
 
@@ -17,6 +18,13 @@
     Send = collections.abc.Callable[[Message], collections.abc.Awaitable[None]]
 
 
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+
+_PORTS = random.SystemRandom()
+_GIVEN: set[int] = set()
+
+
 class Gate:
     """Lets an application's open connections go silent.
 
@@ -95,11 +103,27 @@
         return self._gate.silence()
 
 
+def free_port() -> int:
+    """Find a free loopback port.
+
+    It lies below the range that the system gives to outgoing connections,
+    so that none of them takes it before it is listened on.
+    """
+    while True:
+        port = _PORTS.randrange(FIRST_PORT, LAST_PORT)
+        if port in _GIVEN:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        _GIVEN.add(port)
+        return port
+
+
 def _reserve(address: str) -> str:
     host, _, port = address.rpartition(':')
     if port != '0':
         return address
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((host, 0))
-        return f'{host}:{probe.getsockname()[1]}'
+    return f'{host}:{free_port()}'
--- a/tests/failures/base.py
+++ b/tests/failures/base.py
@@ -10,7 +10,6 @@
 import httpx
 import testtools
 
-from bench import deployment
 from teaselbridge.admin import models
 from teaselbridge.cli import config
 from teaselbridge.cli import remote
@@ -20,6 +19,7 @@
 from teaselbridge.standins import behaviour
 from teaselbridge.standins import engine
 from teaselbridge.standins import fleet as fleets
+from teaselbridge.standins import hosting
 from teaselbridge.tables import model
 from teaselbridge.telemetry import logs
 
@@ -262,7 +262,7 @@
     fleet: fleets.Fleet, count: int, limits: dict[str, typing.Any]
 ) -> list[settings_model.Settings]:
     keyvalue, cloud, _ = fleet.addresses
-    peers = [f'127.0.0.1:{deployment.free_port()}' for _ in range(count)]
+    peers = [f'127.0.0.1:{hosting.free_port()}' for _ in range(count)]
     platform = settings_model.Platform(
         keyvalue=f'http://{keyvalue}',
         hosts=f'http://{cloud}',
@@ -277,8 +277,8 @@
                 region='region',
             ),
             listen=settings_model.Listen(
-                callers=f'127.0.0.1:{deployment.free_port()}',
-                admin=f'127.0.0.1:{deployment.free_port()}',
+                callers=f'127.0.0.1:{hosting.free_port()}',
+                admin=f'127.0.0.1:{hosting.free_port()}',
                 peers=peers[number],
             ),
             platform=platform,
