--- a/src/teaselbridge/cli/timeline.py
+++ b/src/teaselbridge/cli/timeline.py
@@ -13,6 +13,8 @@
 from teaselbridge import clock
 from teaselbridge.telemetry import timeline as timelines
 
+MOVE_MARKS = 'move-'
+
 
 def command() -> click.Command:
     """Build the command."""
@@ -22,7 +24,8 @@
     @click.option('--route', default='', help='Only this route.')
     @click.option('--pool', default='', help='Only this pool.')
     @click.option('--host', default='', help='Only this host or node.')
-    @click.option('--mark', default='', help='Only this kind of event.')
+    @click.option('--mark', default='', help='Only kinds that begin so.')
+    @click.option('--move', default='', help="Only this pool's moves.")
     @click.option('--json', 'as_json', is_flag=True, help='Print JSON lines.')
     @remote.options
     def timeline(
@@ -31,6 +34,7 @@
         pool: str,
         host: str,
         mark: str,
+        move: str,
         as_json: bool,
         address: str,
         key: str,
@@ -40,9 +44,9 @@
         query = {
             'request': request,
             'route': route,
-            'pool': pool,
+            'pool': move or pool,
             'host': host,
-            'mark': mark,
+            'mark': MOVE_MARKS if move else mark,
         }
         wanted = {name: value for name, value in query.items() if value}
         target = remote.Target(address, key, ca)
--- a/src/teaselbridge/telemetry/timeline.py
+++ b/src/teaselbridge/telemetry/timeline.py
@@ -74,6 +74,7 @@
 class Filter:
     """Which entries are wanted; empty fields let all through.
 
+    :param mark: kind of the event, or how its kind begins.
     :param since: smallest stamp.
     """
 
@@ -92,7 +93,7 @@
             and self.route in ('', entry.route)
             and self.pool in ('', entry.pool)
             and self.host in ('', entry.host, entry.node)
-            and self.mark in ('', entry.mark)
+            and entry.mark.startswith(self.mark)
         )
 
 
