Choose names by rendezvous hashing in one place; drop dead names

Cause: reading the change again, the same choice of a few nodes by rendezvous hashing stood in three modules, the chat path in two of the node's, and four names were used by nothing. Change: placement.first serves watchers, lease candidates and trial nodes with the same hash keys as before; replies use the engine client's path.

--- a/src/teaselbridge/decisions/configuration.py
+++ b/src/teaselbridge/decisions/configuration.py
@@ -14,7 +14,6 @@
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge.decisions import placement
-from teaselbridge.decisions import tickets
 from teaselbridge.peers import messages
 from teaselbridge.tables import join
 from teaselbridge.tables import model
@@ -100,14 +99,5 @@
         if member.zone == me.zone
     ]
     zone.append(me.name)
-    order = sorted(
-        set(zone),
-        key=lambda name: placement.hash_of('watcher', name),
-        reverse=True,
-    )
-    return me.name in order[:WATCHERS_PER_ZONE]
-
-
-def read_now() -> list[effects.Effect]:
-    """Read the configuration at once."""
-    return [effects.ReadKey(tickets.WatchTicket(), KEY)]
+    chosen = placement.first(zone, WATCHERS_PER_ZONE, 'watcher')
+    return me.name in chosen
--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -25,7 +25,6 @@
 HAND_OVER_MS = 400
 STOP_MARGIN_MS = 1_500
 ADOPT_MS = 10_000
-LEAVE_MS = 200
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -355,7 +355,6 @@
     BUCKET_WRITES = 'bucket_writes'
     STORED_ANSWERS = 'stored_answers'
     MOVED = 'moved'
-    GOSSIP_SENT = 'gossip_sent'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/teaselbridge/decisions/leases.py
+++ b/src/teaselbridge/decisions/leases.py
@@ -224,12 +224,7 @@
     names = [
         member.name for member in state.membership.alive if not member.draining
     ]
-    order = sorted(
-        {*names, me},
-        key=lambda name: placement.hash_of('lease', pool, name),
-        reverse=True,
-    )
-    return me in order[:CANDIDATES]
+    return me in placement.first([*names, me], CANDIDATES, 'lease', pool)
 
 
 def _look(
--- a/src/teaselbridge/decisions/placement.py
+++ b/src/teaselbridge/decisions/placement.py
@@ -119,6 +119,22 @@
     return xxhash.xxh3_64_intdigest('\0'.join(parts).encode()) >> 1
 
 
+def first(
+    names: collections.abc.Iterable[str], count: int, *key: str
+) -> list[str]:
+    """Choose the same few names on every node, by rendezvous hashing.
+
+    :param names: candidates; one that stands twice counts once.
+    :param count: most names to choose.
+    :param key: what they are chosen for.
+    :return: the first in rendezvous order.
+    """
+    order = sorted(
+        set(names), key=lambda name: hash_of(*key, name), reverse=True
+    )
+    return order[:count]
+
+
 def _order(
     candidates: list[servers.Server], view: View
 ) -> list[servers.Server]:
--- a/src/teaselbridge/decisions/versions.py
+++ b/src/teaselbridge/decisions/versions.py
@@ -113,11 +113,6 @@
     names = {me} | {
         member.name for member in state.membership.alive if not member.draining
     }
-    order = sorted(
-        names,
-        key=lambda name: placement.hash_of('trial', move.pool, name),
-        reverse=True,
-    )
-    if me not in order[:TRIAL_NODES]:
+    if me not in placement.first(names, TRIAL_NODES, 'trial', move.pool):
         return 0.0
     return min(TRIAL_MOST, share * len(names) / TRIAL_NODES)
--- a/src/teaselbridge/gateway/headers.py
+++ b/src/teaselbridge/gateway/headers.py
@@ -16,7 +16,6 @@
 DEADLINE = 'x-deadline-ms'
 ATTEMPT = 'x-request-attempt'
 FIRST_ATTEMPT = '1'
-LAST_EVENT_ID = 'last-event-id'
 AUTHORIZATION = 'authorization'
 BEARER = 'bearer '
 ID_MOST = 128
--- a/src/teaselbridge/gateway/replies.py
+++ b/src/teaselbridge/gateway/replies.py
@@ -10,6 +10,7 @@
 import litestar.response
 import msgspec
 
+from teaselbridge.backends import engine
 from teaselbridge import clock
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
@@ -21,7 +22,6 @@
     from teaselbridge.runtime import outlets
 
 HEARTBEAT_MS = 2_000
-CHAT_PATH = '/v1/chat/completions'
 JSON = 'application/json'
 
 
@@ -70,7 +70,7 @@
     """Build the response with an engine's whole answer."""
     text = ''.join(tokens)
     choice: dict[str, object] = {'index': 0, 'finish_reason': end.finish}
-    if call.path.startswith(CHAT_PATH):
+    if call.path.startswith(engine.CHAT_PATH):
         choice['message'] = {'role': 'assistant', 'content': text}
     else:
         choice['text'] = text
@@ -189,7 +189,7 @@
     call: calls.Call, output: effects.SendToken
 ) -> litestar.response.ServerSentEventMessage:
     choice: dict[str, object] = {'index': 0, 'finish_reason': None}
-    if call.path.startswith(CHAT_PATH):
+    if call.path.startswith(engine.CHAT_PATH):
         choice['delta'] = {'content': output.text}
     else:
         choice['text'] = output.text
