Keep prompts at their server until it is three quarters full

Cause: with few requests in flight the bound of 1.25 times the mean is one or two requests, so prompts left the server that held them, beside idle slots. Change: prefix-aware passes no server by that is filled to less than 75%.

--- a/src/teaselbridge/decisions/placement.py
+++ b/src/teaselbridge/decisions/placement.py
@@ -3,7 +3,8 @@
 Nodes do not talk to each other for a request, so a choice that keeps equal
 prompts together must follow from the request and the servers alone.
 Rendezvous hashing does; a bound on the load keeps a popular prompt from
-filling one server.
+filling one server. A server that is not nearly full is never passed by:
+to share its batch costs little, to compute a long prompt again costs much.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 
 LOAD_BOUND = 1.25
 LOAD_SLACK = 1
+FULL_FROM = 0.75
 
 
 class Rotation:
@@ -81,12 +83,7 @@
 
 def rendezvous(candidates: list[servers.Server], view: View) -> servers.Server:
     """Take the first server in rendezvous order whose load is in bounds."""
-    order = _order(candidates, view)
-    bound = _bound(candidates)
-    for server in order:
-        if server.inflight + server.others <= bound * server.slots:
-            return server
-    return order[0]
+    return _first_in_bounds(candidates, view, 0.0)
 
 
 def prefix_aware(
@@ -97,7 +94,7 @@
     Requests without a prompt go to the less loaded of two servers.
     """
     if view.call.prefix:
-        return rendezvous(candidates, view)
+        return _first_in_bounds(candidates, view, FULL_FROM)
     return two_choices(candidates, view)
 
 
@@ -135,6 +132,21 @@
     return order[:count]
 
 
+def _first_in_bounds(
+    candidates: list[servers.Server], view: View, least: float
+) -> servers.Server:
+    """Take the first server in rendezvous order whose load is in bounds.
+
+    :param least: load up to which no server is out of bounds.
+    """
+    order = _order(candidates, view)
+    bound = max(least, _bound(candidates))
+    for server in order:
+        if server.inflight + server.others <= bound * server.slots:
+            return server
+    return order[0]
+
+
 def _order(
     candidates: list[servers.Server], view: View
 ) -> list[servers.Server]:
