Move a prompt's KV cache to where its request goes

Change: such a request takes the cache from its prompt's home, or from the server that it leaves; engines fetch blocks from each other, the node passes names. The stand-in's export takes a completion's body now. Tests: over sockets on a reclaim, with a source that fails; units.

--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -8,6 +8,7 @@
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import placement
+from teaselbridge.decisions import prompts
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import versions
 from teaselbridge.tables import model
@@ -92,6 +93,7 @@
     state.queue.remove(request.handle)
     waiting = state.queue.ahead(call) > 0
     state.pace.dispatch(call, now.mono, waiting)
+    source = prompts.source(state, request, server, now)
     request.phase = requests.Phase.RUNNING
     request.attempt += 1
     request.host = server.host
@@ -120,6 +122,7 @@
             first_ms=_first_limit(state, request, now),
             between_ms=_between_limit(state, request),
             fresh=request.is_order,
+            source=source,
         ),
     ]
 
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -12,6 +12,18 @@
 from teaselbridge.tables import model
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A backend server.
+
+    :param host: name of the host.
+    :param address: ``ip:port``.
+    """
+
+    host: str
+    address: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StartAttempt:
     """Send a request to a backend server.
@@ -24,6 +36,8 @@
     :param first_ms: longest silence before the first byte.
     :param between_ms: longest silence between two tokens.
     :param fresh: whether it needs a connection of its own.
+    :param source: server to take the prompt's KV cache from, none to
+        compute it.
     """
 
     call: calls.Call
@@ -34,6 +48,7 @@
     first_ms: int
     between_ms: int
     fresh: bool
+    source: Target | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -310,18 +325,6 @@
     hosts: tuple[Target, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
-    """A backend server to ask.
-
-    :param host: name of the host.
-    :param address: ``ip:port``.
-    """
-
-    host: str
-    address: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wake:
     """Post that time has passed, sooner than the next tick.
@@ -351,6 +354,7 @@
     TOKENS = 'tokens'
     TOKENS_DROPPED = 'tokens_dropped'
     TOKENS_RECOMPUTED = 'tokens_recomputed'
+    CACHES_MOVED = 'caches_moved'
     CLAIMS = 'claims'
     BUCKET_WRITES = 'bucket_writes'
     STORED_ANSWERS = 'stored_answers'
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -59,6 +59,16 @@
     prompt_tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheMoved:
+    """A prompt's KV cache was moved before an attempt, or could not be.
+
+    :param blocks: blocks that were moved, none where it failed.
+    """
+
+    blocks: int | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerCame:
     """A plain service answered an attempt whole."""
@@ -315,6 +325,7 @@
     | CallerLeft
     | TokenCame
     | StreamEnded
+    | CacheMoved
     | AnswerCame
     | AttemptFailed
     | HostsRead
--- a/src/teaselbridge/decisions/placement.py
+++ b/src/teaselbridge/decisions/placement.py
@@ -132,6 +132,20 @@
     return order[:count]
 
 
+def order(
+    candidates: list[servers.Server], prefix: int
+) -> list[servers.Server]:
+    """Order servers for a prompt, the same way on every node.
+
+    :param prefix: hash of the prompt's head.
+    """
+    return sorted(
+        candidates,
+        key=lambda server: hash_of(str(prefix), server.host),
+        reverse=True,
+    )
+
+
 def _first_in_bounds(
     candidates: list[servers.Server], view: View, least: float
 ) -> servers.Server:
@@ -139,23 +153,12 @@
 
     :param least: load up to which no server is out of bounds.
     """
-    order = _order(candidates, view)
+    ordered = order(candidates, view.call.prefix)
     bound = max(least, _bound(candidates))
-    for server in order:
+    for server in ordered:
         if server.inflight + server.others <= bound * server.slots:
             return server
-    return order[0]
-
-
-def _order(
-    candidates: list[servers.Server], view: View
-) -> list[servers.Server]:
-    prefix = str(view.call.prefix)
-    return sorted(
-        candidates,
-        key=lambda server: hash_of(prefix, server.host),
-        reverse=True,
-    )
+    return ordered[0]
 
 
 def _bound(candidates: list[servers.Server]) -> float:
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -16,6 +16,7 @@
 from teaselbridge.decisions import leases
 from teaselbridge.decisions import membership
 from teaselbridge.decisions import orders
+from teaselbridge.decisions import prompts
 from teaselbridge.decisions import reports
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import servers
@@ -124,6 +125,8 @@
             return changes.ask(state, event, now)
         case events.LookAsked():
             return orders.look(state, event, now)
+        case events.CacheMoved():
+            return [prompts.count(event)]
         case events.DrainAsked():
             return drain.ask(state, event, now)
     return []
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -33,6 +33,7 @@
         it still loads one.
     :param slots: requests that it runs at a time.
     :param others: requests of other nodes in it, by the last report.
+    :param since: monotonic milliseconds at which it was seen first.
     :param reported: monotonic milliseconds of the last report, 0 for none.
     :param report_due: monotonic milliseconds of the next question for its
         load.
@@ -50,6 +51,7 @@
     version: str
     slots: int = DEFAULT_SLOTS
     others: int = 0
+    since: int = 0
     reported: int = 0
     report_due: int = 0
     inflight: int = 0
@@ -120,12 +122,14 @@
             and server.ejected_until <= now.mono
         ]
 
-    def add(self, row: events.HostRow, version: str) -> Server:
+    def add(
+        self, row: events.HostRow, version: str, now: clock.Instant
+    ) -> Server:
         """Add a server that appeared in the host list.
 
         :param version: version that it surely runs, empty for unknown.
         """
-        server = Server(row=row, version=version)
+        server = Server(row=row, version=version, since=now.mono)
         server.leaving = row.host in self._leaving
         self._by_host[row.host] = server
         self._by_pool.setdefault(row.pool, []).append(server)
@@ -183,7 +187,8 @@
             out.append(_record(effects.Mark.SERVER_GONE, server, ''))
     for row in listed.values():
         if state.servers.get(row.host) is None:
-            server = state.servers.add(row, _known_version(state, row))
+            known = _known_version(state, row)
+            server = state.servers.add(row, known, now)
             out.append(_record(effects.Mark.SERVER_SEEN, server, row.version))
         if row.state is events.HostState.LEAVING:
             out += leave(state, row.host, 'host list', now)
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -15,6 +15,7 @@
 from teaselbridge.decisions import moves
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import poison
+from teaselbridge.decisions import prompts
 from teaselbridge.decisions import retry
 from teaselbridge.decisions import servers
 from teaselbridge.tables import join
@@ -66,6 +67,7 @@
         self.pace = admission.Pace()
         self.servers = servers.Servers()
         self.rotation = placement.Rotation()
+        self.prompts = prompts.Prompts()
         self.budgets = retry.Budgets()
         self.poison = poison.Poison()
         self.ledger = ledger.Ledger()
--- a/src/teaselbridge/experiment/servers.py
+++ b/src/teaselbridge/experiment/servers.py
@@ -27,6 +27,8 @@
 NETWORK_MS = 1.0
 RESET_MS = 2.0
 ERROR_MS = 5.0
+MOVE_MS = 4.0
+MOVE_TOKEN_MS = 0.05
 
 Post: typing.TypeAlias = 'collections.abc.Callable[[events.Event], None]'
 
@@ -38,6 +40,7 @@
     prompt_tokens: int = 0
     cached_tokens: int = 0
     recomputed_tokens: int = 0
+    moved_tokens: int = 0
     attempts_by_version: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
@@ -116,20 +119,51 @@
             leaving=self.leaving,
         )
 
-    def start(self, effect: effects.StartAttempt, post: Post) -> Running:
-        """Take an attempt."""
+    def start(
+        self, effect: effects.StartAttempt, post: Post, wait: float = 0.0
+    ) -> Running:
+        """Take an attempt.
+
+        :param wait: milliseconds until its KV cache is there.
+        """
         text = effect.call.body.decode()
         running = Running(effect, post, text, progressed=self._time.now)
         refusal = self._refusal()
         if refusal is not None:
             self._fail(running, refusal, NETWORK_MS)
             return running
-        self._watch(running, effect.first_ms)
+        self._watch(running, effect.first_ms + wait)
+        self._time.later(wait, lambda: self._queue(running))
+        return running
+
+    def _queue(self, running: Running) -> None:
+        if running.over:
+            return
+        if not self.alive:
+            gone = calls.Fault(calls.FaultKind.CONNECT, calls.Ran.NO, 'gone')
+            self._fail(running, gone, NETWORK_MS)
+            return
         number = next(self._numbers)
-        priority = effect.call.route.priority
+        priority = running.effect.call.route.priority
         heapq.heappush(self._waiting, (priority, number, running))
         self._fill()
-        return running
+
+    def take(self, text: str, source: Server) -> float:
+        """Take a prompt's KV cache from another server.
+
+        :return: milliseconds that this takes.
+        """
+        if not source.alive:
+            return MOVE_MS
+        before = self._cache.match(text)
+        self._cache.take(source.give(text))
+        tokens = (self._cache.match(text) - before) // TOKEN_CHARACTERS
+        self._figures.moved_tokens += tokens
+        return MOVE_MS + tokens * MOVE_TOKEN_MS
+
+    def give(self, text: str) -> list[str]:
+        """List the blocks of a prompt that are kept."""
+        return self._cache.give(text)
 
     def cancel(self, running: Running) -> None:
         """Give an attempt up."""
--- a/src/teaselbridge/experiment/world.py
+++ b/src/teaselbridge/experiment/world.py
@@ -300,9 +300,25 @@
             return
         if not effect.call.route.idempotent:
             self.runs[effect.call.key.id] += 1
-        running = server.start(effect, lambda event: self.post(node, event))
+        wait = self._move_cache(server, effect)
+        running = server.start(
+            effect, lambda event: self.post(node, event), wait
+        )
         node.running[handle] = (server, running)
 
+    def _move_cache(
+        self, server: servers.Server, effect: effects.StartAttempt
+    ) -> float:
+        """Move a prompt's KV cache, and give the milliseconds it takes."""
+        if effect.source is None:
+            return 0.0
+        source = self.servers.get(effect.source.host)
+        if source is None:
+            return 0.0
+        self.counts[effects.Counter.CACHES_MOVED] += 1
+        text = effect.call.body.decode() + ''.join(effect.sent)
+        return server.take(text, source)
+
     def _deliver(self, node: Node, effect: effects.SendPeer) -> None:
         target = self.nodes.get(effect.address)
         if target is None:
--- a/src/teaselbridge/runtime/attempts.py
+++ b/src/teaselbridge/runtime/attempts.py
@@ -9,6 +9,7 @@
 import httpx
 import msgspec
 
+from teaselbridge.backends import caches
 from teaselbridge.backends import engine
 from teaselbridge.backends import service
 from teaselbridge import clock
@@ -97,13 +98,10 @@
         await self._clients.close()
 
     def _start(self, effect: effects.StartAttempt) -> None:
-        run = engine.run
+        run = self._run_engine
         if effect.call.kind is model.Kind.SERVICE:
-            run = service.run
-        client = self._clients.get(effect.address)
-        if effect.fresh:
-            client = self._clients.fresh
-        task = self._tasks.start(run(client, effect, self._loop.post))
+            run = self._run_service
+        task = self._tasks.start(run(effect))
         self._running[effect.call.handle] = task
 
         def forget(ended: asyncio.Task[None]) -> None:
@@ -112,6 +110,20 @@
 
         task.add_done_callback(forget)
 
+    async def _run_engine(self, effect: effects.StartAttempt) -> None:
+        client = self._clients.get(effect.address)
+        if effect.source is not None:
+            source = self._clients.get(effect.source.address)
+            blocks = await caches.move(source, client, effect)
+            self._loop.post(events.CacheMoved(blocks))
+        await engine.run(client, effect, self._loop.post)
+
+    async def _run_service(self, effect: effects.StartAttempt) -> None:
+        client = self._clients.get(effect.address)
+        if effect.fresh:
+            client = self._clients.fresh
+        await service.run(client, effect, self._loop.post)
+
     def _cancel(self, effect: effects.CancelAttempt) -> None:
         task = self._running.pop(effect.handle, None)
         if task is not None:
--- a/src/teaselbridge/standins/engine.py
+++ b/src/teaselbridge/standins/engine.py
@@ -31,6 +31,8 @@
 TOKEN_CHARACTERS = 4
 CRASH = 'crash the server'
 WORDS = 997
+CHAT_PATH = '/v1/chat/completions'
+IMPORT_BLOCK_S = 0.0005
 EVENTS_LATE = 5
 EVENTS_GAP_EVERY = 10
 
@@ -301,7 +303,7 @@
 def build(engine: Engine) -> litestar.Litestar:
     """Build the web application of an engine."""
 
-    @litestar.post('/v1/chat/completions', status_code=200)
+    @litestar.post(CHAT_PATH, status_code=200)
     async def chat(
         request: litestar.Request[typing.Any, typing.Any, typing.Any],
         data: Body,
@@ -341,13 +343,20 @@
         ]
 
     @litestar.post('/cache/export', status_code=200)
-    async def cache_export(data: Body) -> Document:
-        return {'blocks': engine.cache.give(str(data['text']))}
+    async def cache_export(
+        data: Body, path: litestar.params.FromQuery[str]
+    ) -> Document:
+        """Name the blocks of a completion's prompt that are kept."""
+        prompt, partial = _split(data, chat=path.startswith(CHAT_PATH))
+        return {'blocks': engine.cache.give(prompt + partial)}
 
     @litestar.post('/cache/import', status_code=200)
     async def cache_import(data: Body) -> Document:
-        engine.cache.take(list(data['blocks']))
-        return {}
+        """Fetch blocks; the stand-in has no more to fetch than names."""
+        blocks = list(data['blocks'])
+        await asyncio.sleep(len(blocks) * IMPORT_BLOCK_S)
+        engine.cache.take(blocks)
+        return {'blocks': len(blocks)}
 
     return litestar.Litestar(
         route_handlers=[
--- a/tests/failures/test_streams.py
+++ b/tests/failures/test_streams.py
@@ -12,6 +12,8 @@
 
 TOKENS = 80
 SOME = 10
+LONG = 'a page of panels ' * 200
+LEAST_CACHED = len(LONG) // 4 - 100
 
 
 class TestStreams(base.TestCase):
@@ -75,6 +77,58 @@
 
         self.go(run())
 
+    def test_cache_goes_along_on_a_reclaim(self) -> None:
+        """The prompt is not computed again at the next server."""
+
+        async def run() -> None:
+            async with base.running() as trial:
+                before: dict[str, int] = {}
+
+                async def reclaim(host: str) -> None:
+                    before.update(self._cached(trial))
+                    trial.fleet.reclaim(host, 1_200)
+
+                found = await self._disturbed(trial, LONG, reclaim)
+                self._check(found, LONG)
+                self.assertEqual(1, self._moves(trial, 'moved'))
+                cached = max(
+                    count - before[host]
+                    for host, count in self._cached(trial).items()
+                )
+                self.assertGreater(cached, LEAST_CACHED)
+
+        self.go(run())
+
+    def test_cache_that_cannot_be_moved(self) -> None:
+        """The stream goes on all the same."""
+
+        async def run() -> None:
+            async with base.running() as trial:
+
+                async def reclaim(host: str) -> None:
+                    server = trial.fleet.backends[host].server
+                    server.cache.give = None
+                    trial.fleet.reclaim(host, 1_200)
+
+                found = await self._disturbed(trial, LONG, reclaim)
+                self._check(found, LONG)
+                self.assertEqual(1, self._moves(trial, 'failed'))
+
+        self.go(run())
+
+    def _cached(self, trial: base.Trial) -> dict[str, int]:
+        """Give the prompt tokens that each engine found in its cache."""
+        return {
+            host: backend.server.figures.cached_tokens
+            for host, backend in trial.fleet.backends.items()
+            if backend.row.pool == 'engines'
+        }
+
+    def _moves(self, trial: base.Trial, ended: str) -> float:
+        return sum(
+            node.meter.value('caches_moved', ended) for node in trial.nodes
+        )
+
     def test_node_drains_with_seconds_of_notice(self) -> None:
         """What cannot end before the stop is handed to the other node."""
 
