Wake each waiting bucket once; try no queued work at each token

And each token of a running stream looked for a server for the queue's head, though a token frees none. Change: a bucket keeps the time it will be woken at; tokens pump no queue. The test of wakes failed before.

--- a/src/teaselbridge/decisions/ledger.py
+++ b/src/teaselbridge/decisions/ledger.py
@@ -78,7 +78,7 @@
     writing: list[entries.Operation] = dataclasses.field(default_factory=list)
     written: entries.Claims = dataclasses.field(default_factory=dict)
     busy: bool = False
-    woken: bool = False
+    wake_at: int = 0
     due: int = 0
     failures: int = 0
     used: int = 0
@@ -174,7 +174,6 @@
         """Go on where a wait is over, and give up what is out of time."""
         step = self._take_back(now)
         for bucket in list(self._buckets.values()):
-            bucket.woken = False
             step = _join(step, self._expire(bucket, now))
             step = _join(step, self._advance(bucket, now))
             idle = not (bucket.busy or bucket.waiting or bucket.writing)
@@ -212,10 +211,13 @@
         return Step(settled=tuple(Settled(item, None, True) for item in late))
 
     def _wait(self, bucket: _Bucket, now: clock.Instant) -> Step:
-        """Let operations gather until the next write is due."""
-        if bucket.woken:
+        """Let operations gather until the next write is due.
+
+        One wake is enough, however often others come in between.
+        """
+        if bucket.wake_at > now.mono:
             return Step()
-        bucket.woken = True
+        bucket.wake_at = bucket.due
         return Step((effects.Wake(bucket.due - now.mono),))
 
     def _advance(self, bucket: _Bucket, now: clock.Instant) -> Step:
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -68,7 +68,7 @@
     :return: what the runtime has to do, in order.
     """
     out = _reduce(state, event, now)
-    if len(state.queue):
+    if len(state.queue) and not isinstance(event, events.TokenCame):
         out += dispatch.pump(state, now)
     return out
 
--- a/tests/decisions/test_ledger.py
+++ b/tests/decisions/test_ledger.py
@@ -155,3 +155,44 @@
         self.ledger.hand_over(mine, NOW)
         step = self.ledger.tick(NOW.later(ledger.REMOTE_MS))
         self.assertIsInstance(step.effects[0], effects.ReadKey)
+
+
+class TestWakes(testtools.TestCase):
+    """A waiting bucket asks to be woken once, not with each event."""
+
+    def _write(self, book: ledger.Ledger, number: int) -> None:
+        """Let a bucket write once, so that the next write has to wait."""
+        asked = operation(claims.Wish.CLAIM, 'a', number)
+        (read,) = book.submit(asked, NOW).effects
+        empty = events.KeyRead(read.ticket, None, 0)
+        swap = book.read(empty, NOW).effects[0]
+        book.swapped(events.KeySwapped(swap.ticket, True, 1), NOW)
+
+    def _others(self, count: int) -> list[int]:
+        """Number requests that fall into different shards."""
+        by_shard = {
+            ledger.shard_of(calls.RequestKey('w', f'request-{number}')): number
+            for number in range(100)
+        }
+        return sorted(by_shard.values())[:count]
+
+    def test_wakes_do_not_multiply(self) -> None:
+        book = ledger.Ledger()
+        wakes: list[effects.Effect] = []
+        for number in self._others(3):
+            self._write(book, number)
+            again = operation(claims.Wish.FINISH, 'a', number, answer=ANSWER)
+            wakes += book.submit(again, NOW).effects
+        for _ in range(20):
+            wakes += book.tick(NOW).effects
+        self.assertEqual(3, len(wakes))
+
+    def test_woken_bucket_writes(self) -> None:
+        book = ledger.Ledger()
+        (number,) = self._others(1)
+        self._write(book, number)
+        again = operation(claims.Wish.FINISH, 'a', number, answer=ANSWER)
+        (wake,) = book.submit(again, NOW).effects
+        then = clock.Instant(NOW.mono + wake.delay_ms, NOW.wall)
+        found = book.tick(then).effects
+        self.assertIsInstance(found[0], effects.SwapKey)
