--- a/tests/failures/test_streams.py
+++ b/tests/failures/test_streams.py
@@ -9,6 +9,7 @@
 
 if typing.TYPE_CHECKING:
     from teaselbridge.client import outcomes
+    from teaselbridge.runtime import node as nodes
 
 TOKENS = 80
 SOME = 10
@@ -154,6 +155,59 @@
 
         self.go(run())
 
+    def test_peer_dies_in_a_hand_over(self) -> None:
+        """Who took the request over dies; the caller finds a third node."""
+
+        async def run() -> None:
+            async with base.running(
+                count=3, drain_ms=1_800, address_ttl_ms=200
+            ) as trial:
+                task, holder = await self._begin(trial, 'peer dies')
+                holder.drain()
+                adopter = await self._adopter(trial, holder)
+                await adopter.abort()
+                self._check(await task, 'peer dies')
+
+        self.go(run())
+
+    def test_second_reclaim_during_a_hand_over(self) -> None:
+        """Who took the request over is stopped as well."""
+
+        async def run() -> None:
+            async with base.running(
+                count=3, drain_ms=1_800, address_ttl_ms=200
+            ) as trial:
+                task, holder = await self._begin(trial, 'second reclaim')
+                holder.drain()
+                adopter = await self._adopter(trial, holder)
+                adopter.drain()
+                self._check(await task, 'second reclaim')
+
+        self.go(run())
+
+    async def _begin(
+        self, trial: base.Trial, text: str
+    ) -> tuple[asyncio.Task[outcomes.Completion], nodes.Node]:
+        """Begin a stream that outlasts two drains, and find its node."""
+        tokens: list[str] = []
+        body = base.chat(text, TOKENS)
+        task = asyncio.create_task(
+            trial.caller().complete(body, on_token=tokens.append)
+        )
+        await trial.until(lambda: len(tokens) >= SOME)
+        holder = next(node for node in trial.nodes if node.loop.state.requests)
+        return task, holder
+
+    async def _adopter(
+        self, trial: base.Trial, holder: nodes.Node
+    ) -> nodes.Node:
+        """Wait until another node holds the request."""
+        others = [node for node in trial.nodes if node is not holder]
+        await trial.until(
+            lambda: any(node.loop.state.requests for node in others)
+        )
+        return next(node for node in others if node.loop.state.requests)
+
     def test_node_dies(self) -> None:
         """The caller goes on elsewhere with the tokens that it has."""
 
