--- a/src/teaselbridge/experiment/run.py
+++ b/src/teaselbridge/experiment/run.py
@@ -48,6 +48,8 @@
     :param claims: claims of orders that were written.
     :param bucket_writes: writes of the ledger that carried claims and
         outcomes.
+    :param caches_moved: KV caches that were moved between engines.
+    :param moved_tokens: prompt tokens that this spared.
     :param resumed: attempts that went on where another had stopped.
     :param cost: price of the engines' hosts over the trace.
     :param cost_per_1000: price of a thousand whole answers.
@@ -66,6 +68,8 @@
     prompt_tokens: int
     cached_tokens: int
     recomputed_tokens: int
+    caches_moved: int
+    moved_tokens: int
     doubled: int
     claims: int
     bucket_writes: int
@@ -85,7 +89,7 @@
     world = worlds.World(scenario=scenario)
     world.run()
     total = results.Tally()
-    for tally in world.tallies.values():
+    for tally in world.callers.tallies.values():
         total = results.add(total, tally)
     figures = world.figures
     return Outcome(
@@ -94,13 +98,15 @@
         planner=scenario.planner,
         seed=scenario.seed,
         total=total,
-        kinds=world.tallies,
+        kinds=world.callers.tallies,
         goodput=world.whole_in_window / scenario.seconds,
-        first=world.first.spread(),
-        between=world.between.spread(),
+        first=world.callers.first.spread(),
+        between=world.callers.between.spread(),
         prompt_tokens=figures.prompt_tokens,
         cached_tokens=figures.cached_tokens,
         recomputed_tokens=figures.recomputed_tokens,
+        caches_moved=world.counts[effects.Counter.CACHES_MOVED],
+        moved_tokens=figures.moved_tokens,
         doubled=sum(count > 1 for count in world.runs.values()),
         claims=world.counts[effects.Counter.CLAIMS],
         bucket_writes=world.counts[effects.Counter.BUCKET_WRITES],
@@ -109,8 +115,8 @@
         cost_per_1000=1_000 * world.cost / max(1, total.whole),
         move=_move(world),
         keyvalue_writes=world.keyvalue.writes,
-        reasons=dict(world.reasons),
-        timeline=tuple(world.seconds),
+        reasons=dict(world.callers.reasons),
+        timeline=tuple(world.callers.seconds),
         wall_s=time.monotonic() - began,
     )
 
--- a/src/teaselbridge/experiment/world.py
+++ b/src/teaselbridge/experiment/world.py
@@ -9,7 +9,6 @@
 import random
 
 import msgspec
-import xxhash
 
 from teaselbridge import clock
 from teaselbridge.decisions import calls
@@ -18,6 +17,8 @@
 from teaselbridge.decisions import events
 from teaselbridge.decisions import reducer
 from teaselbridge.decisions import state as states
+from teaselbridge.experiment import callers
+from teaselbridge.experiment import nodes
 from teaselbridge.experiment import platform
 from teaselbridge.experiment import scenario as scenarios
 from teaselbridge.experiment import schedule
@@ -25,57 +26,22 @@
 from teaselbridge.peers import messages
 from teaselbridge.standins import cloud
 from teaselbridge.tables import model
-from teaselbridge.workload import results
 from teaselbridge.workload import trace
 
-EPOCH = 1_800_000_000_000
+EPOCH = callers.EPOCH
 TICK_MS = 50.0
 HOSTS_MS = 1_000.0
 HOSTS_LAG_MS = 1_000.0
 WATCH_MS = 100.0
 PEER_MS = 1.0
-CALLER_MS = 3.0
 REPORT_MS = 100.0
 BOOT_MS = 3_000.0
 LOAD_MS = 4_000.0
-RESEND_MS = 100.0
 WARM_MS = 6_000.0
 OUTLIVE_MS = 45_000.0
 HOUR_MS = 3_600_000.0
 
 
-class Node:
-    """One node and what it performs.
-
-    :param name: name of the node.
-    :param state: what it knows.
-    """
-
-    def __init__(self, *, name: str, state: states.State) -> None:
-        self.name = name
-        self.state = state
-        self.alive = True
-        self.watching = False
-        self.running: dict[int, tuple[servers.Server, servers.Running]] = {}
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Asked:
-    """One request, as its caller sees it."""
-
-    arrival: trace.Arrival
-    key: calls.RequestKey
-    sent_at: float
-    deadline: float
-    tokens: list[str] = dataclasses.field(default_factory=list)
-    sendings: int = 0
-    handle: int = 0
-    node: str = ''
-    last: float = 0.0
-    first_ms: float = 0.0
-    over: bool = False
-
-
 class World:
     """Runs a scenario.
 
@@ -90,17 +56,10 @@
         self.prices = cloud.usual_prices(scenarios.ZONES)
         self.figures = servers.Figures()
         self.servers: dict[str, servers.Server] = {}
-        self.nodes: dict[str, Node] = {}
+        self.nodes: dict[str, nodes.Node] = {}
         self.records: list[effects.Record] = []
         self.record_times: list[float] = []
-        self.tallies = {work.value: results.Tally() for work in trace.Work}
-        self.reasons: collections.Counter[str] = collections.Counter()
         self.runs: collections.Counter[str] = collections.Counter()
-        self.first = results.Times()
-        self.between = results.Times()
-        self.seconds = [
-            results.Second() for _ in range(int(scenario.seconds) + 1)
-        ]
         self.counts: collections.Counter[effects.Counter] = (
             collections.Counter()
         )
@@ -110,15 +69,20 @@
         self._billed: dict[str, float] = {}
         self._seen: set[str] = set()
         self._numbers = itertools.count(1)
-        self._handles = itertools.count(1)
-        self._asked: dict[int, Asked] = {}
         self._tickets = itertools.count(1)
         self._listed: collections.deque[
             tuple[float, tuple[events.HostRow, ...]]
         ] = collections.deque()
+        self.callers = callers.Callers(
+            time=self.time,
+            generator=self.random,
+            nodes=self.nodes,
+            post=self.post,
+            seconds=int(scenario.seconds) + 1,
+        )
         self._begin()
 
-    def post(self, node: Node, event: events.Event) -> None:
+    def post(self, node: nodes.Node, event: events.Event) -> None:
         """Let a node take in an event."""
         if not node.alive:
             return
@@ -134,7 +98,7 @@
         start = self.time.now
         for arrival in arrivals:
             self.time.later(
-                arrival.at_ms, functools.partial(self._send_new, arrival)
+                arrival.at_ms, functools.partial(self.callers.send, arrival)
             )
         for fault in plan.faults:
             self.time.later(
@@ -144,12 +108,12 @@
         span = plan.seconds * clock.SECOND
         self.time.advance(start + span)
         self.whole_in_window = sum(
-            tally.whole for tally in self.tallies.values()
+            tally.whole for tally in self.callers.tallies.values()
         )
         self._bill_all()
         self.time.advance(start + span + OUTLIVE_MS)
 
-    def live_nodes(self) -> list[Node]:
+    def live_nodes(self) -> list[nodes.Node]:
         """List the nodes that live."""
         return [node for node in self.nodes.values() if node.alive]
 
@@ -188,7 +152,7 @@
             seed=self.scenario.seed * 1_000 + number,
             policy=self.scenario.policy_function,
         )
-        node = Node(name=name, state=states.State(options=options))
+        node = nodes.Node(name=name, state=states.State(options=options))
         node.state.capacity.planner = self.scenario.planner_function
         self.nodes[name] = node
         offset = TICK_MS * number / max(1, self.scenario.nodes)
@@ -236,15 +200,15 @@
         ):
             self._listed.popleft()
 
-    def _tell_hosts(self, node: Node) -> None:
+    def _tell_hosts(self, node: nodes.Node) -> None:
         if self._listed:
             self.post(node, events.HostsRead(self._listed[0][1]))
 
-    def _tell_tables(self, node: Node) -> None:
+    def _tell_tables(self, node: nodes.Node) -> None:
         if node.watching and not self.keyvalue.down:
             self.post(node, self.keyvalue.watched())
 
-    def _perform(self, node: Node, effect: effects.Effect) -> None:
+    def _perform(self, node: nodes.Node, effect: effects.Effect) -> None:
         match effect:
             case effects.StartAttempt():
                 self._attempt(node, effect)
@@ -288,9 +252,9 @@
             ):
                 self._perform_order(node, effect)
             case _:
-                self._tell_caller(effect)
+                self.callers.tell(effect)
 
-    def _attempt(self, node: Node, effect: effects.StartAttempt) -> None:
+    def _attempt(self, node: nodes.Node, effect: effects.StartAttempt) -> None:
         server = self.servers.get(effect.host)
         handle = effect.call.handle
         if server is None:
@@ -319,14 +283,14 @@
         text = effect.call.body.decode() + ''.join(effect.sent)
         return server.take(text, source)
 
-    def _deliver(self, node: Node, effect: effects.SendPeer) -> None:
+    def _deliver(self, node: nodes.Node, effect: effects.SendPeer) -> None:
         target = self.nodes.get(effect.address)
         if target is None:
             return
         event = events.PeerSpoke(node.name, effect.message)
         self.time.later(PEER_MS, lambda: self.post(target, event))
 
-    def _report(self, node: Node, host: str) -> None:
+    def _report(self, node: nodes.Node, host: str) -> None:
         server = self.servers.get(host)
         event: events.Event = events.LoadMissing(host)
         if server is not None:
@@ -335,7 +299,7 @@
 
     def _perform_order(
         self,
-        node: Node,
+        node: nodes.Node,
         effect: effects.StartHost
         | effects.StopHost
         | effects.OrderServer
@@ -354,7 +318,7 @@
                 event = events.PricesRead(self.prices)
                 self.time.later(5, lambda: self.post(node, event))
 
-    def _start_host(self, node: Node, effect: effects.StartHost) -> None:
+    def _start_host(self, node: nodes.Node, effect: effects.StartHost) -> None:
         if effect.reclaimable and effect.zone in self.refused_zones:
             refused = events.HostStarted(effect.token, None)
             self.time.later(50, lambda: self.post(node, refused))
@@ -405,14 +369,10 @@
             if server.row.pool == 'engines':
                 self._bill(server)
 
-    def _end_node(self, node: Node) -> None:
+    def _end_node(self, node: nodes.Node) -> None:
         """A node is gone; callers that it still held go elsewhere."""
         node.alive = False
-        for asked in list(self._asked.values()):
-            if asked.node == node.name and not asked.over:
-                self.time.later(
-                    RESEND_MS, functools.partial(self._resend, asked)
-                )
+        self.callers.lose(node)
 
     def _inject(self, fault: scenarios.Fault) -> None:
         notice = fault.notice_s * clock.SECOND
@@ -471,120 +431,6 @@
             node, events.ApplyAsked(ticket, base, wanted, f'move-{ticket}')
         )
 
-    def _send_new(self, arrival: trace.Arrival) -> None:
-        kind = arrival.kind
-        number = len(self._asked)
-        asked = Asked(
-            arrival=arrival,
-            key=calls.RequestKey(kind.key, f'request-{number}'),
-            sent_at=self.time.now,
-            deadline=self.time.now + kind.deadline_ms,
-        )
-        self._asked[-number - 1] = asked
-        self.tallies[kind.work.value].sent += 1
-        self._resend(asked)
-
-    def _resend(self, asked: Asked) -> None:
-        """Send a request, or send it again, to a node of the list."""
-        live = [node for node in self.live_nodes() if node.state.drain is None]
-        if asked.over or not live or self.time.now >= asked.deadline:
-            self._close(asked, 'late')
-            return
-        node = self.random.choice(live)
-        self.time.later(CALLER_MS, lambda: self._arrive(asked, node))
-
-    def _arrive(self, asked: Asked, node: Node) -> None:
-        if not node.alive:
-            self._resend(asked)
-            return
-        asked.sendings += 1
-        asked.handle = next(self._handles)
-        asked.node = node.name
-        self._asked[asked.handle] = asked
-        self.post(node, events.CallArrived(self._call(asked)))
-
-    def _call(self, asked: Asked) -> calls.Call:
-        kind = asked.arrival.kind
-        text = asked.arrival.text
-        engine = bool(kind.model)
-        route = scenarios.route(kind)
-        digest = xxhash.xxh3_64_intdigest(text[:512].encode()) >> 1
-        return calls.Call(
-            handle=asked.handle,
-            key=asked.key,
-            route=route,
-            kind=model.Kind.ENGINE if engine else model.Kind.SERVICE,
-            deadline=round(asked.deadline),
-            id_time=EPOCH + round(asked.sent_at),
-            path=kind.path or '/v1/completions',
-            body=text.encode(),
-            stream=engine,
-            max_tokens=kind.tokens,
-            prompt_size=len(text),
-            prefix=digest if engine else 0,
-            fingerprint=asked.key.id if engine else '',
-            resumed=tuple(asked.tokens),
-            first=asked.sendings == 1,
-        )
-
-    def _tell_caller(self, effect: effects.Effect) -> None:
-        handle = getattr(effect, 'handle', None)
-        asked = self._asked.get(handle) if handle else None
-        if asked is None or asked.over or asked.handle != handle:
-            return
-        match effect:
-            case effects.SendToken():
-                self._take_token(asked, effect)
-            case effects.SendEnd() | effects.SendAnswer():
-                self._close(asked, 'whole')
-            case effects.SendRefusal():
-                self._refused(asked, effect.refusal)
-            case effects.SendMoved():
-                node = self.nodes[effect.address]
-                self.tallies[asked.arrival.kind.work.value].resumed += 1
-                self.time.later(
-                    2 * CALLER_MS, lambda: self._arrive(asked, node)
-                )
-
-    def _take_token(self, asked: Asked, effect: effects.SendToken) -> None:
-        if effect.index != len(asked.tokens):
-            return
-        now = self.time.now + CALLER_MS
-        if asked.tokens:
-            self.between.add(now - asked.last)
-        else:
-            asked.first_ms = now - asked.sent_at
-            self.first.add(asked.first_ms)
-        asked.last = now
-        asked.tokens.append(effect.text)
-
-    def _refused(self, asked: Asked, refusal: calls.Refusal) -> None:
-        """Come back when the system said, if there is time."""
-        wait = refusal.retry_after_ms
-        if wait and self.time.now + wait < asked.deadline:
-            self.time.later(wait, lambda: self._resend(asked))
-            return
-        late = refusal.reason is calls.Reason.DEADLINE
-        self.reasons[refusal.reason.value] += 1
-        self._close(asked, 'late' if late else 'refused')
-
-    def _close(self, asked: Asked, outcome: str) -> None:
-        if asked.over:
-            return
-        asked.over = True
-        if outcome == 'whole' and self.time.now > asked.deadline:
-            outcome = 'late'
-        tally = self.tallies[asked.arrival.kind.work.value]
-        setattr(tally, outcome, getattr(tally, outcome) + 1)
-        second = self.seconds[asked.arrival.at_ms // clock.SECOND]
-        setattr(second, outcome, getattr(second, outcome) + 1)
-        node = self.nodes.get(asked.node)
-        if node is not None:
-            handle = asked.handle
-            self.time.later(
-                1, lambda: self.post(node, events.CallerLeft(handle))
-            )
-
 
 def _zone(number: int) -> str:
     return scenarios.ZONES[number % len(scenarios.ZONES)]
