Tell changed rows instead of whole tables between nodes

Change: a node keeps four configurations and answers with a difference and a hash of the result; what doesn't fit is asked for whole.

--- a/src/teaselbridge/decisions/changes.py
+++ b/src/teaselbridge/decisions/changes.py
@@ -26,7 +26,6 @@
 
 GIVE_UP_MS = 8_000
 RETRY_MS = 250
-HISTORY = 32
 
 
 @dataclasses.dataclass(slots=True)
@@ -143,7 +142,7 @@
     change.wanted = model.Configuration(
         generation=standing.generation + 1,
         writer=change.ask.writer,
-        writers=(change.ask.writer, *standing.writers)[:HISTORY],
+        writers=(change.ask.writer, *standing.writers)[: model.WRITERS],
         tables=change.ask.tables,
     )
     return [
--- a/src/teaselbridge/decisions/configuration.py
+++ b/src/teaselbridge/decisions/configuration.py
@@ -2,7 +2,8 @@
 
 Two nodes of each availability zone, chosen by rendezvous hashing, watch the
 key-value service. All others hear of a new generation by gossip and fetch
-it from whom they heard it.
+what has changed, row by row, from whom they heard it; the whole where that
+does not fit.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 from teaselbridge.decisions import events
 from teaselbridge.decisions import placement
 from teaselbridge.peers import messages
+from teaselbridge.tables import delta
 from teaselbridge.tables import join
 from teaselbridge.tables import model
 
@@ -24,6 +26,7 @@
 
 KEY = '/teaselbridge/configuration'
 WATCHERS_PER_ZONE = 2
+KEPT = 4
 
 
 def decode(value: bytes | None) -> model.Configuration:
@@ -46,6 +49,7 @@
     state.configured = True
     if found.generation <= state.index.generation:
         return []
+    state.before = (state.index.configuration, *state.before)[:KEPT]
     state.index = join.Index(configuration=found)
     state.membership.news.add_generation(found.generation)
     detail = f'generation {found.generation} from {cause}'
@@ -84,12 +88,48 @@
     """A peer asks for the configuration."""
     if state.index.generation < message.have or not state.configured:
         return []
-    answer = messages.ConfigurationSent(
+    found = None if message.whole else _change(state, message.have)
+    answer: messages.Message = messages.ConfigurationSent(
         configuration=state.index.configuration
     )
+    if found is not None:
+        answer = messages.ConfigurationChanged(
+            change=found, reply_to=state.options.me.peers
+        )
     return [effects.SendPeer(message.reply_to, answer)]
 
 
+def change(
+    state: states.State,
+    message: messages.ConfigurationChanged,
+    sender: str,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Take in what has changed, or ask for the whole where it doesn't fit.
+
+    :param sender: name of the node that told it.
+    """
+    if message.change.generation <= state.index.generation:
+        return []
+    found = delta.apply(state.index.configuration, message.change)
+    if found is not None:
+        return adopt(state, found, sender, now)
+    ask = messages.ConfigurationAsked(
+        have=state.index.generation,
+        reply_to=state.options.me.peers,
+        whole=True,
+    )
+    return [effects.SendPeer(message.reply_to, ask)]
+
+
+def _change(state: states.State, have: int) -> delta.Delta | None:
+    """Find what makes a peer's configuration into this node's."""
+    for old in state.before:
+        if old.generation == have:
+            return delta.make(old, state.index.configuration)
+    return None
+
+
 def is_watcher(state: states.State) -> bool:
     """Tell whether this node watches the key-value service."""
     me = state.options.me
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -230,6 +230,8 @@
         case messages.ConfigurationSent() as message:
             found = message.configuration
             return configuration.adopt(state, found, event.sender, now)
+        case messages.ConfigurationChanged() as message:
+            return configuration.change(state, message, event.sender, now)
         case messages.Scores() as message:
             return reports.hear(state, message, now)
         case messages.LedgerAsked() as message:
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -58,6 +58,7 @@
         self.options = options
         self.random = random.Random(options.seed)
         self.index = join.Index(configuration=model.Configuration())
+        self.before: tuple[model.Configuration, ...] = ()
         self.requests: dict[int, requests.Request] = {}
         self.held: dict[calls.RequestKey, int] = {}
         self.aliases: dict[int, int] = {}
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -8,6 +8,7 @@
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import claims
 from teaselbridge.decisions import evidence
+from teaselbridge.tables import delta
 from teaselbridge.tables import model
 
 
@@ -225,10 +226,12 @@
 
     :param have: generation of the asker.
     :param reply_to: ``ip:port`` that the answer goes to.
+    :param whole: whether differences do not help.
     """
 
     have: int
     reply_to: str
+    whole: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -238,6 +241,17 @@
     configuration: model.Configuration
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationChanged:
+    """What makes the receiver's configuration into the sender's.
+
+    :param reply_to: ``ip:port`` of the sender, for a whole one.
+    """
+
+    change: delta.Delta
+    reply_to: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HandOver:
     """A request that the sender can no longer hold.
@@ -317,6 +331,7 @@
     | SyncSent
     | ConfigurationAsked
     | ConfigurationSent
+    | ConfigurationChanged
     | HandOver
     | HandOverTaken
     | LedgerAsked
--- a/src/teaselbridge/tables/model.py
+++ b/src/teaselbridge/tables/model.py
@@ -133,6 +133,9 @@
     workspaces: tuple[Workspace, ...] = ()
 
 
+WRITERS = 32
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Configuration:
     """The single document in the key-value service.
--- /dev/null
+++ b/tests/tables/test_delta.py
@@ -0,0 +1,98 @@
+"""Tests of differences between configurations."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import hypothesis
+import hypothesis.strategies as st
+import testtools
+
+from teaselbridge.tables import delta
+from teaselbridge.tables import model
+
+NAMES = st.sampled_from('abcdef')
+ROUTES = st.lists(
+    st.builds(
+        lambda name, priority: model.Route(
+            name=name,
+            match=model.Match(model=name),
+            pool='p',
+            priority=priority,
+        ),
+        NAMES,
+        st.integers(0, 2),
+    ),
+    unique_by=lambda row: row.name,
+).map(tuple)
+WORKSPACES = st.lists(
+    st.builds(lambda name: model.Workspace(name=name, key=name), NAMES),
+    unique_by=lambda row: row.name,
+).map(tuple)
+TABLES = st.builds(
+    lambda routes, workspaces: model.Tables(
+        routes=routes, workspaces=workspaces
+    ),
+    ROUTES,
+    WORKSPACES,
+)
+
+
+def chain(*versions: model.Tables) -> list[model.Configuration]:
+    """Make configurations that follow each other."""
+    found = [model.Configuration()]
+    for number, tables in enumerate(versions, 1):
+        writer = f'writer-{number}'
+        found.append(
+            model.Configuration(
+                generation=number,
+                writer=writer,
+                writers=(writer, *found[-1].writers)[: model.WRITERS],
+                tables=tables,
+            )
+        )
+    return found
+
+
+class TestDelta(testtools.TestCase):
+    """A delta makes the newer configuration, or nothing."""
+
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @hypothesis.given(versions=st.lists(TABLES, min_size=1, max_size=5))
+    def test_makes_the_newer_one(self, versions: list[model.Tables]) -> None:
+        found = chain(*versions)
+        change = delta.make(found[0], found[-1])
+        if change is not None:
+            self.assertEqual(found[-1], delta.apply(found[0], change))
+
+    def test_rows_that_change_places_need_the_whole(self) -> None:
+        first = model.Workspace(name='a', key='a')
+        second = model.Workspace(name='b', key='b')
+        _, old, new = chain(
+            model.Tables(workspaces=(first, second)),
+            model.Tables(workspaces=(second, first)),
+        )
+        self.assertIsNone(delta.make(old, new))
+
+    def test_other_base_is_refused(self) -> None:
+        row = model.Workspace(name='a', key='a')
+        empty, old, new = chain(
+            model.Tables(), model.Tables(workspaces=(row,))
+        )
+        change = delta.make(old, new)
+        self.assertIsNone(delta.apply(empty, change))
+        other = dataclasses.replace(old, writers=('other',))
+        self.assertIsNone(delta.apply(other, change))
+
+    def test_carries_the_changed_row_alone(self) -> None:
+        rows = tuple(
+            model.Workspace(name=f'w{number}', key='k')
+            for number in range(200)
+        )
+        changed = (dataclasses.replace(rows[0], key='other'), *rows[1:])
+        _, old, new = chain(
+            model.Tables(workspaces=rows), model.Tables(workspaces=changed)
+        )
+        change = delta.make(old, new)
+        self.assertEqual(changed[:1], change.rows.workspaces)
+        self.assertEqual(delta.Removed(), change.removed)
