--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -19,6 +19,8 @@
 REPORT_EVERY_MS = 1_000
 REPORT_IDLE_MS = 4_000
 REPORTS_AT_ONCE = 2
+ASK_EVERY_MS = 100
+IDLE_TURN = 4
 REPORT_STALE_MS = 12_000
 DEFAULT_SLOTS = 8
 FORGET_MS = 600_000
@@ -93,6 +95,8 @@
         self._by_pool: dict[str, list[Server]] = {}
         self._leaving: dict[str, int] = {}
         self.entries: tuple[events.HostRow, ...] = ()
+        self.ask_due = 0
+        self.asked = 0
 
     @property
     def all(self) -> list[Server]:
@@ -288,12 +292,20 @@
 
 
 def ask_loads(state: states.State, now: clock.Instant) -> list[effects.Effect]:
-    """Ask servers for their load: those in use often, a few at a time."""
+    """Ask servers for their load, a few at a time.
+
+    Those whose version is not known are asked first, as they get no work
+    before. The others share a fixed number of questions a second, however
+    many there are; every few turns is for those that are not in use.
+    """
     due = [
         server for server in state.servers.all if server.report_due <= now.mono
     ]
     due.sort(key=lambda server: server.report_due)
-    chosen = due[:REPORTS_AT_ONCE]
+    chosen = [server for server in due if not server.version]
+    chosen = chosen[:REPORTS_AT_ONCE]
+    if not chosen:
+        chosen = _ask_known(state, due, now)
     for server in chosen:
         in_use = server.inflight or not server.version
         span = REPORT_EVERY_MS if in_use else REPORT_IDLE_MS
@@ -306,6 +318,19 @@
     return [effects.ReportLoad(targets)] if targets else []
 
 
+def _ask_known(
+    state: states.State, due: list[Server], now: clock.Instant
+) -> list[Server]:
+    """Choose the next server to ask, if it is time for one."""
+    if not due or now.mono < state.servers.ask_due:
+        return []
+    state.servers.ask_due = now.mono + ASK_EVERY_MS
+    state.servers.asked += 1
+    idle_turn = state.servers.asked % IDLE_TURN == 0
+    fitting = [server for server in due if bool(server.inflight) != idle_turn]
+    return (fitting or due)[:1]
+
+
 def _record(mark: effects.Mark, server: Server, detail: str) -> effects.Record:
     return effects.Record(
         mark=mark, pool=server.row.pool, host=server.host, detail=detail
--- /dev/null
+++ b/tests/decisions/test_servers.py
@@ -0,0 +1,75 @@
+"""Tests of what a node asks backend servers."""
+
+from __future__ import annotations
+
+import collections
+
+import testtools
+
+from teaselbridge import clock
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import servers
+from teaselbridge.decisions import state as states
+from teaselbridge.peers import messages
+
+SERVERS = 300
+IN_USE = 12
+SPAN_MS = 30_000
+TICK_MS = 50
+MOST_A_SECOND = 10
+
+
+class TestAskLoads(testtools.TestCase):
+    """Questions for loads are bounded, whatever the number of servers."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        me = messages.Member(
+            name='n',
+            incarnation=1,
+            status=messages.Status.ALIVE,
+            peers='',
+            callers='',
+            admin='',
+            zone='z',
+            region='r',
+        )
+        self._state = states.State(options=states.Options(me=me))
+        for number in range(SERVERS):
+            row = events.HostRow(
+                host=f'h{number}',
+                address='',
+                zone='z',
+                pool='p',
+                version='v',
+            )
+            start = clock.Instant(0, 0)
+            self._state.servers.add(row, 'v', start)
+
+    def _ask(self) -> collections.Counter[str]:
+        asked: collections.Counter[str] = collections.Counter()
+        for now in range(0, SPAN_MS, TICK_MS):
+            instant = clock.Instant(now, now)
+            for effect in servers.ask_loads(self._state, instant):
+                assert isinstance(effect, effects.ReportLoad)
+                asked.update(target.host for target in effect.hosts)
+        return asked
+
+    def test_bounded(self) -> None:
+        most = MOST_A_SECOND * SPAN_MS // clock.SECOND
+        self.assertLessEqual(self._ask().total(), most)
+
+    def test_servers_in_use_come_first(self) -> None:
+        used = [f'h{number}' for number in range(IN_USE)]
+        for host in used:
+            self._state.servers.get(host).inflight = 1
+        asked = self._ask()
+        self.assertGreater(min(asked[host] for host in used), 10)
+        self.assertGreater(len(asked), IN_USE)
+
+    def test_unknown_version_comes_first(self) -> None:
+        unknown = self._state.servers.get('h7')
+        unknown.version = ''
+        (effect,) = servers.ask_loads(self._state, clock.Instant(100, 100))
+        self.assertEqual('h7', effect.hosts[0].host)
