Wait for the move, not for the new pool's record, in the tests of moves

Cause: on a busy machine the test without the key-value service failed: the record of a pool that never moved has a share of 1, so the wait for a share of 5% was over before the move had begun, and the service was taken down under a move that was still preparing. Found by dumping the nodes' state at the time-out, 1 of 12 runs beside three other loads. Change: the wait counts a share only while a move is under way. After: 5 of 5 runs of test_moves, five at once beside three loads, pass.

--- a/tests/failures/test_moves.py
+++ b/tests/failures/test_moves.py
@@ -198,8 +198,10 @@
         self.go(run())
 
     def _share(self, trial: base.Trial) -> float:
+        """Give the share of a move under way; a new pool's record has 1."""
         move = trial.nodes[0].loop.state.moves.get('engines')
-        return 0.0 if move is None else move.share
+        running = move is not None and move.stage is messages.Stage.RUNNING
+        return move.share if running else 0.0
 
     def _requests(self, trial: base.Trial) -> int:
         return sum(
