--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -6,30 +6,16 @@
 
 import testtools
 
-from teaselbridge.decisions import calls
-from teaselbridge.decisions import events
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import servers
-from teaselbridge.tables import model
+from tests.decisions import samples
 
 SLOTS = 8
-ROUTE = model.Route(
-    name='r', match=model.Match(model='m'), pool='p', deadline_ms=1_000
-)
 
 
 def view(prefix: int) -> placement.View:
     """Make a view of a request with a prompt."""
-    call = calls.Call(
-        handle=1,
-        key=calls.RequestKey('w', 'x'),
-        route=ROUTE,
-        kind=model.Kind.ENGINE,
-        deadline=1_000,
-        id_time=0,
-        path='/x',
-        prefix=prefix,
-    )
+    call = samples.call(prefix)
     generator = random.Random(1)
     return placement.View(call, generator, placement.Rotation(), 'z')
 
@@ -38,14 +24,8 @@
     """Make servers with requests in flight."""
     return [
         servers.Server(
-            row=events.HostRow(
-                host=f'h{number}',
-                address='',
-                zone='z',
-                pool='p',
-                version='v',
-            ),
-            version='v',
+            row=samples.row(f'h{number}'),
+            version=samples.VERSION,
             slots=SLOTS,
             inflight=count,
         )
--- a/tests/decisions/test_prompts.py
+++ b/tests/decisions/test_prompts.py
@@ -5,22 +5,15 @@
 import testtools
 
 from teaselbridge import clock
-from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
-from teaselbridge.decisions import events
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import prompts
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import servers
-from teaselbridge.decisions import state as states
-from teaselbridge.peers import messages
-from teaselbridge.tables import model
+from tests.decisions import samples
 
 PREFIX = 11
 NOW = clock.Instant(100_000, 100_000)
-ROUTE = model.Route(
-    name='r', match=model.Match(model='m'), pool='p', deadline_ms=1_000
-)
 
 
 class TestSource(testtools.TestCase):
@@ -28,40 +21,19 @@
 
     def setUp(self) -> None:
         super().setUp()
-        me = messages.Member(
-            name='n',
-            incarnation=1,
-            status=messages.Status.ALIVE,
-            peers='',
-            callers='',
-            admin='',
-            zone='z',
-            region='r',
-        )
-        self._state = states.State(options=states.Options(me=me))
+        self._state = samples.state()
         added = [self._add(f'h{number}') for number in range(3)]
         self._home, self._next, self._last = placement.order(added, PREFIX)
 
     def _add(self, host: str, since: int = 0) -> servers.Server:
-        row = events.HostRow(
-            host=host, address=host, zone='z', pool='p', version='v'
-        )
-        return self._state.servers.add(row, 'v', clock.Instant(since, since))
+        row = samples.row(host)
+        then = clock.Instant(since, since)
+        return self._state.servers.add(row, samples.VERSION, then)
 
     def _source(
         self, server: servers.Server, size: int = 5_000
     ) -> effects.Target | None:
-        call = calls.Call(
-            handle=1,
-            key=calls.RequestKey('w', 'x'),
-            route=ROUTE,
-            kind=model.Kind.ENGINE,
-            deadline=1_000,
-            id_time=0,
-            path='/x',
-            prefix=PREFIX,
-            prompt_size=size,
-        )
+        call = samples.call(PREFIX, size)
         request = requests.Request(call=call, now=NOW)
         return prompts.source(self._state, request, server, NOW)
 
--- a/tests/decisions/test_servers.py
+++ b/tests/decisions/test_servers.py
@@ -8,10 +8,8 @@
 
 from teaselbridge import clock
 from teaselbridge.decisions import effects
-from teaselbridge.decisions import events
 from teaselbridge.decisions import servers
-from teaselbridge.decisions import state as states
-from teaselbridge.peers import messages
+from tests.decisions import samples
 
 SERVERS = 300
 IN_USE = 12
@@ -25,27 +23,11 @@
 
     def setUp(self) -> None:
         super().setUp()
-        me = messages.Member(
-            name='n',
-            incarnation=1,
-            status=messages.Status.ALIVE,
-            peers='',
-            callers='',
-            admin='',
-            zone='z',
-            region='r',
-        )
-        self._state = states.State(options=states.Options(me=me))
+        self._state = samples.state()
         for number in range(SERVERS):
-            row = events.HostRow(
-                host=f'h{number}',
-                address='',
-                zone='z',
-                pool='p',
-                version='v',
-            )
+            row = samples.row(f'h{number}')
             start = clock.Instant(0, 0)
-            self._state.servers.add(row, 'v', start)
+            self._state.servers.add(row, samples.VERSION, start)
 
     def _ask(self) -> collections.Counter[str]:
         asked: collections.Counter[str] = collections.Counter()
