--- a/src/teaselbridge/cli/config.py
+++ b/src/teaselbridge/cli/config.py
@@ -11,6 +11,7 @@
 
 from teaselbridge.admin import models
 from teaselbridge.cli import remote
+from teaselbridge.tables import advice as advices
 from teaselbridge.tables import check as checks
 from teaselbridge.tables import diff as diffs
 from teaselbridge.tables import model
@@ -45,6 +46,7 @@
         routes = len(tables.routes)
         pools = len(tables.pools)
         click.echo(f'{path}: good, {routes} routes, {pools} pools')
+        _advise(tables)
 
     return check
 
@@ -95,6 +97,7 @@
     ) -> None:
         """Put the tables of a file in force."""
         tables = checks.load_tables(path)
+        _advise(tables)
         target = remote.Target(address, key, ca)
         reply = asyncio.run(apply(target, tables, base))
         _report(reply)
@@ -104,6 +107,11 @@
     return apply_file
 
 
+def _advise(tables: model.Tables) -> None:
+    for item in advices.advise(tables):
+        click.echo(f'advice: {item}', err=True)
+
+
 async def _read(target: remote.Target) -> model.Configuration:
     return await remote.get(target, '/v1/config', model.Configuration)
 
