Write once what stood twice: prompt heads, kinds, workers, key calls

Cause: a reading of the whole change. The hash of a prompt's head stood in the gateway and in the experiment's callers, the kind of a host in two modules and two inline places, the live nodes that take work in three, the calls to the key-value service in four, the settings of both ends of a link in two, and _reach wrote the plan that _plan_of gives. Change: placement.prefix_of, fleetplan.kind_of, Membership.workers, effects.KeyCall, Transport._prepare; _reach calls _plan_of; the holder's tick reads the record in one place.

--- a/src/teaselbridge/decisions/capacity.py
+++ b/src/teaselbridge/decisions/capacity.py
@@ -68,7 +68,7 @@
         return [
             price
             for price in self.allowed(pool)
-            if self.refused.get(_kind(price), 0) <= now.mono
+            if self.refused.get(fleetplan.kind_of(price), 0) <= now.mono
         ]
 
     def allowed(self, pool: model.Pool) -> list[events.Price]:
@@ -211,11 +211,7 @@
     now: clock.Instant,
 ) -> list[effects.Effect]:
     """Start what a plan has more than there is."""
-    need = fleetplan.Need(
-        hosts=hosts, on_demand=pool.on_demand, most=pool.most
-    )
-    prices = state.capacity.available(pool, now)
-    plan = state.capacity.planner(need, prices)
+    plan = _plan_of(state, pool, hosts, state.capacity.available(pool, now))
     have = _present(state, pool.name, version)
     out: list[effects.Effect] = []
     for kind, count in sorted(plan.items(), key=lambda item: str(item[0])):
@@ -261,9 +257,7 @@
 ) -> collections.Counter[fleetplan.Kind]:
     """Count the hosts of a version by kind, those under way included."""
     have = collections.Counter(
-        fleetplan.Kind(
-            server.row.zone, server.row.host_class, server.row.reclaimable
-        )
+        fleetplan.kind_of(server.row)
         for server in state.servers.in_pool(pool)
         if not server.leaving and server.row.version == version
     )
@@ -377,9 +371,7 @@
         hosts = wanted_hosts.get(server.row.version, 0)
         plan = _plan_of(state, pool, hosts, prices)
         have = _present(state, pool.name, server.row.version)
-        kind = fleetplan.Kind(
-            server.row.zone, server.row.host_class, server.row.reclaimable
-        )
+        kind = fleetplan.kind_of(server.row)
         if have[kind] > plan[kind] and have.total() > plan.total():
             return server
     return None
@@ -411,7 +403,3 @@
 def _describe(kind: fleetplan.Kind) -> str:
     firmness = 'reclaimable' if kind.reclaimable else 'on demand'
     return f'{kind.zone}, {kind.host_class}, {firmness}'
-
-
-def _kind(price: events.Price) -> fleetplan.Kind:
-    return fleetplan.Kind(price.zone, price.host_class, price.reclaimable)
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -439,6 +439,8 @@
     detail: str = ''
 
 
+KeyCall = ReadKey | SwapKey | GrantLease | KeepLease | RevokeLease
+
 Effect = (
     StartAttempt
     | CancelAttempt
--- a/src/teaselbridge/decisions/fleetplan.py
+++ b/src/teaselbridge/decisions/fleetplan.py
@@ -45,6 +45,11 @@
     most: int
 
 
+def kind_of(item: events.Price | events.HostRow) -> Kind:
+    """Give the kind of a host, or of hosts at a price."""
+    return Kind(item.zone, item.host_class, item.reclaimable)
+
+
 Plan: typing.TypeAlias = 'collections.Counter[Kind]'
 Planner: typing.TypeAlias = (
     'collections.abc.Callable[[Need, collections.abc.Sequence[events.Price]],'
@@ -82,7 +87,7 @@
         return collections.Counter()
     best = min(prices, key=lambda price: price.hourly)
     hosts = min(need.hosts, need.most)
-    return collections.Counter({_kind(best): hosts})
+    return collections.Counter({kind_of(best): hosts})
 
 
 def even_spread(
@@ -106,7 +111,7 @@
 
 def cost(plan: Plan, prices: collections.abc.Sequence[events.Price]) -> float:
     """Price of a plan for an hour."""
-    hourly = {_kind(price): price.hourly for price in prices}
+    hourly = {kind_of(price): price.hourly for price in prices}
     return sum(hourly.get(kind, 0.0) * count for kind, count in plan.items())
 
 
@@ -163,7 +168,7 @@
     if not prices:
         return plan
     for number in range(hosts):
-        plan[_kind(prices[number % len(prices)])] += 1
+        plan[kind_of(prices[number % len(prices)])] += 1
     return plan
 
 
@@ -196,7 +201,3 @@
 
 def _spread(plan: Plan) -> int:
     return len({kind.zone for kind in plan})
-
-
-def _kind(price: events.Price) -> Kind:
-    return Kind(price.zone, price.host_class, price.reclaimable)
--- a/src/teaselbridge/decisions/leases.py
+++ b/src/teaselbridge/decisions/leases.py
@@ -220,11 +220,8 @@
 
 def candidates(state: states.State, pool: str) -> list[str]:
     """Name the few nodes that may take a lease, as this node sees it."""
-    me = state.options.me.name
-    names = [
-        member.name for member in state.membership.alive if not member.draining
-    ]
-    return placement.first([*names, me], CANDIDATES, 'lease', pool)
+    workers = state.membership.workers
+    return placement.first(workers, CANDIDATES, 'lease', pool)
 
 
 def is_candidate(state: states.State, pool: str) -> bool:
--- a/src/teaselbridge/decisions/members.py
+++ b/src/teaselbridge/decisions/members.py
@@ -151,7 +151,13 @@
     @property
     def nodes(self) -> int:
         """Live nodes that take work, this one included."""
-        return 1 + sum(not member.draining for member in self.alive)
+        return len(self.workers)
+
+    @property
+    def workers(self) -> list[str]:
+        """Names of the live nodes that take work, this one included."""
+        others = [one.name for one in self.alive if not one.draining]
+        return [self.me.name, *others]
 
     def get(self, name: str) -> messages.Member | None:
         """Find a peer by name."""
--- a/src/teaselbridge/decisions/placement.py
+++ b/src/teaselbridge/decisions/placement.py
@@ -24,6 +24,7 @@
 LOAD_BOUND = 1.25
 LOAD_SLACK = 1
 FULL_FROM = 0.75
+PREFIX_CHARACTERS = 512
 
 
 class Rotation:
@@ -116,6 +117,11 @@
     return xxhash.xxh3_64_intdigest('\0'.join(parts).encode()) >> 1
 
 
+def prefix_of(prompt: str) -> int:
+    """Hash the head of a prompt, which decides where it goes."""
+    return hash_of(prompt[:PREFIX_CHARACTERS])
+
+
 def first(
     names: collections.abc.Iterable[str], count: int, *key: str
 ) -> list[str]:
--- a/src/teaselbridge/decisions/steps.py
+++ b/src/teaselbridge/decisions/steps.py
@@ -39,14 +39,14 @@
     out: list[effects.Effect] = []
     for pool in state.index.pools:
         control = state.moves.control(pool.name)
-        if state.leases.held(pool.name, now) is None:
+        holds = state.leases.held(pool.name, now) is not None
+        if not holds:
             control.since = None
-            out += _read_unknown(state, control, pool, now)
-            continue
-        if control.since is None:
+        elif control.since is None:
             control.since = now.mono
         out += _read_unknown(state, control, pool, now)
-        out += _control(state, control, pool, now)
+        if holds:
+            out += _control(state, control, pool, now)
     return out
 
 
--- a/src/teaselbridge/decisions/versions.py
+++ b/src/teaselbridge/decisions/versions.py
@@ -110,9 +110,7 @@
     if not 0 < share < TRIED_BELOW:
         return share
     me = state.options.me.name
-    names = {me} | {
-        member.name for member in state.membership.alive if not member.draining
-    }
+    names = state.membership.workers
     if me not in placement.first(names, TRIAL_NODES, 'trial', move.pool):
         return 0.0
     return min(TRIAL_MOST, share * len(names) / TRIAL_NODES)
--- a/src/teaselbridge/experiment/callers.py
+++ b/src/teaselbridge/experiment/callers.py
@@ -8,12 +8,11 @@
 import itertools
 import typing
 
-import xxhash
-
 from teaselbridge import clock
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions import placement
 from teaselbridge.experiment import scenario as scenarios
 from teaselbridge.tables import model
 from teaselbridge.workload import results
@@ -29,7 +28,6 @@
 EPOCH = 1_800_000_000_000
 CALLER_MS = 3.0
 RESEND_MS = 100.0
-PREFIX_CHARACTERS = 512
 
 Post: typing.TypeAlias = (
     'collections.abc.Callable[[nodes.Node, events.Event], None]'
@@ -134,9 +132,6 @@
         text = asked.arrival.text
         engine = bool(kind.model)
         route = scenarios.route(kind)
-        digest = (
-            xxhash.xxh3_64_intdigest(text[:PREFIX_CHARACTERS].encode()) >> 1
-        )
         return calls.Call(
             handle=asked.handle,
             key=asked.key,
@@ -149,7 +144,7 @@
             stream=engine,
             max_tokens=kind.tokens,
             prompt_size=len(text),
-            prefix=digest if engine else 0,
+            prefix=placement.prefix_of(text) if engine else 0,
             fingerprint=asked.key.id if engine else '',
             resumed=tuple(asked.tokens),
             first=asked.sendings == 1,
--- a/src/teaselbridge/experiment/platform.py
+++ b/src/teaselbridge/experiment/platform.py
@@ -18,13 +18,6 @@
 CALL_MS = 3.0
 TIMEOUT_MS = 1_500.0
 
-Call: typing.TypeAlias = (
-    effects.ReadKey
-    | effects.SwapKey
-    | effects.GrantLease
-    | effects.KeepLease
-    | effects.RevokeLease
-)
 Post: typing.TypeAlias = 'collections.abc.Callable[[events.Event], None]'
 
 
@@ -56,7 +49,7 @@
         self.reads = 0
         self.writes = 0
 
-    def perform(self, effect: Call, post: Post) -> None:
+    def perform(self, effect: effects.KeyCall, post: Post) -> None:
         """Answer a call after a while."""
         writes = not isinstance(effect, effects.ReadKey)
         self.writes += writes
@@ -92,7 +85,7 @@
         ended = self._leases[item.lease].ends <= self._time.now
         return None if ended else item
 
-    def _act(self, effect: Call) -> events.Event:
+    def _act(self, effect: effects.KeyCall) -> events.Event:
         match effect:
             case effects.SwapKey():
                 return self._swap(effect)
--- a/src/teaselbridge/experiment/world.py
+++ b/src/teaselbridge/experiment/world.py
@@ -234,13 +234,7 @@
                 node.watching = effect.on
             case effects.Stop():
                 self._end_node(node)
-            case (
-                effects.ReadKey()
-                | effects.SwapKey()
-                | effects.GrantLease()
-                | effects.KeepLease()
-                | effects.RevokeLease()
-            ):
+            case call if isinstance(call, effects.KeyCall):
                 self.keyvalue.perform(
                     effect, lambda event: self.post(node, event)
                 )
--- a/src/teaselbridge/gateway/parse.py
+++ b/src/teaselbridge/gateway/parse.py
@@ -10,6 +10,7 @@
 
 from teaselbridge.backends import service
 from teaselbridge.decisions import calls
+from teaselbridge.decisions import placement
 from teaselbridge import errors
 from teaselbridge.gateway import headers as names
 from teaselbridge.tables import model
@@ -24,7 +25,6 @@
 )
 
 MAX_TOKENS = 1_024
-PREFIX_CHARACTERS = 512
 PRIVATE_HEADERS = frozenset(
     {
         'authorization',
@@ -115,7 +115,6 @@
     if len(body.resume_tokens) >= body.max_tokens:
         detail = '`resume_tokens` has all of `max_tokens` already'
         raise refuse(calls.Reason.BAD_REQUEST, detail)
-    head = body.text[:PREFIX_CHARACTERS]
     return calls.Call(
         handle=raw.handle,
         key=calls.RequestKey(workspace.name, request.text),
@@ -128,7 +127,7 @@
         stream=body.stream,
         max_tokens=body.max_tokens,
         prompt_size=len(body.text),
-        prefix=xxhash.xxh3_64_intdigest(head.encode()) >> 1,
+        prefix=placement.prefix_of(body.text),
         fingerprint=xxhash.xxh3_64_hexdigest(body.text.encode()),
         resumed=body.resume_tokens,
         first=request.first,
--- a/src/teaselbridge/peers/transport.py
+++ b/src/teaselbridge/peers/transport.py
@@ -97,11 +97,8 @@
     def bind(self) -> None:
         """Listen for other nodes."""
         router = self._context.socket(zmq.ROUTER)
-        router.setsockopt(zmq.LINGER, 0)
+        self._prepare(router)
         router.setsockopt(zmq.MAXMSGSIZE, MESSAGE_BYTES)
-        router.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
-        router.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-        self._secure(router)
         if self._keys is not None:
             router.setsockopt(zmq.CURVE_SERVER, 1)
         router.bind(f'tcp://{self._address}')
@@ -162,11 +159,8 @@
         if len(self._dealers) >= SOCKETS_MOST:
             self._drop(next(iter(self._dealers)))
         dealer = self._plain.socket(zmq.DEALER)
-        dealer.setsockopt(zmq.LINGER, 0)
+        self._prepare(dealer)
         dealer.setsockopt(zmq.SNDHWM, QUEUE_MESSAGES)
-        dealer.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
-        dealer.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-        self._secure(dealer)
         if self._keys is not None:
             server = self._keys.public.encode()
             dealer.setsockopt(zmq.CURVE_SERVERKEY, server)
@@ -174,7 +168,11 @@
         self._dealers[address] = dealer
         return dealer
 
-    def _secure(self, socket: zmq.Socket[bytes] | zmq.asyncio.Socket) -> None:
+    def _prepare(self, socket: zmq.Socket[bytes] | zmq.asyncio.Socket) -> None:
+        """Set what both ends of a link need."""
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         if self._keys is None:
             return
         socket.setsockopt(zmq.CURVE_PUBLICKEY, self._keys.public.encode())
--- a/tests/fuzz/fakes.py
+++ b/tests/fuzz/fakes.py
@@ -23,14 +23,6 @@
 SLOW_MS = 7_000
 BAD = 'bad'
 
-Call: typing.TypeAlias = (
-    effects.ReadKey
-    | effects.SwapKey
-    | effects.GrantLease
-    | effects.KeepLease
-    | effects.RevokeLease
-)
-
 
 class KeyValue:
     """The key-value service, with outages and lost or late answers."""
@@ -71,7 +63,7 @@
         self,
         world: worlds.World,
         node: worlds.Node,
-        effect: Call,
+        effect: effects.KeyCall,
     ) -> None:
         """Answer a call: now, never, or never though it takes effect."""
         writes = not isinstance(effect, effects.ReadKey)
@@ -93,7 +85,7 @@
 
         world.later(delay, answer)
 
-    def _execute(self, effect: Call, now: int) -> events.Event:
+    def _execute(self, effect: effects.KeyCall, now: int) -> events.Event:
         match effect:
             case effects.SwapKey():
                 return self.swap(effect, now)
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -344,13 +344,7 @@
                 self._deliver(node, effect)
             case effects.Wake():
                 self.post_later(node, events.Woke(), effect.delay_ms)
-            case (
-                effects.ReadKey()
-                | effects.SwapKey()
-                | effects.GrantLease()
-                | effects.KeepLease()
-                | effects.RevokeLease()
-            ):
+            case call if isinstance(call, effects.KeyCall):
                 self.keyvalue.perform(self, node, effect)
             case effects.OrderServer():
                 self._order(effect)
