--- /dev/null
+++ b/deploy/teaselbridge.py
@@ -0,0 +1,15 @@
+"""Runs the program from its sources, beside its installed dependencies."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / 'src'))
+# The folder of this file holds no modules, and would hide the package.
+sys.path.remove(str(pathlib.Path(__file__).parent))
+
+from teaselbridge.cli import main  # noqa: E402
+
+if __name__ == '__main__':
+    main.main()
--- a/src/teaselbridge/cli/serve.py
+++ b/src/teaselbridge/cli/serve.py
@@ -9,6 +9,7 @@
 
 from teaselbridge import errors
 from teaselbridge.runtime import node as nodes
+from teaselbridge.runtime import site as sites
 from teaselbridge.settings import load
 from teaselbridge.telemetry import logs
 
@@ -30,14 +31,24 @@
     """Build the command."""
 
     @click.command('serve')
-    @click.option('--settings', 'path', required=True, help='Settings file.')
+    @click.option(
+        '--settings',
+        'path',
+        required=True,
+        envvar='TEASELBRIDGE_SETTINGS',
+        help='Settings file.',
+    )
     def serve(path: str) -> None:
         """Run a node until it is stopped."""
         settings = load.load(path)
-        logs.set_up()
 
         async def run() -> None:
-            await nodes.Node(settings=settings).run()
+            if settings.site is None:
+                logs.set_up()
+                await nodes.Node(settings=settings).run()
+                return
+            with logs.lines():
+                await sites.Site(settings=settings, path=path).run()
 
         try:
             asyncio.run(run())
--- a/src/teaselbridge/clock.py
+++ b/src/teaselbridge/clock.py
@@ -30,7 +30,11 @@
 
 
 class Clock:
-    """Reads the clocks of this process."""
+    """Reads the clocks of this process.
+
+    The monotonic one counts the time that the host was suspended, so that
+    a lease or a proof of freshness is not trusted after a suspension.
+    """
 
     def now(self) -> Instant:
         """Read both clocks.
@@ -38,7 +42,7 @@
         :return: the present instant.
         """
         return Instant(
-            time.monotonic_ns() // 1_000_000,
+            time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000,
             time.time_ns() // 1_000_000,
         )
 
--- a/src/teaselbridge/decisions/admission.py
+++ b/src/teaselbridge/decisions/admission.py
@@ -237,6 +237,10 @@
         """Recent time between two tokens, in milliseconds."""
         return self._figures(route).between_ms
 
+    def answer_ms(self, route: str) -> float:
+        """Recent time to a whole answer, in milliseconds."""
+        return self._figures(route).answer_ms
+
     def first_ms(self, route: str) -> float:
         """Recent time to a first token, in milliseconds."""
         return self._figures(route).first_ms
--- a/src/teaselbridge/decisions/arrival.py
+++ b/src/teaselbridge/decisions/arrival.py
@@ -8,6 +8,7 @@
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import orders
+from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
 
 if typing.TYPE_CHECKING:
@@ -34,9 +35,9 @@
             f'workspace {call.key.workspace}',
         ),
     ]
-    if drain.is_closed(state, now):
+    if drain.is_closed(state, now) and not call.is_relayed:
         return out + drain.turn_away(state, request)
-    refusal = requests.check(state, call, now)
+    refusal = _check(state, call, now)
     if refusal is not None:
         return out + requests.refuse(state, request, refusal)
     out += _make_room(state, request, now)
@@ -44,17 +45,25 @@
         return out
     state.held.setdefault(call.key, call.handle)
     state.budgets.earn(call.route)
-    if request.is_order:
+    if request.has_claim:
         return out + orders.claim(state, request, now)
     requests.enqueue(state, request)
     return out
 
 
+def _check(
+    state: states.State, call: calls.Call, now: clock.Instant
+) -> calls.Refusal | None:
+    if call.is_relayed:
+        return relays.check(state, call, now)
+    return requests.check(state, call, now)
+
+
 def _find_held(
     state: states.State, call: calls.Call
 ) -> requests.Request | None:
     handle = state.held.get(call.key)
-    if handle is None:
+    if handle is None or call.is_relayed:
         return None
     request = state.requests.get(handle)
     if request is None or request.attached or request.is_order:
--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -11,6 +11,7 @@
 from teaselbridge.decisions import moves
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import poison
+from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import retry
 from teaselbridge.decisions import servers
@@ -95,6 +96,8 @@
     request = _current(state, event.handle, event.attempt)
     if request is None:
         return []
+    if request.call.is_relayed:
+        return relays.answer(state, request, event.answer, now)
     status = event.answer.status
     if status in RETRYABLE and not request.is_order:
         fault = calls.Fault(
@@ -117,13 +120,35 @@
     request = _current(state, event.handle, event.attempt)
     if request is None:
         return []
+    if request.call.is_relayed:
+        return relays.fail(state, request, event.fault, None, now)
     return _fail(state, request, event.fault, None, now)
 
 
+def relay(
+    state: states.State,
+    event: events.HeadCame | events.EventsCame | events.RelayEnded,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Take in progress of a relayed stream."""
+    request = _current(state, event.handle, event.attempt)
+    if request is None:
+        return []
+    match event:
+        case events.HeadCame():
+            return relays.head(state, request, event, now)
+        case events.EventsCame():
+            return relays.events_came(state, request, event, now)
+        case events.RelayEnded():
+            return relays.ended(state, request, now)
+
+
 def tick(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
     """Keep the deadline, end backoffs, move away from leaving servers."""
+    if request.call.is_relayed:
+        return relays.tick(state, request, now)
     if request.remaining(now) <= 0:
         return _time_out(state, request, now)
     if drain.is_abandoned(request, now):
--- a/src/teaselbridge/decisions/calls.py
+++ b/src/teaselbridge/decisions/calls.py
@@ -30,6 +30,10 @@
     WITHDRAWN = 'node-withdrawn'
     NO_SERVER = 'no-backend-server'
     POISON = 'request-crashes-servers'
+    RATE_LIMIT = 'workspace-rate-limit'
+    STALE = 'keys-not-confirmed'
+    HEADERS_TOO_LARGE = 'headers-too-large'
+    TIMEOUT = 'route-timeout'
     ID_EXPIRED = 'request-id-expired'
     ID_INVALID = 'request-id-invalid'
     LEDGER_DOWN = 'ledger-unavailable'
@@ -51,6 +55,10 @@
     Reason.WITHDRAWN: 503,
     Reason.NO_SERVER: 503,
     Reason.POISON: 422,
+    Reason.RATE_LIMIT: 429,
+    Reason.STALE: 503,
+    Reason.HEADERS_TOO_LARGE: 431,
+    Reason.TIMEOUT: 504,
     Reason.ID_EXPIRED: 409,
     Reason.ID_INVALID: 400,
     Reason.LEDGER_DOWN: 503,
@@ -94,6 +102,30 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Start of a streamed answer.
+
+    :param status: HTTP status.
+    :param headers: headers to pass on.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that other requests may share.
+
+    :param id: the same for equal parts.
+    :param tokens: its length.
+    """
+
+    id: str
+    tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
     """A request that ends without an answer.
@@ -131,6 +163,11 @@
     :param fingerprint: hash of the body, to find crashing requests.
     :param resumed: tokens that an earlier node has already produced.
     :param first: whether the caller says that it never sent this id before.
+    :param credential: workspace key that it was accepted by, to be checked
+        again before it is sent on.
+    :param parts: parts of the prompt in order, for relayed engines.
+    :param tokens_in: tokens of the prompt, for relayed engines.
+    :param last_event: last event that the caller has of the stream.
     """
 
     handle: int
@@ -150,6 +187,15 @@
     fingerprint: str = ''
     resumed: tuple[str, ...] = ()
     first: bool = True
+    credential: str = ''
+    parts: tuple[PromptPart, ...] = ()
+    tokens_in: int = 0
+    last_event: str = ''
+
+    @property
+    def is_relayed(self) -> bool:
+        """Whether it is passed on as it came."""
+        return self.kind is model.Kind.RELAYED
 
     @property
     def ran_before(self) -> Ran:
@@ -168,6 +214,8 @@
     ERROR = 'error'
     BUSY = 'busy'
     CUT = 'cut'
+    MISDIRECTED = 'misdirected'
+    INVALID = 'invalid'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -8,7 +8,9 @@
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import placement
+from teaselbridge.decisions import prefill
 from teaselbridge.decisions import prompts
+from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import versions
 from teaselbridge.tables import model
@@ -30,7 +32,7 @@
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
     """Refuse a waiting request as soon as it cannot finish in time."""
-    if request.phase is not requests.Phase.QUEUED:
+    if request.phase is not requests.Phase.QUEUED or request.call.is_relayed:
         return []
     if not _is_hopeless(state, request, now):
         return []
@@ -46,7 +48,12 @@
             if call is None:
                 break
             request = state.requests[call.handle]
-            if _is_hopeless(state, request, now):
+            if call.is_relayed:
+                refusal = relays.check_again(state, request, now)
+                if refusal is not None:
+                    out += requests.refuse(state, request, refusal)
+                    continue
+            elif _is_hopeless(state, request, now):
                 out += _give_up(state, request, now)
                 continue
             server = choose(state, request, now)
@@ -66,7 +73,9 @@
     call = request.call
     nodes = state.membership.nodes
     usable = state.servers.usable(call.route.pool, now)
-    wanted = versions.narrow(state, request, usable)
+    wanted = usable
+    if not call.is_relayed:
+        wanted = versions.narrow(state, request, usable)
     candidates = [server for server in wanted if server.has_room(nodes)]
     if state.poison.is_suspect(call.fingerprint):
         candidates = [item for item in candidates if not item.suspects]
@@ -76,6 +85,10 @@
     candidates = untried or candidates
     if not candidates:
         return None
+    if call.is_relayed:
+        if call.parts:
+            return prefill.choose(state, candidates, call, now)
+        return prefill.least_loaded(state, candidates)
     view = placement.View(
         call, state.random, state.rotation, state.options.me.zone
     )
@@ -93,7 +106,9 @@
     state.queue.remove(request.handle)
     waiting = state.queue.ahead(call) > 0
     state.pace.dispatch(call, now.mono, waiting)
-    source = prompts.source(state, request, server, now)
+    source = None
+    if not call.is_relayed:
+        source = prompts.source(state, request, server, now)
     request.phase = requests.Phase.RUNNING
     request.attempt += 1
     request.host = server.host
@@ -106,8 +121,13 @@
     server.inflight += 1
     if state.poison.is_suspect(call.fingerprint):
         server.suspects += 1
+    out: list[effects.Effect] = [
+        effects.Count(effects.Counter.ATTEMPTS, call.route.name)
+    ]
+    if call.is_relayed:
+        return out + relays.start(state, request, server, now)
     return [
-        effects.Count(effects.Counter.ATTEMPTS, call.route.name),
+        *out,
         requests.record(
             request,
             effects.Mark.ATTEMPT,
--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -169,6 +169,8 @@
 def _move(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
+    if request.call.is_relayed:
+        return []
     match request.phase:
         case requests.Phase.MOVING:
             return _move_again(state, request, now)
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -51,6 +51,31 @@
     source: Target | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RelayAttempt:
+    """Pass a request on to a backend server as it came.
+
+    :param call: the request.
+    :param attempt: number of the attempt.
+    :param address: ``ip:port`` of the backend server.
+    :param instance: name that the server must answer to.
+    :param remaining_ms: time that the server has.
+    :param last_event: last event that the caller has of the stream.
+    :param urgency: rank among the server's requests, 0 goes first, none
+        where the server does not rank them.
+    :param fresh: whether it needs a connection of its own.
+    """
+
+    call: calls.Call
+    attempt: int
+    address: str
+    instance: str
+    remaining_ms: int
+    last_event: str
+    urgency: int | None
+    fresh: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelAttempt:
     """Give up an attempt; its late tokens are dropped."""
@@ -81,6 +106,33 @@
     text: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendHead:
+    """Start a streamed answer to the caller."""
+
+    handle: int
+    head: calls.Head
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendEvents:
+    """Pass whole events of a stream on to the caller."""
+
+    handle: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendFinish:
+    """End a relayed stream.
+
+    :param whole: whether it is complete; it is broken off otherwise.
+    """
+
+    handle: int
+    whole: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendEnd:
     """End a stream explicitly.
@@ -240,6 +292,47 @@
     until: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OrderServers:
+    """Order a number of backend servers in an availability zone.
+
+    :param reclaimable: whether the platform may take them back.
+    :param count: how many there shall be of that sort.
+    :param fence: number of the lease's holder.
+    :param until: monotonic milliseconds; it must not be sent later.
+    """
+
+    pool: str
+    zone: str
+    reclaimable: bool
+    count: int
+    fence: int
+    until: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkspaceCount:
+    """Requests of a workspace that began to run."""
+
+    workspace: str
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReportUsage:
+    """Report the usage of one window.
+
+    :param window: number of the window since the epoch.
+    :param fence: number of the lease's holder.
+    :param until: monotonic milliseconds; it must not be sent later.
+    """
+
+    window: int
+    counts: tuple[WorkspaceCount, ...]
+    fence: int
+    until: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadPrices:
     """Ask the cloud for its prices."""
@@ -359,6 +452,9 @@
     BUCKET_WRITES = 'bucket_writes'
     STORED_ANSWERS = 'stored_answers'
     MOVED = 'moved'
+    EVENTS = 'events'
+    UNDECODABLE = 'undecodable'
+    DUTY = 'duty'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -417,6 +513,13 @@
     HOST_REFUSED = 'host-refused'
     HOST_RELEASED = 'host-released'
     VERSION_ORDERED = 'version-ordered'
+    SERVERS_ORDERED = 'servers-ordered'
+    SERVERS_REFUSED = 'servers-refused'
+    USAGE_REPORTED = 'usage-reported'
+    USAGE_FAILED = 'usage-failed'
+    UNDECODABLE = 'undecodable'
+    STORE_LISTED = 'store-listed'
+    SETTINGS_CHANGED = 'settings-changed'
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -443,6 +546,12 @@
 
 Effect = (
     StartAttempt
+    | RelayAttempt
+    | SendHead
+    | SendEvents
+    | SendFinish
+    | OrderServers
+    | ReportUsage
     | CancelAttempt
     | DropConnections
     | SendToken
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -78,6 +78,50 @@
     answer: calls.Answer
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeadCame:
+    """A relayed stream began."""
+
+    handle: int
+    attempt: int
+    head: calls.Head
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EventsCame:
+    """Whole events of a relayed stream came.
+
+    :param data: the bytes of the events.
+    :param last: number of the last of them, none where it bears none.
+    """
+
+    handle: int
+    attempt: int
+    data: bytes
+    last: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayEnded:
+    """A relayed stream ended whole."""
+
+    handle: int
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadSeen:
+    """An answer told its server's load.
+
+    :param address: ``ip:port`` of the server.
+    """
+
+    address: str
+    running: int
+    waiting: int
+    slots: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptFailed:
     """An attempt ended without an answer."""
@@ -114,6 +158,9 @@
     :param host_class: machine class.
     :param reclaimable: whether the cloud may take it back.
     :param state: live or leaving.
+    :param instance: name that what runs there answers to.
+    :param slots: requests that it runs at a time, 0 for unknown.
+    :param left_ms: time until it is taken back, 0 for unknown.
     """
 
     host: str
@@ -125,6 +172,9 @@
     host_class: str = 'standard'
     reclaimable: bool = True
     state: HostState = HostState.LIVE
+    instance: str = ''
+    slots: int = 0
+    left_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,6 +184,97 @@
     hosts: tuple[HostRow, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServersListed:
+    """All entries of backend servers were read from the store.
+
+    :param rows: entries that could be decoded, by their keys.
+    """
+
+    rows: dict[str, HostRow]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServersChanged:
+    """Entries of backend servers changed in the store.
+
+    :param rows: new content by key, none for entries that are gone.
+    """
+
+    rows: dict[str, HostRow | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodesListed:
+    """The store told where other nodes can be reached.
+
+    :param addresses: ``ip:port`` of their zmq sockets.
+    """
+
+    addresses: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationSeen:
+    """The store told what stands of the configuration.
+
+    :param found: what was written, none where nothing is new.
+    :param sent: monotonic milliseconds before the question was sent.
+    """
+
+    found: model.Configuration | None
+    sent: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreAnswered:
+    """A watch or a list of the store was answered, or not.
+
+    :param answered: whether it was.
+    :param detail: what went wrong.
+    """
+
+    answered: bool
+    detail: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Undecodable:
+    """An entry of the store could not be decoded.
+
+    :param key: its key.
+    :param detail: what is wrong with it.
+    """
+
+    key: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServersOrdered:
+    """The platform decided on an order of backend servers.
+
+    :param accepted: whether it was taken, none where no answer came.
+    """
+
+    pool: str
+    zone: str
+    reclaimable: bool
+    count: int
+    accepted: bool | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageReported:
+    """The platform answered a usage report.
+
+    :param accepted: whether it was taken.
+    """
+
+    window: int
+    accepted: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReclaimNoticed:
     """The cloud announced that it takes hosts back.
@@ -328,6 +469,18 @@
     | CacheMoved
     | AnswerCame
     | AttemptFailed
+    | HeadCame
+    | EventsCame
+    | RelayEnded
+    | LoadSeen
+    | ServersListed
+    | ServersChanged
+    | NodesListed
+    | ConfigurationSeen
+    | StoreAnswered
+    | Undecodable
+    | ServersOrdered
+    | UsageReported
     | HostsRead
     | ReclaimNoticed
     | LoadReported
--- a/src/teaselbridge/decisions/leases.py
+++ b/src/teaselbridge/decisions/leases.py
@@ -36,6 +36,7 @@
 CANDIDATES = 2
 ORDER_WAY_MS = 2_000
 MARGIN_MS = ORDER_WAY_MS + 500
+DUTIES = 'duties'
 
 
 class Phase(enum.Enum):
@@ -52,6 +53,22 @@
 HOLDING = frozenset({Phase.HELD, Phase.KEEPING})
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Times:
+    """Times of a lease, in milliseconds.
+
+    :param ttl_ms: how long it lasts.
+    :param renew_ms: how often it is renewed.
+    :param margin_ms: longest way of an order, with a little more.
+    :param look_ms: how often the others look whether it is free.
+    """
+
+    ttl_ms: int = TTL_MS
+    renew_ms: int = RENEW_MS
+    margin_ms: int = MARGIN_MS
+    look_ms: int = LOOK_MS
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Holder:
     """Content of a lease's key.
@@ -111,11 +128,18 @@
         return lease if now.mono < lease.until else None
 
 
+def held(
+    state: states.State, subject: str, now: clock.Instant
+) -> Lease | None:
+    """Give a lease if this node may act on it now."""
+    return state.leases.held(subject, now)
+
+
 def tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
     """Take, renew and give up leases, as far as due."""
     out: list[effects.Effect] = []
-    for pool in state.index.pools:
-        lease = state.leases.get(pool.name)
+    for subject in _subjects(state):
+        lease = state.leases.get(subject)
         if lease.phase in HOLDING:
             out += _renew(state, lease, now)
         elif lease.phase is Phase.IDLE and lease.due <= now.mono:
@@ -147,8 +171,8 @@
     found = msgspec.json.decode(event.value, type=Holder)
     lease.holder = found.node
     if lease.token and found.token == lease.token:
-        return _hold(lease, event.revision, now)
-    return _rest(lease, now)
+        return _hold(state, lease, event.revision, now)
+    return _rest(state, lease, now)
 
 
 def granted(
@@ -181,9 +205,9 @@
     if lease is None or lease.phase is not Phase.CREATING:
         return []
     if not event.swapped:
-        return _rest(lease, now)
+        return _rest(state, lease, now)
     lease.holder = state.options.me.name
-    return _hold(lease, event.revision, now)
+    return _hold(state, lease, event.revision, now)
 
 
 def kept(
@@ -194,10 +218,10 @@
     if lease is None or lease.phase is not Phase.KEEPING:
         return []
     if not event.stands:
-        return _lose(lease, 'it had lapsed', now)
+        return _lose(state, lease, 'it had lapsed', now)
     lease.phase = Phase.HELD
-    lease.until = lease.sent + TTL_MS - MARGIN_MS
-    lease.due = lease.sent + RENEW_MS
+    lease.until = lease.sent + _usable_ms(state)
+    lease.due = lease.sent + state.options.lease.renew_ms
     return []
 
 
@@ -229,11 +253,18 @@
     return state.options.me.name in candidates(state, pool)
 
 
+def _subjects(state: states.State) -> list[str]:
+    """List what this node may take leases of: each pool, or all duties."""
+    if state.options.bounds is None:
+        return [pool.name for pool in state.index.pools]
+    return [DUTIES] if state.options.bounds.duties else []
+
+
 def _look(
     state: states.State, lease: Lease, now: clock.Instant
 ) -> list[effects.Effect]:
     if state.drain is not None or not is_candidate(state, lease.pool):
-        return _rest(lease, now)
+        return _rest(state, lease, now)
     lease.phase = Phase.READING
     ticket = tickets.LeaseTicket(lease.pool)
     return [effects.ReadKey(ticket, key_of(lease.pool))]
@@ -248,14 +279,14 @@
     lease.phase = Phase.GRANTING
     lease.sent = now.mono
     ticket = tickets.LeaseTicket(lease.pool)
-    return [effects.GrantLease(ticket, TTL_MS)]
+    return [effects.GrantLease(ticket, state.options.lease.ttl_ms)]
 
 
 def _renew(
     state: states.State, lease: Lease, now: clock.Instant
 ) -> list[effects.Effect]:
     if now.mono >= lease.until:
-        return _lose(lease, 'it could not be renewed in time', now)
+        return _lose(state, lease, 'it could not be renewed in time', now)
     if lease.phase is Phase.KEEPING or lease.due > now.mono:
         return []
     lease.phase = Phase.KEEPING
@@ -265,13 +296,13 @@
 
 
 def _hold(
-    lease: Lease, revision: int, now: clock.Instant
+    state: states.State, lease: Lease, revision: int, now: clock.Instant
 ) -> list[effects.Effect]:
     lease.phase = Phase.HELD
-    lease.orders_from = now.mono + TTL_MS
+    lease.orders_from = now.mono + state.options.lease.ttl_ms
     lease.fence = revision
-    lease.until = lease.sent + TTL_MS - MARGIN_MS
-    lease.due = lease.sent + RENEW_MS
+    lease.until = lease.sent + _usable_ms(state)
+    lease.due = lease.sent + state.options.lease.renew_ms
     return [
         effects.Record(
             mark=effects.Mark.LEASE_TAKEN,
@@ -282,11 +313,11 @@
 
 
 def _lose(
-    lease: Lease, cause: str, now: clock.Instant
+    state: states.State, lease: Lease, cause: str, now: clock.Instant
 ) -> list[effects.Effect]:
     lease.until = 0
     lease.token = ''
-    _rest(lease, now)
+    _rest(state, lease, now)
     return [
         effects.Record(
             mark=effects.Mark.LEASE_LOST, pool=lease.pool, detail=cause
@@ -294,12 +325,19 @@
     ]
 
 
-def _rest(lease: Lease, now: clock.Instant) -> list[effects.Effect]:
+def _rest(
+    state: states.State, lease: Lease, now: clock.Instant
+) -> list[effects.Effect]:
     lease.phase = Phase.IDLE
-    lease.due = now.mono + LOOK_MS
+    lease.due = now.mono + state.options.lease.look_ms
     return []
 
 
+def _usable_ms(state: states.State) -> int:
+    times = state.options.lease
+    return times.ttl_ms - times.margin_ms
+
+
 def _find(state: states.State, ticket: tickets.Ticket) -> Lease | None:
     if isinstance(ticket, tickets.LeaseTicket):
         return state.leases.get(ticket.pool)
--- a/src/teaselbridge/decisions/membership.py
+++ b/src/teaselbridge/decisions/membership.py
@@ -13,6 +13,7 @@
 
 from teaselbridge.decisions import configuration
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import freshness
 from teaselbridge.decisions import gossip
 from teaselbridge.decisions import members
 from teaselbridge.peers import messages
@@ -78,7 +79,7 @@
     match message:
         case messages.Ping():
             out = gossip.merge(state, message.gossip, message.reply_to, now)
-            return out + _acknowledge(state, message)
+            return out + _acknowledge(state, message, now)
         case messages.Ack():
             return _acknowledged(state, message, now)
         case messages.PingFor():
@@ -240,12 +241,13 @@
 
 
 def _acknowledge(
-    state: states.State, message: messages.Ping
+    state: states.State, message: messages.Ping, now: clock.Instant
 ) -> list[effects.Effect]:
     ack = messages.Ack(
         sequence=message.sequence,
         member=state.membership.me.name,
         gossip=gossip.collect(state, None),
+        confirmed_ms=freshness.confirmed_ms(state, now),
     )
     return [effects.SendPeer(message.reply_to, ack)]
 
@@ -259,7 +261,9 @@
         peer.heard = now.mono
     address = '' if peer is None else peer.member.peers
     out = gossip.merge(state, message.gossip, address, now)
-    ship.probes.pop(message.sequence, None)
+    probe = ship.probes.pop(message.sequence, None)
+    if probe is not None:
+        freshness.relay(state, message, probe.sent)
     relay = ship.relays.pop(message.sequence, None)
     if relay is not None:
         ack = messages.Ack(
--- a/src/teaselbridge/decisions/poison.py
+++ b/src/teaselbridge/decisions/poison.py
@@ -24,6 +24,8 @@
 KEEP_MS = 600_000
 WAVE_MS = 2_000
 WAVE_HOSTS = 3
+# A crashed server's entry lapses after three heartbeats of its silence.
+CONFIRM_MS = 6_000
 
 
 class Poison:
@@ -32,6 +34,7 @@
     def __init__(self) -> None:
         self._crashes: dict[str, messages.Crashes] = {}
         self._deaths: collections.deque[_Death] = collections.deque()
+        self._broken: collections.deque[_Broken] = collections.deque()
 
     @property
     def crashes(self) -> tuple[messages.Crashes, ...]:
@@ -75,6 +78,16 @@
         )
         return True
 
+    def note_broken(self, host: str, call: calls.Call, mono: int) -> None:
+        """Note that a server broke off a request: it may have crashed."""
+        self._broken.append(_Broken(host, mono, call))
+
+    def take_broken(self, host: str, mono: int) -> list[calls.Call]:
+        """Give the requests that a server broke off not long ago."""
+        while self._broken and mono - self._broken[0].mono > CONFIRM_MS:
+            self._broken.popleft()
+        return [item.call for item in self._broken if item.host == host]
+
     def expire(self, wall: int) -> None:
         """Forget what is old.
 
@@ -102,6 +115,36 @@
     mono: int
 
 
+class _Broken(typing.NamedTuple):
+    host: str
+    mono: int
+    call: calls.Call
+
+
+def suspect(
+    state: states.State,
+    call: calls.Call,
+    server: servers.Server,
+    now: clock.Instant,
+) -> None:
+    """A server broke a relayed request off, which has many causes.
+
+    It counts as a crash only if the server is found to be gone.
+    """
+    if call.fingerprint and not server.leaving:
+        state.poison.note_broken(server.host, call, now.mono)
+
+
+def confirm(
+    state: states.State, server: servers.Server, now: clock.Instant
+) -> list[effects.Effect]:
+    """A server is gone: what it broke off just before may be the cause."""
+    out: list[effects.Effect] = []
+    for call in state.poison.take_broken(server.host, now.mono):
+        out += crash(state, call, server, now)
+    return out
+
+
 def crash(
     state: states.State,
     call: calls.Call,
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -13,15 +13,20 @@
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions import knowledge
 from teaselbridge.decisions import leases
+from teaselbridge.decisions import loads
 from teaselbridge.decisions import membership
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import prompts
+from teaselbridge.decisions import relays
 from teaselbridge.decisions import reports
 from teaselbridge.decisions import requests
+from teaselbridge.decisions import scaling
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import steps
 from teaselbridge.decisions import tickets
+from teaselbridge.decisions import usage
 from teaselbridge.peers import messages
 
 if typing.TYPE_CHECKING:
@@ -79,6 +84,8 @@
     match event:
         case events.TokenCame():
             return attempts.token(state, event, now)
+        case events.EventsCame() | events.HeadCame() | events.RelayEnded():
+            return attempts.relay(state, event, now)
         case events.Ticked():
             return _tick(state, now)
         case events.Woke():
@@ -129,29 +136,79 @@
             return [prompts.count(event)]
         case events.DrainAsked():
             return drain.ask(state, event, now)
+        case _:
+            return _reduce_site(state, event, now)
+
+
+def _reduce_site(
+    state: states.State, event: events.Event, now: clock.Instant
+) -> list[effects.Effect]:
+    """Take in what the users' platform told."""
+    match event:
+        case events.LoadSeen():
+            return relays.load_seen(state, event, now)
+        case events.ConfigurationSeen():
+            return knowledge.seen(state, event, now)
+        case events.ServersListed():
+            return knowledge.listed(state, event, now)
+        case events.ServersChanged():
+            return knowledge.changed(state, event, now)
+        case events.NodesListed():
+            return knowledge.nodes(state, event, now)
+        case events.StoreAnswered():
+            return knowledge.heard(state, event, now)
+        case events.Undecodable():
+            return knowledge.reject(state, event)
+        case events.ServersOrdered():
+            return scaling.ordered(state, event, now)
+        case events.UsageReported():
+            return usage.reported(state, event, now)
     return []
 
 
 def _tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
     out = membership.tick(state, now)
-    out += servers.ask_loads(state, now)
-    out += orders.settle(state, state.ledger.tick(now), now)
-    out += changes.tick(state, now)
-    out += leases.tick(state, now)
-    out += steps.tick(state, now)
-    out += reports.tick(state, now)
-    out += capacity.tick(state, now)
+    if state.options.bounds is None:
+        out += _tick_standalone(state, now)
+    else:
+        out += _tick_site(state, now)
     state.poison.expire(now.wall)
     for request in list(state.requests.values()):
         out += attempts.tick(state, request, now)
         if request.handle in state.requests:
             out += dispatch.give_up_hopeless(state, request, now)
-        if request.is_order and request.handle in state.requests:
+        if request.has_claim and request.handle in state.requests:
             out += orders.tick(state, request, now)
     out += drain.tick(state, now)
     return out
 
 
+def _tick_site(
+    state: states.State, now: clock.Instant
+) -> list[effects.Effect]:
+    """Do what is due on the users' platform."""
+    out = knowledge.tick(state, now)
+    out += leases.tick(state, now)
+    out += loads.tick(state, now)
+    out += usage.tick(state, now)
+    out += scaling.tick(state, now)
+    return out
+
+
+def _tick_standalone(
+    state: states.State, now: clock.Instant
+) -> list[effects.Effect]:
+    """Do what is due on the project's own stand-ins."""
+    out = servers.ask_loads(state, now)
+    out += orders.settle(state, state.ledger.tick(now), now)
+    out += changes.tick(state, now)
+    out += leases.tick(state, now)
+    out += steps.tick(state, now)
+    out += reports.tick(state, now)
+    out += capacity.tick(state, now)
+    return out
+
+
 def _settle(
     state: states.State,
     event: events.KeyRead | events.KeySwapped | events.KeyFailed,
@@ -167,6 +224,8 @@
             return out + _dispatch(leases, state, event, now)
         case tickets.MoveTicket():
             return out + _dispatch(steps, state, event, now)
+        case tickets.UsageTicket():
+            return out + _dispatch(usage, state, event, now)
     if isinstance(event, events.KeyRead):
         out += configuration.read(state, event, now)
     return out
@@ -232,6 +291,8 @@
             return configuration.adopt(state, found, event.sender, now)
         case messages.ConfigurationChanged() as message:
             return configuration.change(state, message, event.sender, now)
+        case messages.Loads() as message:
+            return loads.hear(state, message, now)
         case messages.Scores() as message:
             return reports.hear(state, message, now)
         case messages.LedgerAsked() as message:
--- /dev/null
+++ b/src/teaselbridge/decisions/relays.py
@@ -0,0 +1,569 @@
+"""Relayed requests: progress and failure of their attempts.
+
+Each sending of a caller has an id of its own, so what may be repeated
+follows from the route alone: idempotent work, and streams that another
+server can go on with. All else is sent again only if no server ran it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import freshness
+from teaselbridge.decisions import placement
+from teaselbridge.decisions import poison
+from teaselbridge.decisions import prefill
+from teaselbridge.decisions import rates
+from teaselbridge.decisions import requests
+from teaselbridge.decisions import servers
+from teaselbridge.decisions import usage
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import state as states
+    from teaselbridge.tables import model
+
+# A repeat with less time than this part of the goal helps nobody.
+LEAST_GOAL_PARTS = 8
+LEAST_MS = 20
+# How often a request that no server ran may be sent on.
+REFUSALS_MOST = 4
+REFUSED_WAIT_MS = 15
+RETRY_AFTER_LEAST_MS = 150
+RETRY_AFTER_SPREAD_MS = 350
+# Silence before the first byte: so many times what was predicted, and at
+# least this part of the goal.
+SILENT_FACTOR = 4.0
+SILENT_LEAST_MS = 150
+SILENT_GOAL = 0.5
+FAILING_SMOOTHING = 0.15
+# Pauses of a stream: at a server that sends nothing else either, and at
+# one that does. Callers leave after two seconds or more.
+GAP_SILENT_MS = 600
+GAP_MOST_MS = 1_600
+# Load headers may lower the room of a server for so long.
+FULL_MS = 100
+
+
+def pick_route(
+    route: model.Route, workspace: model.Workspace | None, request: str
+) -> model.Route:
+    """Choose a route's pool by weight, and its priority by workspace.
+
+    :param request: id of the request, which decides between pools.
+    """
+    priority = route.priority
+    if workspace is not None and workspace.priority is not None:
+        priority = workspace.priority
+    pool = route.pool
+    total = sum(item.weight for item in route.shares)
+    if total:
+        point = placement.hash_of('pool', request) % total
+        for item in route.shares:
+            point -= item.weight
+            if point < 0:
+                pool = item.pool
+                break
+    if pool == route.pool and priority == route.priority:
+        return route
+    return dataclasses.replace(route, pool=pool, priority=priority)
+
+
+def check(
+    state: states.State, call: calls.Call, now: clock.Instant
+) -> calls.Refusal | None:
+    """Tell why a new request cannot be accepted."""
+    if call.deadline - now.mono < least_ms(call):
+        return _refusal(state, calls.Reason.TOO_LATE, 'no time is left')
+    if state.poison.is_refused(call.fingerprint, now.wall):
+        detail = 'backend servers died running the same body'
+        return calls.Refusal(calls.Reason.POISON, calls.Ran.NO, detail)
+    wait = rates.check(state, call, now)
+    if wait:
+        detail = 'the workspace asks for more than its rate'
+        return calls.Refusal(
+            calls.Reason.RATE_LIMIT, calls.Ran.NO, detail, wait
+        )
+    return None
+
+
+def check_again(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> calls.Refusal | None:
+    """Check a waiting request against what is known by now.
+
+    :return: why it may not be sent on; none where it may.
+    """
+    call = request.call
+    if request.remaining(now) < least_ms(call):
+        return _unserved(
+            state, request, calls.Reason.TOO_LATE, 'no server had room'
+        )
+    if not call.credential:
+        return None
+    if not freshness.is_fresh(state, now):
+        return _unserved(
+            state, request, calls.Reason.STALE, 'keys are not confirmed'
+        )
+    workspace = state.index.workspace_of_key(call.credential)
+    if workspace is None or workspace.name != call.key.workspace:
+        detail = 'the key was taken away'
+        return _unserved(state, request, calls.Reason.BAD_KEY, detail)
+    return None
+
+
+def _unserved(
+    state: states.State,
+    request: requests.Request,
+    reason: calls.Reason,
+    detail: str,
+) -> calls.Refusal:
+    """Refuse a request that waits, which an attempt may have run before."""
+    if request.maybe_ran:
+        return calls.Refusal(
+            calls.Reason.SERVER_FAILED, calls.Ran.UNKNOWN, detail
+        )
+    if reason is calls.Reason.BAD_KEY:
+        return calls.Refusal(reason, calls.Ran.NO, detail)
+    return _refusal(state, reason, detail)
+
+
+def least_ms(call: calls.Call) -> int:
+    """Give the time below which no server can do anything."""
+    return max(LEAST_MS, call.route.goal_ms // LEAST_GOAL_PARTS)
+
+
+def start(
+    state: states.State,
+    request: requests.Request,
+    server: servers.Server,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Send a request on to a server."""
+    call = request.call
+    unread = prefill.unread(state, server, call, now)
+    request.unread = unread
+    server.prefill += unread
+    for part in call.parts:
+        state.loads.give(server.host, part.id, now)
+    request.silent_ms = _silent_limit(state, request, server)
+    pool = state.index.pool(call.route.pool)
+    ranked = pool is not None and pool.engine is not None
+    last = call.last_event
+    if request.last_event is not None:
+        last = str(request.last_event)
+    load = server.inflight + server.others
+    backlog = server.prefill + server.others_prefill
+    detail = (
+        f'attempt {request.attempt} at {server.row.instance},'
+        f' {load} under way, {backlog} tokens unread, {unread} of it;'
+        f' failing {server.failing:.2f}'
+    )
+    return [
+        requests.record(request, effects.Mark.ATTEMPT, detail),
+        effects.RelayAttempt(
+            call=call,
+            attempt=request.attempt,
+            address=server.row.address,
+            instance=server.row.instance,
+            remaining_ms=max(1, request.remaining(now)),
+            last_event=last,
+            urgency=min(9, call.route.priority) if ranked else None,
+            fresh=request.is_order,
+        ),
+    ]
+
+
+def read_in(state: states.State, request: requests.Request) -> None:
+    """Count a request's prompt out of its server's backlog."""
+    server = state.servers.get(request.host)
+    if server is not None:
+        server.prefill = max(0, server.prefill - request.unread)
+    request.unread = 0
+
+
+def head(
+    state: states.State,
+    request: requests.Request,
+    event: events.HeadCame,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """A stream began."""
+    _heard(state, request, now)
+    span = now.mono - request.started
+    state.speed.learn(request.call.route.pool, request.unread, span)
+    state.pace.first(request.call.route.name, span)
+    read_in(state, request)
+    _began(state, request, now)
+    request.progressed = now.mono
+    request.first = False
+    if request.streaming:
+        return []
+    request.streaming = True
+    return [effects.SendHead(request.outlet, event.head)]
+
+
+def events_came(
+    state: states.State,
+    request: requests.Request,
+    event: events.EventsCame,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Whole events of a stream came: pass them on in their order."""
+    _heard(state, request, now)
+    request.progressed = now.mono
+    if event.last is not None:
+        known = request.last_event
+        if known is not None and event.last <= known:
+            fault = calls.Fault(
+                calls.FaultKind.INVALID,
+                calls.Ran.UNKNOWN,
+                f'event {event.last} after {known}',
+            )
+            out = requests.release(state, request)
+            return out + fail(state, request, fault, None, now)
+        request.last_event = event.last
+    return [
+        effects.Count(effects.Counter.EVENTS, request.call.route.name),
+        effects.SendEvents(request.outlet, event.data),
+    ]
+
+
+def ended(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """A stream ended whole."""
+    out = _succeed(state, request)
+    out += _answered(state, request, 'stream', now)
+    out.append(effects.SendFinish(request.outlet, True))
+    return out + requests.drop(state, request)
+
+
+def answer(
+    state: states.State,
+    request: requests.Request,
+    found: calls.Answer,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """A whole answer came; one that tells of a failure may be repeated."""
+    _began(state, request, now)
+    if found.status >= 500:
+        fault = calls.Fault(
+            calls.FaultKind.ERROR,
+            calls.Ran.UNKNOWN,
+            f'status {found.status}',
+        )
+        return fail(state, request, fault, found, now)
+    state.pace.answer(request.call.route.name, now.mono - request.started)
+    out = _succeed(state, request)
+    return out + _deliver(state, request, found, now)
+
+
+def fail(
+    state: states.State,
+    request: requests.Request,
+    fault: calls.Fault,
+    answered: calls.Answer | None,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """An attempt failed: try again where that is allowed, or say so.
+
+    :param answered: the server's own answer, where it gave one.
+    """
+    out = _blame(state, request, fault, now)
+    read_in(state, request)
+    requests.leave_server(state, request)
+    if fault.ran is calls.Ran.UNKNOWN:
+        request.runs += 1
+        request.maybe_ran = True
+    request.in_doubt = request.maybe_ran
+    if _may_repeat(state, request, fault, now):
+        out.append(effects.Count(effects.Counter.RETRIES, fault.kind.value))
+        return out + _again(state, request, fault, now)
+    if request.streaming:
+        out += _answered(state, request, f'broken: {fault.detail}', now)
+        out.append(effects.SendFinish(request.outlet, False))
+        return out + requests.drop(state, request)
+    if answered is not None:
+        return out + _deliver(state, request, answered, now)
+    return out + give_up(state, request, fault.detail)
+
+
+def give_up(
+    state: states.State, request: requests.Request, detail: str
+) -> list[effects.Effect]:
+    """Refuse a request, or break its stream off."""
+    if request.streaming:
+        out = requests.drop(state, request)
+        out.append(
+            requests.record(
+                request, effects.Mark.REFUSED, f'broken off: {detail}'
+            )
+        )
+        return [*out, effects.SendFinish(request.outlet, False)]
+    if request.maybe_ran or request.phase is requests.Phase.RUNNING:
+        refusal = calls.Refusal(
+            calls.Reason.SERVER_FAILED, calls.Ran.UNKNOWN, detail
+        )
+    else:
+        refusal = _refusal(state, calls.Reason.NO_SERVER, detail)
+    return requests.refuse(state, request, refusal)
+
+
+def load_seen(
+    state: states.State, event: events.LoadSeen, now: clock.Instant
+) -> list[effects.Effect]:
+    """A server told its load along with an answer."""
+    server = state.servers.at(event.address)
+    if server is not None:
+        server.heard = now.mono
+        server.slots = max(1, event.slots)
+    return []
+
+
+def tick(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Keep the time limits of a request."""
+    if request.remaining(now) <= 0:
+        return _time_out(state, request, now)
+    if request.phase is requests.Phase.BACKOFF:
+        if request.due <= now.mono:
+            requests.enqueue(state, request)
+        return []
+    if request.phase is requests.Phase.QUEUED:
+        if request.remaining(now) < least_ms(request.call):
+            detail = 'no server had room in time'
+            return give_up(state, request, detail)
+        return []
+    return _check_silence(state, request, now)
+
+
+def _check_silence(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Move repeatable work away from a server that says nothing."""
+    if request.phase is not requests.Phase.RUNNING:
+        return []
+    if not request.call.route.idempotent:
+        return []
+    waited = now.mono - request.progressed
+    limit = request.silent_ms
+    if not request.first:
+        limit = _gap_limit(state, request, now)
+    if waited < limit:
+        return []
+    fault = calls.Fault(
+        calls.FaultKind.SILENT,
+        calls.Ran.UNKNOWN,
+        f'nothing within {waited} ms',
+    )
+    if not _has_other(state, request, now):
+        return []
+    if not _may_repeat(state, request, fault, now, spend=False):
+        return []
+    cancel = effects.CancelAttempt(request.handle, request.attempt)
+    return [cancel, *fail(state, request, fault, None, now)]
+
+
+def _gap_limit(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> int:
+    """Give the longest pause between two events of a stream.
+
+    A server that still sends events of other streams only lets this one
+    wait; one that sends nothing at all is gone or cut off.
+    """
+    server = state.servers.get(request.host)
+    if server is None or now.mono - server.heard < GAP_SILENT_MS:
+        return GAP_MOST_MS
+    return GAP_SILENT_MS
+
+
+def _has_other(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> bool:
+    return any(
+        server.host not in request.tried
+        for server in state.servers.usable(request.call.route.pool, now)
+    )
+
+
+def _time_out(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    running = request.phase is requests.Phase.RUNNING
+    if request.streaming or not (running or request.maybe_ran):
+        return give_up(state, request, 'its time is over')
+    refusal = calls.Refusal(
+        calls.Reason.TIMEOUT, calls.Ran.UNKNOWN, 'its time is over'
+    )
+    return requests.refuse(state, request, refusal)
+
+
+def _may_repeat(
+    state: states.State,
+    request: requests.Request,
+    fault: calls.Fault,
+    now: clock.Instant,
+    *,
+    spend: bool = True,
+) -> bool:
+    call = request.call
+    if request.remaining(now) < least_ms(call) or not request.attached:
+        return False
+    if state.poison.is_refused(call.fingerprint, now.wall):
+        return False
+    if fault.ran is calls.Ran.NO:
+        if request.refusals >= REFUSALS_MOST:
+            return False
+    elif not call.route.idempotent or request.runs >= call.route.attempts:
+        return False
+    if fault.kind is calls.FaultKind.CONNECT:
+        return True
+    if not spend:
+        return state.budgets.has(call.route)
+    return state.budgets.spend(call.route)
+
+
+def _again(
+    state: states.State,
+    request: requests.Request,
+    fault: calls.Fault,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    if fault.ran is calls.Ran.NO:
+        request.refusals += 1
+    wait = 0
+    if fault.kind is calls.FaultKind.BUSY:
+        wait = REFUSED_WAIT_MS * request.refusals
+    request.due = now.mono + wait
+    if not wait:
+        requests.enqueue(state, request)
+    return []
+
+
+def _blame(
+    state: states.State,
+    request: requests.Request,
+    fault: calls.Fault,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    out: list[effects.Effect] = [
+        effects.Count(effects.Counter.FAULTS, fault.kind.value),
+        requests.record(
+            request,
+            effects.Mark.FAULT,
+            f'{fault.kind.value}, ran {fault.ran.value}: {fault.detail}',
+        ),
+    ]
+    server = state.servers.get(request.host)
+    if server is None:
+        return out
+    if fault.kind is calls.FaultKind.BUSY:
+        server.full_until = now.mono + FULL_MS
+        return out
+    if fault.kind is calls.FaultKind.MISDIRECTED:
+        out += servers.leave(state, server.host, 'address reused', now)
+        return out
+    server.failing += FAILING_SMOOTHING * (1 - server.failing)
+    if fault.kind is calls.FaultKind.SILENT:
+        out.append(effects.DropConnections(server.row.address))
+    if fault.kind in (calls.FaultKind.RESET, calls.FaultKind.CUT):
+        poison.suspect(state, request.call, server, now)
+    if fault.kind is calls.FaultKind.ERROR:
+        return out
+    return out + servers.fail(server, fault.kind.value, now)
+
+
+def _heard(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> None:
+    server = state.servers.get(request.host)
+    if server is not None:
+        server.heard = now.mono
+
+
+def _succeed(
+    state: states.State, request: requests.Request
+) -> list[effects.Effect]:
+    server = state.servers.get(request.host)
+    read_in(state, request)
+    requests.leave_server(state, request)
+    if server is None:
+        return []
+    server.failing -= FAILING_SMOOTHING * server.failing
+    return servers.succeed(server)
+
+
+def _began(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> None:
+    """Count a request once, when the first server began to run it.
+
+    A plain service begins at once; an engine with its first token.
+    """
+    if request.began:
+        return
+    request.began = True
+    moment = now
+    if not request.call.route.streaming:
+        moment = now.later(request.started - now.mono)
+    usage.begin(state, request.call.key.workspace, moment)
+
+
+def _deliver(
+    state: states.State,
+    request: requests.Request,
+    found: calls.Answer,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    out = _answered(state, request, f'status {found.status}', now)
+    out.append(effects.SendAnswer(request.outlet, found, False))
+    return out + requests.drop(state, request)
+
+
+def _answered(
+    state: states.State,
+    request: requests.Request,
+    detail: str,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    route = request.call.route.name
+    span = now.mono - request.arrived
+    return [
+        effects.Count(effects.Counter.ANSWERED, route),
+        requests.record(
+            request,
+            effects.Mark.ANSWERED,
+            f'{detail}, {request.attempt} attempts, {span} ms',
+        ),
+    ]
+
+
+def _silent_limit(
+    state: states.State, request: requests.Request, server: servers.Server
+) -> int:
+    call = request.call
+    speed = state.speed.of(call.route.pool)
+    expected = (server.prefill + server.others_prefill) / speed
+    if not call.parts:
+        expected = state.pace.answer_ms(call.route.name)
+    least = max(SILENT_LEAST_MS, round(SILENT_GOAL * call.route.goal_ms))
+    if not call.parts:
+        least = max(LEAST_MS, round(SILENT_GOAL * call.route.goal_ms))
+    return max(least, round(SILENT_FACTOR * expected))
+
+
+def _refusal(
+    state: states.State, reason: calls.Reason, detail: str
+) -> calls.Refusal:
+    """Refuse what no server ran; callers come back spread over a while."""
+    wait = RETRY_AFTER_LEAST_MS + state.random.randint(
+        0, RETRY_AFTER_SPREAD_MS
+    )
+    return calls.Refusal(reason, calls.Ran.NO, detail, wait)
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -62,6 +62,14 @@
         self.claimed = False
         self.peer = ''
         self.peers_tried: list[str] = []
+        self.streaming = False
+        self.began = False
+        self.maybe_ran = False
+        self.runs = 0
+        self.refusals = 0
+        self.unread = 0
+        self.silent_ms = 0
+        self.last_event: int | None = None
 
     @property
     def handle(self) -> int:
@@ -73,6 +81,11 @@
         """Whether it may run at most once."""
         return not self.call.route.idempotent
 
+    @property
+    def has_claim(self) -> bool:
+        """Whether its caller may send it again under the same id."""
+        return self.is_order and not self.call.is_relayed
+
     @property
     def is_resumable(self) -> bool:
         """Whether another server can go on where one stopped."""
@@ -172,6 +185,8 @@
     if server is None:
         return
     server.inflight = max(0, server.inflight - 1)
+    server.prefill = max(0, server.prefill - request.unread)
+    request.unread = 0
     if state.poison.is_suspect(request.call.fingerprint):
         server.suspects = max(0, server.suspects - 1)
 
@@ -218,7 +233,7 @@
     if request is None or request.outlet != event.handle:
         return []
     request.attached = False
-    if request.is_order:
+    if request.has_claim:
         return []
     return drop(state, request)
 
--- /dev/null
+++ b/src/teaselbridge/decisions/scaling.py
@@ -0,0 +1,291 @@
+"""How many backend servers are ordered, where, and of which sort.
+
+Load pattern: reclaimable servers cost a fraction, but a whole zone's worth
+goes at a few seconds' notice, and for a while no new ones are to be had.
+They are spread over all zones, so that one loss leaves the others. What is
+missing until they can be had again is filled up with servers that stay,
+which are released once reclaimable ones serve again.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import typing
+
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import leases
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import servers
+    from teaselbridge.decisions import state as states
+    from teaselbridge.tables import model
+
+DUTY = 'scale'
+EVERY_MS = 250
+# After a refusal: the platform has none for many seconds, and asking costs.
+REFUSED_MS = 3_000
+UNANSWERED_MS = 1_000
+# A server that did not come this long after it should have is ordered anew.
+LATE_MS = 2_500
+# On-demand servers are kept until others have served for this long.
+RELEASE_MS = 1_500
+# Reclaimable servers beyond the need, so that the loss of a zone is borne.
+SPARE = 1.34
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """One sort of server of a pool in a zone."""
+
+    pool: str
+    zone: str
+    reclaimable: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _Order:
+    """What was ordered last.
+
+    :param count: how many servers.
+    :param sent: monotonic milliseconds.
+    :param filled: whether as many were there since.
+    """
+
+    count: int
+    sent: int
+    filled: bool = False
+
+
+class Scaling:
+    """Orders of servers; times are monotonic milliseconds."""
+
+    def __init__(self) -> None:
+        self.orders: dict[Place, _Order] = {}
+        self.refused: dict[Place, int] = {}
+        self.first: dict[str, int] = {}
+        self.enough: dict[str, int] = {}
+        self.due = 0
+        self.fence = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Stock:
+    """Servers of a pool that serve or are on their way, by place.
+
+    :param serving: servers that take work.
+    :param coming: servers that were ordered and are not there yet.
+    """
+
+    serving: dict[Place, int]
+    coming: dict[Place, int]
+
+    def total(self, *, reclaimable: bool | None = None) -> int:
+        """Count servers, of one sort or of both."""
+        return sum(
+            count
+            for stock in (self.serving, self.coming)
+            for place, count in stock.items()
+            if reclaimable is None or place.reclaimable is reclaimable
+        )
+
+
+def tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
+    """Order what is missing and release what is too much."""
+    bounds = state.options.bounds
+    scaling = state.scaling
+    if bounds is None or DUTY not in bounds.duties or now.mono < scaling.due:
+        return []
+    scaling.due = now.mono + EVERY_MS
+    for pool in state.index.pools:
+        _note_first(state, pool)
+    lease = leases.held(state, leases.DUTIES, now)
+    if lease is None or lease.orders_from > now.mono:
+        return []
+    if lease.fence != scaling.fence:
+        scaling.fence = lease.fence
+        scaling.orders.clear()
+        scaling.refused.clear()
+    out: list[effects.Effect] = []
+    for pool in state.index.pools:
+        if pool.scaling is not None:
+            out += _order(state, pool, pool.scaling, lease, now)
+    return out
+
+
+def ordered(
+    state: states.State, event: events.ServersOrdered, now: clock.Instant
+) -> list[effects.Effect]:
+    """The platform decided on an order."""
+    scaling = state.scaling
+    place = Place(event.pool, event.zone, event.reclaimable)
+    mark = effects.Mark.SERVERS_ORDERED
+    if not event.accepted:
+        mark = effects.Mark.SERVERS_REFUSED
+        scaling.orders.pop(place, None)
+        wait = UNANSWERED_MS if event.accepted is None else REFUSED_MS
+        scaling.refused[place] = now.mono + wait
+    sort = 'reclaimable' if event.reclaimable else 'on demand'
+    detail = f'{event.count} {sort}, accepted {event.accepted}'
+    return [
+        effects.Record(
+            mark=mark, pool=event.pool, host=event.zone, detail=detail
+        )
+    ]
+
+
+def need(state: states.State, pool: model.Pool) -> int:
+    """Tell how many servers a pool needs to serve in time."""
+    return max(1, state.scaling.first.get(pool.name, 1))
+
+
+def plan(
+    wanted: int,
+    scaling: model.Scaling,
+    stock: Stock,
+    refused: set[Place],
+    pool: str,
+) -> dict[Place, int]:
+    """Decide how many servers of each sort there shall be in each zone.
+
+    :param wanted: servers that are needed to serve in time.
+    :param stock: what there is.
+    :param refused: where none can be had at present.
+    :param pool: name of the pool.
+    """
+    zones = sorted(scaling.prices, key=lambda item: item.price)
+    total = math.ceil(wanted * SPARE)
+    target: dict[Place, int] = {}
+    room: dict[str, int] = {}
+    share = math.ceil(total / max(1, len(zones)))
+    expected = 0
+    for item in zones:
+        place = Place(pool, item.zone, True)
+        target[place] = min(scaling.most, max(scaling.least, share))
+        have = stock.serving.get(place, 0)
+        coming = stock.coming.get(place, 0)
+        room[item.zone] = scaling.most - target[place]
+        if place in refused:
+            room[item.zone] = scaling.most - have
+        expected += have + coming
+    missing = max(0, wanted - expected)
+    for item in zones:
+        place = Place(pool, item.zone, False)
+        target[place] = min(missing, max(0, room[item.zone]))
+        missing -= target[place]
+    return target
+
+
+def _order(
+    state: states.State,
+    pool: model.Pool,
+    limits: model.Scaling,
+    lease: leases.Lease,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    scaling = state.scaling
+    stock = _stock(state, pool, limits, now)
+    refused = {
+        place
+        for place, until in scaling.refused.items()
+        if until > now.mono and place.pool == pool.name
+    }
+    wanted = need(state, pool)
+    target = plan(wanted, limits, stock, refused, pool.name)
+    settled = _is_settled(state, pool, stock, wanted, now)
+    out: list[effects.Effect] = []
+    for place, count in target.items():
+        have = stock.serving.get(place, 0)
+        if not place.reclaimable and count < have and not settled:
+            continue
+        if place in refused or not _is_due(
+            scaling.orders.get(place), count, have, limits, now
+        ):
+            continue
+        scaling.orders[place] = _Order(count, now.mono, have >= count)
+        out.append(
+            effects.OrderServers(
+                pool=pool.name,
+                zone=place.zone,
+                reclaimable=place.reclaimable,
+                count=count,
+                fence=lease.fence,
+                until=lease.until,
+            )
+        )
+    return out
+
+
+def _is_due(
+    order: _Order | None,
+    count: int,
+    have: int,
+    limits: model.Scaling,
+    now: clock.Instant,
+) -> bool:
+    """Tell whether an order must be sent."""
+    if order is None:
+        return count != have
+    if order.count != count:
+        return True
+    if have >= count:
+        order.filled = True
+        return False
+    if order.filled:
+        return True
+    return now.mono - order.sent > limits.boot_ms + LATE_MS
+
+
+def _is_settled(
+    state: states.State,
+    pool: model.Pool,
+    stock: Stock,
+    wanted: int,
+    now: clock.Instant,
+) -> bool:
+    """Tell whether reclaimable servers alone have sufficed for a while."""
+    enough = state.scaling.enough
+    serving = sum(
+        count for place, count in stock.serving.items() if place.reclaimable
+    )
+    if serving < wanted:
+        enough.pop(pool.name, None)
+        return False
+    since = enough.setdefault(pool.name, now.mono)
+    return now.mono - since >= RELEASE_MS
+
+
+def _stock(
+    state: states.State,
+    pool: model.Pool,
+    limits: model.Scaling,
+    now: clock.Instant,
+) -> Stock:
+    serving: dict[Place, int] = {}
+    for server in state.servers.in_pool(pool.name):
+        if not server.leaving:
+            place = _place_of(server)
+            serving[place] = serving.get(place, 0) + 1
+    coming: dict[Place, int] = {}
+    for place, order in state.scaling.orders.items():
+        late = now.mono - order.sent > limits.boot_ms + LATE_MS
+        if place.pool != pool.name or late or order.filled:
+            continue
+        coming[place] = max(0, order.count - serving.get(place, 0))
+    return Stock(serving=serving, coming=coming)
+
+
+def _place_of(server: servers.Server) -> Place:
+    row = server.row
+    return Place(row.pool, row.zone, row.reclaimable)
+
+
+def _note_first(state: states.State, pool: model.Pool) -> None:
+    """Remember how many servers the operators started with."""
+    if pool.scaling is None:
+        return
+    known = len(state.servers.in_pool(pool.name))
+    first = state.scaling.first
+    first[pool.name] = max(first.get(pool.name, 0), min(known, 8))
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -47,6 +47,12 @@
     :param leaving: whether it takes no new work.
     :param gone_at: monotonic milliseconds at which it is taken back, 0 for
         unknown.
+    :param prefill: prompt tokens of this node's requests that it has not
+        read yet.
+    :param others_prefill: the same of the other nodes.
+    :param failing: smoothed share of attempts at it that failed.
+    :param full_until: monotonic milliseconds; it said that it was full.
+    :param heard: monotonic milliseconds of its last sign of life.
     """
 
     row: events.HostRow
@@ -63,6 +69,11 @@
     ejected_until: int = 0
     leaving: bool = False
     gone_at: int = 0
+    prefill: int = 0
+    others_prefill: int = 0
+    failing: float = 0.0
+    full_until: int = 0
+    heard: int = 0
 
     @property
     def host(self) -> str:
@@ -124,8 +135,16 @@
             if not server.leaving
             and server.version
             and server.ejected_until <= now.mono
+            and server.full_until <= now.mono
         ]
 
+    def at(self, address: str) -> Server | None:
+        """Find the server at an address."""
+        for server in self._by_host.values():
+            if server.row.address == address:
+                return server
+        return None
+
     def add(
         self, row: events.HostRow, version: str, now: clock.Instant
     ) -> Server:
@@ -134,6 +153,7 @@
         :param version: version that it surely runs, empty for unknown.
         """
         server = Server(row=row, version=version, since=now.mono)
+        server.slots = row.slots or DEFAULT_SLOTS
         server.leaving = row.host in self._leaving
         self._by_host[row.host] = server
         self._by_pool.setdefault(row.pool, []).append(server)
@@ -196,6 +216,9 @@
             out.append(_record(effects.Mark.SERVER_SEEN, server, row.version))
         if row.state is events.HostState.LEAVING:
             out += leave(state, row.host, 'host list', now)
+            left = state.servers.get(row.host)
+            if row.left_ms and left is not None and not left.gone_at:
+                left.gone_at = now.mono + row.left_ms
     state.servers.forget_old(now)
     return out
 
@@ -207,8 +230,8 @@
     so only its first report tells.
     """
     pool = state.index.pool(row.pool)
-    if pool is not None and pool.kind is model.Kind.SERVICE:
-        return row.version
+    if pool is None or pool.kind is not model.Kind.ENGINE:
+        return row.version if state.options.bounds or pool else ''
     return ''
 
 
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -9,19 +9,27 @@
 from teaselbridge.decisions import admission
 from teaselbridge.decisions import capacity
 from teaselbridge.decisions import changes
+from teaselbridge.decisions import freshness
+from teaselbridge.decisions import knowledge
 from teaselbridge.decisions import leases
 from teaselbridge.decisions import ledger
+from teaselbridge.decisions import loads
 from teaselbridge.decisions import members
 from teaselbridge.decisions import moves
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import poison
+from teaselbridge.decisions import prefill
 from teaselbridge.decisions import prompts
+from teaselbridge.decisions import rates
 from teaselbridge.decisions import retry
+from teaselbridge.decisions import scaling
 from teaselbridge.decisions import servers
+from teaselbridge.decisions import usage
 from teaselbridge.tables import join
 from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
+    from teaselbridge.decisions import bounds as bounds_module
     from teaselbridge.decisions import calls
     from teaselbridge.decisions import drain
     from teaselbridge.decisions import requests
@@ -38,6 +46,9 @@
     :param address_ttl_ms: how long callers keep the address list.
     :param seed: seed of the random generator.
     :param policy: how a backend server is chosen.
+    :param lease: times of leases.
+    :param bounds: what the users' platform demands, none where the node
+        runs on the project's own stand-ins.
     """
 
     me: messages.Member
@@ -46,6 +57,8 @@
     address_ttl_ms: int = 2_000
     seed: int = 0
     policy: placement.Policy = placement.prefix_aware
+    lease: leases.Times = leases.Times()
+    bounds: bounds_module.Bounds | None = None
 
 
 class State:
@@ -69,7 +82,7 @@
         self.servers = servers.Servers()
         self.rotation = placement.Rotation()
         self.prompts = prompts.Prompts()
-        self.budgets = retry.Budgets()
+        self.budgets = retry.Budgets(bounds=options.bounds)
         self.poison = poison.Poison()
         self.ledger = ledger.Ledger()
         self.membership = members.Membership(me=options.me)
@@ -77,6 +90,13 @@
         self.leases = leases.Leases()
         self.moves = moves.Moves()
         self.capacity = capacity.Capacity()
+        self.freshness = freshness.Freshness()
+        self.knowledge = knowledge.Knowledge()
+        self.loads = loads.Loads()
+        self.speed = prefill.Speed()
+        self.rates = rates.Rates()
+        self.usage = usage.Usage()
+        self.scaling = scaling.Scaling()
         self.configured = False
         self.keyvalue_heard = 0
         self.keyvalue_up = True
--- a/src/teaselbridge/decisions/tickets.py
+++ b/src/teaselbridge/decisions/tickets.py
@@ -50,4 +50,16 @@
     pool: str
 
 
-Ticket = BucketTicket | WatchTicket | ApplyTicket | LeaseTicket | MoveTicket
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageTicket:
+    """A read or write of the record of the last usage report."""
+
+
+Ticket = (
+    BucketTicket
+    | WatchTicket
+    | ApplyTicket
+    | LeaseTicket
+    | MoveTicket
+    | UsageTicket
+)
--- /dev/null
+++ b/src/teaselbridge/decisions/usage.py
@@ -0,0 +1,290 @@
+"""Counts of requests that began to run, by workspace and window.
+
+Nodes count by the wall clock, put right by the median of what the others'
+clocks say, and tell each other their counts, so that those of a node that
+is killed are not lost. The holder of the duties writes each report to the
+store before it sends it: whoever follows repeats it exactly.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import statistics
+import typing
+
+import msgspec
+
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import leases
+from teaselbridge.decisions import tickets
+from teaselbridge.peers import messages
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import state as states
+
+KEY = 'teaselbridge/usage'
+DUTY = 'usage'
+# Counts of the others have arrived by then.
+SETTLE_MS = 3_000
+# Windows that may still be reported by a new holder.
+WINDOWS_KEPT = 6
+WINDOWS_BACK = 2
+RETRY_MS = 500
+OFFSET_KEEP_MS = 10_000
+
+
+class Phase(enum.Enum):
+    """Where the reports of the holder stand."""
+
+    IDLE = 'idle'
+    READING = 'reading'
+    READY = 'ready'
+    WRITING = 'writing'
+    SENDING = 'sending'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """Content of the store's record: the last report, sent or not.
+
+    :param window: number of the window.
+    :param counts: requests by workspace.
+    """
+
+    window: int
+    counts: dict[str, int]
+
+
+class Usage:
+    """Counts of this node and of the others, and the last report."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, dict[int, collections.Counter[str]]] = {}
+        self._offsets: dict[str, tuple[int, int]] = {}
+        self.phase = Phase.IDLE
+        self.fence = 0
+        self.due = 0
+        self.revision = 0
+        self.report: Report | None = None
+        self.sent = True
+
+    def begin(self, source: str, window: int, workspace: str) -> None:
+        """Count a request that began to run.
+
+        :param source: the node's name with its incarnation.
+        """
+        windows = self._counts.setdefault(source, {})
+        windows.setdefault(window, collections.Counter())[workspace] += 1
+
+    def hear(self, message: messages.Loads, now: clock.Instant) -> None:
+        """Take in another node's clock and counts."""
+        offset = message.wall - now.wall
+        self._offsets[message.node] = (now.mono, offset)
+        source = f'{message.node}/{message.incarnation}'
+        for item in message.usage:
+            windows = self._counts.setdefault(source, {})
+            counter = windows.setdefault(item.window, collections.Counter())
+            known = counter[item.workspace]
+            counter[item.workspace] = max(known, item.count)
+
+    def wall(self, now: clock.Instant) -> int:
+        """Give the wall milliseconds that most nodes agree on."""
+        offsets = [0]
+        for node, (heard, offset) in list(self._offsets.items()):
+            if now.mono - heard > OFFSET_KEEP_MS:
+                del self._offsets[node]
+                continue
+            offsets.append(offset)
+        return now.wall + round(statistics.median(offsets))
+
+    def tell(self, source: str, window: int) -> tuple[messages.Usage, ...]:
+        """Tell a node's counts of the last windows.
+
+        :param window: the present window.
+        """
+        windows = self._counts.get(source, {})
+        return tuple(
+            messages.Usage(window=number, workspace=name, count=count)
+            for number, counter in windows.items()
+            if number > window - WINDOWS_KEPT
+            for name, count in counter.items()
+        )
+
+    def total(self, window: int) -> dict[str, int]:
+        """Add up the counts of all nodes."""
+        total: collections.Counter[str] = collections.Counter()
+        for windows in self._counts.values():
+            total.update(windows.get(window, {}))
+        return dict(total)
+
+    def forget(self, window: int) -> None:
+        """Forget what is too old to be reported.
+
+        :param window: the present window.
+        """
+        for source, windows in list(self._counts.items()):
+            for number in list(windows):
+                if number <= window - 2 * WINDOWS_KEPT:
+                    del windows[number]
+            if not windows:
+                del self._counts[source]
+
+
+def source_of(state: states.State) -> str:
+    """Name this life of this node."""
+    me = state.options.me
+    return f'{me.name}/{me.incarnation}'
+
+
+def window_at(state: states.State, now: clock.Instant) -> int:
+    """Number the present window since the epoch."""
+    bounds = state.options.bounds
+    assert bounds is not None
+    return state.usage.wall(now) // bounds.usage_window_ms
+
+
+def begin(state: states.State, workspace: str, now: clock.Instant) -> None:
+    """Count a request that began to run at a moment.
+
+    :param now: the moment, which may lie a little in the past.
+    """
+    if state.options.bounds is None or not workspace:
+        return
+    window = window_at(state, now)
+    state.usage.begin(source_of(state), window, workspace)
+
+
+def tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
+    """Report the windows that have ended, if this node has the duty."""
+    bounds = state.options.bounds
+    if bounds is None:
+        return []
+    usage = state.usage
+    usage.forget(window_at(state, now))
+    if DUTY not in bounds.duties:
+        return []
+    lease = leases.held(state, leases.DUTIES, now)
+    if lease is None or lease.orders_from > now.mono:
+        usage.phase = Phase.IDLE
+        return []
+    if lease.fence != usage.fence:
+        usage.fence = lease.fence
+        usage.phase = Phase.IDLE
+    if usage.due > now.mono:
+        return []
+    if usage.phase is Phase.IDLE:
+        usage.phase = Phase.READING
+        return [effects.ReadKey(tickets.UsageTicket(), KEY)]
+    if usage.phase is Phase.READY:
+        return _next(state, lease, now)
+    return []
+
+
+def _next(
+    state: states.State, lease: leases.Lease, now: clock.Instant
+) -> list[effects.Effect]:
+    usage = state.usage
+    bounds = state.options.bounds
+    assert bounds is not None
+    if usage.report is not None and not usage.sent:
+        return _send(usage, usage.report, lease)
+    settled = usage.wall(now) - SETTLE_MS
+    newest = settled // bounds.usage_window_ms - 1
+    window = newest - WINDOWS_BACK + 1
+    if usage.report is not None:
+        window = max(window, usage.report.window + 1)
+    if window > newest:
+        return []
+    usage.report = Report(window=window, counts=usage.total(window))
+    usage.sent = False
+    usage.phase = Phase.WRITING
+    return [
+        effects.SwapKey(
+            ticket=tickets.UsageTicket(),
+            key=KEY,
+            value=msgspec.json.encode(usage.report),
+            revision=usage.revision,
+        )
+    ]
+
+
+def read(
+    state: states.State, event: events.KeyRead, now: clock.Instant
+) -> list[effects.Effect]:
+    """The record of the last report was read."""
+    usage = state.usage
+    if usage.phase is not Phase.READING:
+        return []
+    usage.phase = Phase.READY
+    usage.revision = event.revision
+    usage.report = None
+    usage.sent = True
+    if event.value is not None:
+        usage.report = msgspec.json.decode(event.value, type=Report)
+        usage.sent = False
+    return []
+
+
+def swapped(
+    state: states.State, event: events.KeySwapped, now: clock.Instant
+) -> list[effects.Effect]:
+    """The write of a report was decided."""
+    usage = state.usage
+    if usage.phase is not Phase.WRITING:
+        return []
+    lease = leases.held(state, leases.DUTIES, now)
+    if not event.swapped or lease is None or usage.report is None:
+        usage.phase = Phase.IDLE
+        return []
+    usage.revision = event.revision
+    return _send(usage, usage.report, lease)
+
+
+def failed(
+    state: states.State, event: events.KeyFailed, now: clock.Instant
+) -> list[effects.Effect]:
+    """The store gave no answer: read again what stands."""
+    if state.usage.phase in (Phase.READING, Phase.WRITING):
+        state.usage.phase = Phase.IDLE
+        state.usage.due = now.mono + RETRY_MS
+    return []
+
+
+def reported(
+    state: states.State, event: events.UsageReported, now: clock.Instant
+) -> list[effects.Effect]:
+    """The platform answered a report, or did not."""
+    usage = state.usage
+    if usage.phase is not Phase.SENDING:
+        return []
+    usage.phase = Phase.READY
+    mark = effects.Mark.USAGE_FAILED
+    if event.accepted:
+        usage.sent = True
+        mark = effects.Mark.USAGE_REPORTED
+    else:
+        usage.due = now.mono + RETRY_MS
+    total = 0 if usage.report is None else sum(usage.report.counts.values())
+    detail = f'window {event.window}, {total} requests'
+    return [effects.Record(mark=mark, detail=detail)]
+
+
+def _send(
+    usage: Usage, report: Report, lease: leases.Lease
+) -> list[effects.Effect]:
+    usage.phase = Phase.SENDING
+    return [
+        effects.ReportUsage(
+            window=report.window,
+            counts=tuple(
+                effects.WorkspaceCount(name, count)
+                for name, count in sorted(report.counts.items())
+            ),
+            fence=lease.fence,
+            until=lease.until,
+        )
+    ]
--- /dev/null
+++ b/src/teaselbridge/gateway/relay.py
@@ -0,0 +1,243 @@
+"""Callers' interface on the users' platform: requests as they come.
+
+This is an ASGI application of its own: the path, the query and the headers
+have to leave as they arrived, and a broken stream must not look complete,
+which a framework's response types do not allow for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import freshness
+from teaselbridge.platform import ingress
+from teaselbridge.platform import names
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from teaselbridge.runtime import loop as loops
+    from teaselbridge.runtime import outlets as outlets_module
+
+Message: typing.TypeAlias = dict[str, typing.Any]
+Receive: typing.TypeAlias = (
+    'collections.abc.Callable[[], collections.abc.Awaitable[Message]]'
+)
+Send: typing.TypeAlias = (
+    'collections.abc.Callable[[Message], collections.abc.Awaitable[None]]'
+)
+
+CLOSE = (b'connection', b'close')
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class Relay:
+    """Takes callers' requests and gives them their output.
+
+    :param loop: runs the decisions.
+    :param outlets: joins callers with output.
+    """
+
+    def __init__(
+        self, *, loop: loops.Loop, outlets: outlets_module.Outlets
+    ) -> None:
+        self._loop = loop
+        self._outlets = outlets
+
+    async def __call__(
+        self, scope: Message, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request."""
+        if scope['type'] != 'http':
+            return
+        try:
+            call = await self._read(scope, receive)
+        except CallerGoneError:
+            return
+        except ingress.RefusedError as error:
+            attempt = names.first(scope['headers'], names.ATTEMPT_ID)
+            self._log_refused(attempt, error.refusal)
+            await self._refuse(send, error.refusal, attempt, close=True)
+            return
+        queue = self._outlets.open(call)
+        gone = asyncio.ensure_future(_wait_gone(receive, queue))
+        try:
+            await self._answer(call, queue, send)
+        finally:
+            gone.cancel()
+            self._outlets.close(call.handle)
+
+    async def _read(self, scope: Message, receive: Receive) -> calls.Call:
+        now = self._loop.now()
+        state = self._loop.state
+        headers: names.Headers = scope['headers']
+        ingress.check_framing(headers)
+        limits = state.index.configuration.tables.limits
+        size = sum(len(name) + len(value) for name, value in headers)
+        if size > limits.header_bytes:
+            raise ingress.refused(
+                calls.Reason.HEADERS_TOO_LARGE, f'{size} bytes of headers'
+            )
+        body = await _read_body(receive, limits.body_bytes)
+        if not state.configured:
+            raise ingress.refused(
+                calls.Reason.WITHDRAWN, 'no configuration is known yet'
+            )
+        target = scope['raw_path']
+        if scope['query_string']:
+            target = target + b'?' + scope['query_string']
+        call = ingress.decode(
+            ingress.Raw(
+                handle=self._outlets.new_handle(),
+                method=scope['method'],
+                target=target.decode('latin-1'),
+                headers=headers,
+                body=body,
+                now=now.mono,
+            ),
+            state.index,
+        )
+        if call.credential and not freshness.is_fresh(state, now):
+            raise ingress.refused(
+                calls.Reason.STALE,
+                'the store was not heard for too long to trust a key',
+            )
+        return call
+
+    async def _answer(
+        self,
+        call: calls.Call,
+        queue: asyncio.Queue[typing.Any],
+        send: Send,
+    ) -> None:
+        while True:
+            output = await queue.get()
+            match output:
+                case effects.SendHead():
+                    await self._start(send, output.head)
+                case effects.SendEvents():
+                    await _send_body(send, output.data, more=True)
+                case effects.SendFinish():
+                    if output.whole:
+                        await _send_body(send, b'', more=False)
+                    # Else the server closes the connection: the answer
+                    # must not look complete.
+                    return
+                case effects.SendAnswer():
+                    await self._whole(send, output.answer)
+                    return
+                case effects.SendRefusal():
+                    await self._refuse(send, output.refusal, call.key.id)
+                    return
+                case _:
+                    return
+
+    async def _start(self, send: Send, head: calls.Head) -> None:
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': head.status,
+                'headers': self._headers(head.headers),
+            }
+        )
+
+    async def _whole(self, send: Send, answer: calls.Answer) -> None:
+        headers = self._headers(answer.headers)
+        headers.append((b'content-length', str(len(answer.body)).encode()))
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': answer.status,
+                'headers': headers,
+            }
+        )
+        await _send_body(send, answer.body, more=False)
+
+    async def _refuse(
+        self,
+        send: Send,
+        refusal: calls.Refusal,
+        request: str,
+        *,
+        close: bool = False,
+    ) -> None:
+        body = ingress.refusal_body(refusal)
+        headers = ingress.refusal_headers(refusal, request)
+        headers.append((b'content-length', str(len(body)).encode()))
+        if self._loop.state.drain is not None or (
+            close and refusal.reason is calls.Reason.BAD_REQUEST
+        ):
+            headers.append(CLOSE)
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': ingress.status_of(refusal),
+                'headers': headers,
+            }
+        )
+        await _send_body(send, body, more=False)
+
+    def _headers(self, headers: tuple[calls.Header, ...]) -> names.Headers:
+        """Pass headers on; a stopping node asks for no further request."""
+        out = [
+            (
+                header.name.lower().encode('latin-1'),
+                header.value.encode('latin-1'),
+            )
+            for header in headers
+        ]
+        if self._loop.state.drain is not None:
+            out.append(CLOSE)
+        return out
+
+    def _log_refused(self, request: str, refusal: calls.Refusal) -> None:
+        state = self._loop.state
+        age = freshness.confirmed_ms(state, self._loop.now())
+        detail = (
+            f'{refusal.reason.value}: {refusal.detail};'
+            f' generation {state.index.generation}, confirmed {age} ms ago'
+        )
+        self._loop.record(
+            effects.Record(
+                mark=effects.Mark.REFUSED, request=request, detail=detail
+            )
+        )
+
+
+async def _read_body(receive: Receive, most: int) -> bytes:
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise CallerGoneError
+        chunk = message.get('body', b'')
+        size += len(chunk)
+        if size > most:
+            raise ingress.refused(
+                calls.Reason.TOO_LARGE, f'more than {most} bytes'
+            )
+        chunks.append(chunk)
+        if not message.get('more_body', False):
+            return b''.join(chunks)
+
+
+async def _send_body(send: Send, data: bytes, *, more: bool) -> None:
+    await send({'type': 'http.response.body', 'body': data, 'more_body': more})
+
+
+async def _wait_gone(
+    receive: Receive, queue: asyncio.Queue[typing.Any]
+) -> None:
+    """Wake the waiting answer once the caller has closed its connection."""
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            queue.put_nowait(None)
+            return
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -176,11 +176,14 @@
 
     :param sequence: number of the probe.
     :param member: name of the member that is there.
+    :param confirmed_ms: how long ago the sender asked the store the
+        question whose answer confirmed its configuration, -1 for never.
     """
 
     sequence: int
     member: str
     gossip: Gossip
+    confirmed_ms: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -323,6 +326,74 @@
     scores: tuple[evidence.Score, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerLoad:
+    """What the sender has under way at a backend server.
+
+    :param host: name of the server's host.
+    :param running: requests.
+    :param prefill: prompt tokens that are not read yet.
+    """
+
+    host: str
+    running: int
+    prefill: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Cached:
+    """Parts of prompts that the sender gave a backend server.
+
+    :param host: name of the server's host.
+    :param parts: ids of the parts.
+    """
+
+    host: str
+    parts: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Demand:
+    """What a workspace asks for at the sender, a second."""
+
+    workspace: str
+    per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Usage:
+    """Requests of a workspace that began to run at the sender.
+
+    :param window: number of the window since the epoch.
+    """
+
+    window: int
+    workspace: str
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Loads:
+    """What the sender has under way; sent a few times a second.
+
+    :param node: the sender.
+    :param incarnation: the sender's at its start.
+    :param wall: the sender's wall milliseconds.
+    :param servers: all servers with work of the sender.
+    :param cached: what was given to servers since the last message.
+    :param demand: by workspace.
+    :param usage: counts of the last windows, none where they are not told.
+    """
+
+    node: str
+    incarnation: int
+    wall: int
+    servers: tuple[ServerLoad, ...]
+    cached: tuple[Cached, ...] = ()
+    demand: tuple[Demand, ...] = ()
+    usage: tuple[Usage, ...] = ()
+
+
 Message = (
     Ping
     | Ack
@@ -337,4 +408,5 @@
     | LedgerAsked
     | LedgerTold
     | Scores
+    | Loads
 )
--- /dev/null
+++ b/src/teaselbridge/platform/ingress.py
@@ -0,0 +1,211 @@
+"""Decoding of callers' requests, and the form of refusals."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import msgspec
+import xxhash
+
+from teaselbridge import clock
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import relays
+from teaselbridge.platform import names
+from teaselbridge.tables import model
+
+if typing.TYPE_CHECKING:
+    from teaselbridge.tables import join
+
+# Statuses that promise that the request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+STATUS = {
+    **calls.STATUS,
+    calls.Reason.TOO_LATE: 503,
+    calls.Reason.DEADLINE: 503,
+    calls.Reason.POISON: 503,
+    calls.Reason.IN_DOUBT: 502,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Raw:
+    """A request as it came.
+
+    :param handle: number of the request within this process.
+    :param target: path and query as they were sent.
+    :param headers: names and values as they were sent.
+    :param now: monotonic milliseconds at which it began to arrive.
+    """
+
+    handle: int
+    method: str
+    target: str
+    headers: names.Headers
+    body: bytes
+    now: int
+
+
+class RefusedError(Exception):
+    """A request that does not reach the decisions.
+
+    :param refusal: what the caller is told.
+    """
+
+    def __init__(self, refusal: calls.Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+def refused(reason: calls.Reason, detail: str) -> RefusedError:
+    """Build the error for a request that is not accepted."""
+    return RefusedError(calls.Refusal(reason, calls.Ran.NO, detail))
+
+
+def check_framing(headers: names.Headers) -> None:
+    """Refuse a request whose end two readers may see in two places.
+
+    :raises RefusedError: the framing is ambiguous.
+    """
+    lengths = [
+        value for name, value in headers if name.lower() == b'content-length'
+    ]
+    codings = [
+        value
+        for name, value in headers
+        if name.lower() == b'transfer-encoding'
+    ]
+    if codings and lengths or len(lengths) > 1 or len(codings) > 1:
+        raise refused(calls.Reason.BAD_REQUEST, 'ambiguous framing')
+
+
+def decode(raw: Raw, index: join.Index) -> calls.Call:
+    """Decode a request.
+
+    :param index: tables in force.
+    :raises RefusedError: no route takes it, or its key is not known.
+    """
+    path = raw.target.partition('?')[0]
+    host = names.first(raw.headers, b'host').lower()
+    route = index.route_of_host(host, path)
+    if route is None:
+        route = index.route_of_host(host.rpartition(':')[0], path)
+    if route is None:
+        raise refused(calls.Reason.NO_ROUTE, 'no route takes this path')
+    credential, workspace = _authenticate(raw, route, index)
+    attempt_id = names.first(raw.headers, names.ATTEMPT_ID)
+    route = relays.pick_route(route, workspace, attempt_id)
+    tokens_in, tokens_out = _token_counts(raw.headers)
+    name = '' if workspace is None else workspace.name
+    return calls.Call(
+        handle=raw.handle,
+        key=calls.RequestKey(name, attempt_id),
+        route=route,
+        kind=model.Kind.RELAYED,
+        deadline=raw.now + _deadline_ms(raw.headers, route),
+        method=raw.method,
+        path=raw.target,
+        headers=_passed_on(raw.headers),
+        body=raw.body,
+        stream=route.streaming,
+        max_tokens=tokens_out,
+        prompt_size=tokens_in,
+        fingerprint=_fingerprint(raw, name),
+        credential=credential,
+        parts=_parts(raw.headers),
+        tokens_in=tokens_in,
+        last_event=names.first(raw.headers, names.LAST_EVENT_ID),
+    )
+
+
+def status_of(refusal: calls.Refusal) -> int:
+    """Give the status of a refusal.
+
+    One that would promise that the request has not run is not used where
+    it may have run.
+    """
+    status = STATUS[refusal.reason]
+    if status in NOT_RUN_STATUSES and refusal.ran is not calls.Ran.NO:
+        return 502
+    return status
+
+
+def refusal_body(refusal: calls.Refusal) -> bytes:
+    """Describe a refusal to the caller."""
+    return msgspec.json.encode(
+        {
+            'error': refusal.reason.value,
+            'detail': refusal.detail,
+            'ran': refusal.ran.value,
+        }
+    )
+
+
+def refusal_headers(refusal: calls.Refusal, request: str) -> names.Headers:
+    """Give the headers of a refusal.
+
+    :param request: id of the request, empty for unknown.
+    """
+    headers: names.Headers = [(b'content-type', b'application/json')]
+    if request:
+        headers.append((names.ATTEMPT_ID, request.encode('latin-1')))
+    if refusal.retry_after_ms:
+        after = f'{refusal.retry_after_ms / clock.SECOND:.3f}'
+        headers.append((names.RETRY_AFTER, after.encode()))
+    return headers
+
+
+def _authenticate(
+    raw: Raw, route: model.Route, index: join.Index
+) -> tuple[str, model.Workspace | None]:
+    if route.public or not index.configuration.tables.workspaces:
+        return '', None
+    credential = names.first(raw.headers, names.CREDENTIAL)
+    workspace = index.workspace_of_key(credential)
+    if workspace is None:
+        raise refused(calls.Reason.BAD_KEY, 'the workspace key is not known')
+    return credential, workspace
+
+
+def _deadline_ms(headers: names.Headers, route: model.Route) -> int:
+    """Give how long the caller waits, at most the time of the route."""
+    told = names.first(headers, names.DEADLINE_MS)
+    try:
+        wanted = int(float(told))
+    except (ValueError, OverflowError):
+        return route.deadline_ms
+    return min(max(0, wanted), route.deadline_ms)
+
+
+def _token_counts(headers: names.Headers) -> tuple[int, int]:
+    told = names.first(headers, names.TOKEN_COUNTS).split(',')
+    try:
+        tokens_in, tokens_out = (max(0, int(item)) for item in told)
+    except ValueError:
+        return 0, 0
+    return tokens_in, tokens_out
+
+
+def _parts(headers: names.Headers) -> tuple[calls.PromptPart, ...]:
+    told = names.first(headers, names.PROMPT_PREFIX)
+    parts = []
+    for item in told.split(',') if told else ():
+        name, _, tokens = item.strip().partition(':')
+        if not tokens.isdigit():
+            return ()
+        parts.append(calls.PromptPart(name, int(tokens)))
+    return tuple(parts)
+
+
+def _passed_on(headers: names.Headers) -> tuple[calls.Header, ...]:
+    return tuple(
+        calls.Header(name.decode('latin-1'), value.decode('latin-1'))
+        for name, value in names.end_to_end(headers)
+        if name.lower() not in names.SYSTEM
+    )
+
+
+def _fingerprint(raw: Raw, workspace: str) -> str:
+    """Recognise a request that comes again: same path, caller and body."""
+    head = f'{workspace}\0{raw.method}\0{raw.target}\0'.encode()
+    return f'{xxhash.xxh3_64_intdigest(head + raw.body):016x}'
--- /dev/null
+++ b/src/teaselbridge/platform/names.py
@@ -0,0 +1,79 @@
+"""Names of headers and calls on the platform's wire."""
+
+from __future__ import annotations
+
+ATTEMPT_ID = b'teaselbridge-attempt-id'
+DEADLINE_MS = b'teaselbridge-deadline-ms'
+PROMPT_PREFIX = b'teaselbridge-prompt-prefix'
+LAST_EVENT_ID = b'last-event-id'
+STAMP = b'teaselbridge-reply-stamp'
+WORKSPACE = b'teaselbridge-tenant'
+EXPECT_INSTANCE = b'teaselbridge-expect-instance'
+LOAD = b'teaselbridge-runner-load'
+NOT_RUN = b'teaselbridge-not-run'
+RETRY_AFTER = b'retry-after'
+# Prompt tokens and most output tokens, not a count.
+TOKEN_COUNTS = b'teaselbridge-token-count'
+# A rank among the server's requests, 0 goes first.
+URGENCY = b'teaselbridge-request-urgency'
+CREDENTIAL = b'teaselbridge-credential'
+DUTY_HOLDER = 'Teaselbridge-Duty-Holder'
+FENCE = 'Teaselbridge-Fence-Token'
+
+# Headers that only the system sets; callers' own are not passed on.
+SYSTEM = frozenset(
+    {
+        CREDENTIAL,
+        DEADLINE_MS,
+        EXPECT_INSTANCE,
+        LAST_EVENT_ID,
+        URGENCY,
+        WORKSPACE,
+        b'kv-fetch',
+        b'kv-from',
+        b'teaselbridge-expect-version',
+        b'teaselbridge-hold',
+        b'teaselbridge-kv-backup',
+        b'teaselbridge-pin-ms',
+    }
+)
+
+# Headers that concern one connection only.
+HOP_BY_HOP = frozenset(
+    {
+        b'connection',
+        b'content-length',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    }
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Drop the headers that concern one connection only."""
+    dropped = set(HOP_BY_HOP)
+    for name, value in headers:
+        if name.lower() == b'connection':
+            dropped.update(part.strip().lower() for part in value.split(b','))
+    return [
+        (name, value) for name, value in headers if name.lower() not in dropped
+    ]
+
+
+def first(headers: Headers, name: bytes) -> str:
+    """Give the first value of a header, empty where there is none.
+
+    :param name: in lower case.
+    """
+    for key, value in headers:
+        if key.lower() == name:
+            return value.decode('latin-1').strip()
+    return ''
--- /dev/null
+++ b/src/teaselbridge/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Ports: what the rest may ask of the systems around a node."""
--- a/src/teaselbridge/platform/keyvalue.py
+++ b/src/teaselbridge/ports/keyvalue.py
@@ -19,6 +19,9 @@
     LEDGER = 'ledger'
     LEASE = 'lease'
     MOVE = 'move'
+    MEMBERS = 'members'
+    SERVERS = 'servers'
+    USAGE = 'usage'
 
 
 @dataclasses.dataclass(eq=False)
@@ -57,7 +60,7 @@
     revision: int
 
 
-class KeyValue(typing.Protocol):
+class Cells(typing.Protocol):
     """Single-key operations; each may raise :class:`KeyValueError`."""
 
     async def get(self, key: str, purpose: Purpose) -> Value:
@@ -82,6 +85,10 @@
     async def revoke(self, lease: int) -> None:
         """End a lease; its keys are deleted."""
 
+
+class KeyValue(Cells, typing.Protocol):
+    """Single-key operations, and to follow a key."""
+
     def watch(
         self, key: str, revision: int, purpose: Purpose
     ) -> collections.abc.AsyncIterator[Value]:
--- a/src/teaselbridge/platform/etcd.py
+++ b/src/teaselbridge/protocols/etcd.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from teaselbridge import clock
-from teaselbridge.platform import keyvalue
+from teaselbridge.ports import keyvalue
 from teaselbridge.telemetry import metrics
 
 if typing.TYPE_CHECKING:
--- a/src/teaselbridge/runtime/attempts.py
+++ b/src/teaselbridge/runtime/attempts.py
@@ -15,9 +15,12 @@
 from teaselbridge import clock
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.platform import runners
 from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from teaselbridge.runtime import loop as loops
 
 CONNECT_MS = 1_000
@@ -39,11 +42,22 @@
 
 
 class Clients:
-    """Kept connections, one client for each backend server."""
+    """Kept connections, one client for each backend server.
+
+    :param connect_ms: longest time until a connection stands.
+    :param keep_alive_ms: how long a connection is kept idle.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        connect_ms: int = CONNECT_MS,
+        keep_alive_ms: int = KEEP_ALIVE_MS,
+    ) -> None:
+        self._connect_ms = connect_ms
+        self._keep_alive_ms = keep_alive_ms
         self._by_address: dict[str, httpx.AsyncClient] = {}
-        self._fresh = _client(kept=0)
+        self._fresh = self._client(kept=0)
 
     @property
     def fresh(self) -> httpx.AsyncClient:
@@ -54,7 +68,7 @@
         """Give the client of a backend server."""
         client = self._by_address.get(address)
         if client is None:
-            client = _client(kept=None)
+            client = self._client(kept=None)
             self._by_address[address] = client
         return client
 
@@ -62,6 +76,23 @@
         """Take a client out, so that the next one connects anew."""
         return self._by_address.pop(address, None)
 
+    def _client(self, *, kept: int | None) -> httpx.AsyncClient:
+        """Make a client.
+
+        :param kept: most idle connections to keep, none for no limit.
+        """
+        connect = clock.seconds(self._connect_ms)
+        return httpx.AsyncClient(
+            timeout=httpx.Timeout(None, connect=connect),
+            limits=httpx.Limits(
+                max_connections=CONNECTIONS,
+                max_keepalive_connections=kept,
+                keepalive_expiry=clock.seconds(self._keep_alive_ms),
+            ),
+            trust_env=False,
+            verify=False,
+        )
+
     async def close(self) -> None:
         """Close all connections."""
         for client in self._by_address.values():
@@ -75,15 +106,27 @@
 
     :param loop: takes the events.
     :param tasks: keeps the tasks.
+    :param connect_ms: longest time until a connection stands.
+    :param keep_alive_ms: how long a connection is kept idle.
     """
 
-    def __init__(self, *, loop: loops.Loop, tasks: loops.Tasks) -> None:
+    def __init__(
+        self,
+        *,
+        loop: loops.Loop,
+        tasks: loops.Tasks,
+        connect_ms: int = CONNECT_MS,
+        keep_alive_ms: int = KEEP_ALIVE_MS,
+    ) -> None:
         self._loop = loop
         self._tasks = tasks
-        self._clients = Clients()
+        self._clients = Clients(
+            connect_ms=connect_ms, keep_alive_ms=keep_alive_ms
+        )
         self._running: dict[int, asyncio.Task[None]] = {}
         self._asking: set[str] = set()
         loop.handle(effects.StartAttempt, self._start)
+        loop.handle(effects.RelayAttempt, self._relay)
         loop.handle(effects.CancelAttempt, self._cancel)
         loop.handle(effects.DropConnections, self._drop)
         loop.handle(effects.ReportLoad, self._report)
@@ -101,12 +144,26 @@
         run = self._run_engine
         if effect.call.kind is model.Kind.SERVICE:
             run = self._run_service
-        task = self._tasks.start(run(effect))
-        self._running[effect.call.handle] = task
+        self._run(effect.call.handle, run(effect))
+
+    def _relay(self, effect: effects.RelayAttempt) -> None:
+        client = self._clients.get(effect.address)
+        if effect.fresh:
+            client = self._clients.fresh
+        run = runners.run(client, effect, self._loop.post)
+        self._run(effect.call.handle, run)
+
+    def _run(
+        self,
+        handle: int,
+        work: collections.abc.Coroutine[typing.Any, typing.Any, None],
+    ) -> None:
+        task = self._tasks.start(work)
+        self._running[handle] = task
 
         def forget(ended: asyncio.Task[None]) -> None:
-            if self._running.get(effect.call.handle) is ended:
-                del self._running[effect.call.handle]
+            if self._running.get(handle) is ended:
+                del self._running[handle]
 
         task.add_done_callback(forget)
 
@@ -171,23 +228,6 @@
         )
 
 
-def _client(*, kept: int | None) -> httpx.AsyncClient:
-    """Make a client.
-
-    :param kept: most idle connections to keep, none for no limit.
-    """
-    return httpx.AsyncClient(
-        timeout=httpx.Timeout(None, connect=clock.seconds(CONNECT_MS)),
-        limits=httpx.Limits(
-            max_connections=CONNECTIONS,
-            max_keepalive_connections=kept,
-            keepalive_expiry=clock.seconds(KEEP_ALIVE_MS),
-        ),
-        trust_env=False,
-        verify=False,
-    )
-
-
 async def _close_later(client: httpx.AsyncClient) -> None:
     """Close a client once the attempts that use it have had their time."""
     await asyncio.sleep(clock.seconds(CLOSE_LATER_MS))
--- a/src/teaselbridge/runtime/keys.py
+++ b/src/teaselbridge/runtime/keys.py
@@ -10,7 +10,7 @@
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge.decisions import tickets
-from teaselbridge.platform import keyvalue
+from teaselbridge.ports import keyvalue
 
 if typing.TYPE_CHECKING:
     from teaselbridge.runtime import loop as loops
@@ -21,7 +21,7 @@
 
 
 class Keys:
-    """Calls to the key-value service, and the watch.
+    """Calls to the key-value service.
 
     :param store: the service.
     :param loop: takes the events.
@@ -31,21 +31,19 @@
     def __init__(
         self,
         *,
-        store: keyvalue.KeyValue,
+        store: keyvalue.Cells,
         loop: loops.Loop,
         tasks: loops.Tasks,
     ) -> None:
         self._store = store
         self._loop = loop
         self._tasks = tasks
-        self._watch_task: asyncio.Task[None] | None = None
         self._leases: dict[int, _Lease] = {}
         loop.handle(effects.ReadKey, self._read)
         loop.handle(effects.SwapKey, self._swap)
         loop.handle(effects.GrantLease, self._grant)
         loop.handle(effects.KeepLease, self._keep)
         loop.handle(effects.RevokeLease, self._revoke)
-        loop.handle(effects.Watch, self._set_watch)
 
     def _read(self, effect: effects.ReadKey) -> None:
         self._tasks.start(self._read_key(effect))
@@ -84,13 +82,6 @@
         except keyvalue.KeyValueError:
             pass  # it lapses by itself
 
-    def _set_watch(self, effect: effects.Watch) -> None:
-        if self._watch_task is not None:
-            self._watch_task.cancel()
-            self._watch_task = None
-        if effect.on:
-            self._watch_task = self._tasks.start(self._watch())
-
     async def _read_key(self, effect: effects.ReadKey) -> None:
         try:
             value = await self._store.get(effect.key, _purpose(effect.ticket))
@@ -136,6 +127,40 @@
         self._leases[keep_ms] = _Lease(number, now + LEASE_REUSE_MS)
         return await number
 
+
+class _Lease(typing.NamedTuple):
+    number: asyncio.Future[int]
+    until: int
+
+
+class ConfigurationWatch:
+    """Follows the configuration in the key-value service.
+
+    :param store: the service.
+    :param loop: takes the events.
+    :param tasks: keeps the tasks.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: keyvalue.KeyValue,
+        loop: loops.Loop,
+        tasks: loops.Tasks,
+    ) -> None:
+        self._store = store
+        self._loop = loop
+        self._tasks = tasks
+        self._watch_task: asyncio.Task[None] | None = None
+        loop.handle(effects.Watch, self._set_watch)
+
+    def _set_watch(self, effect: effects.Watch) -> None:
+        if self._watch_task is not None:
+            self._watch_task.cancel()
+            self._watch_task = None
+        if effect.on:
+            self._watch_task = self._tasks.start(self._watch())
+
     async def _watch(self) -> None:
         """Follow the configuration; a silent watch is opened anew."""
         wait = WATCH_RETRY_MS
@@ -166,15 +191,11 @@
         )
 
 
-class _Lease(typing.NamedTuple):
-    number: asyncio.Future[int]
-    until: int
-
-
 _PURPOSES: dict[type, keyvalue.Purpose] = {
     tickets.BucketTicket: keyvalue.Purpose.LEDGER,
     tickets.LeaseTicket: keyvalue.Purpose.LEASE,
     tickets.MoveTicket: keyvalue.Purpose.MOVE,
+    tickets.UsageTicket: keyvalue.Purpose.USAGE,
 }
 
 
--- a/src/teaselbridge/runtime/node.py
+++ b/src/teaselbridge/runtime/node.py
@@ -15,8 +15,8 @@
 from teaselbridge.gateway import app as gateway_app
 from teaselbridge.peers import messages
 from teaselbridge.peers import transport as transports
-from teaselbridge.platform import cloud as clouds
-from teaselbridge.platform import etcd
+from teaselbridge.protocols import cloud as clouds
+from teaselbridge.protocols import etcd
 from teaselbridge.runtime import attempts as attempts_module
 from teaselbridge.runtime import certificates
 from teaselbridge.runtime import keys
@@ -44,6 +44,8 @@
 
     def __init__(self, *, settings: model.Settings) -> None:
         self._settings = settings
+        platform = settings.platform
+        assert platform is not None
         clock = clocks.Clock()
         options = _options(settings, clock.now())
         self._meter = metrics.Meter()
@@ -58,11 +60,9 @@
         )
         self._tasks = loops.Tasks()
         self._stopped = asyncio.Event()
-        self._store = etcd.Etcd(
-            base=settings.platform.keyvalue, meter=self._meter
-        )
-        self._hosts = clouds.HostList(base=settings.platform.hosts)
-        self._cloud = clouds.Cloud(base=settings.platform.cloud)
+        self._store = etcd.Etcd(base=platform.keyvalue, meter=self._meter)
+        self._hosts = clouds.HostList(base=platform.hosts)
+        self._cloud = clouds.Cloud(base=platform.cloud)
         self._transport = transports.Transport(
             name=settings.node.name,
             address=settings.listen.peers,
@@ -81,6 +81,9 @@
         )
         outlets = outlets_module.Outlets(loop=self._loop)
         keys.Keys(store=self._store, loop=self._loop, tasks=self._tasks)
+        keys.ConfigurationWatch(
+            store=self._store, loop=self._loop, tasks=self._tasks
+        )
         links.connect(self._transport, self._loop)
         self._loop.handle(effects.Stop, lambda _: self._stopped.set())
         self._loop.handle(effects.UseConfiguration, lambda _: None)
--- a/src/teaselbridge/runtime/orders.py
+++ b/src/teaselbridge/runtime/orders.py
@@ -9,7 +9,7 @@
 from teaselbridge.backends import control
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
-from teaselbridge.platform import cloud as clouds
+from teaselbridge.protocols import cloud as clouds
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock as clocks
--- a/src/teaselbridge/runtime/surroundings.py
+++ b/src/teaselbridge/runtime/surroundings.py
@@ -7,7 +7,7 @@
 
 from teaselbridge import clock
 from teaselbridge.decisions import events
-from teaselbridge.platform import cloud as clouds
+from teaselbridge.protocols import cloud as clouds
 
 if typing.TYPE_CHECKING:
     from teaselbridge.runtime import loop as loops
--- a/src/teaselbridge/runtime/web.py
+++ b/src/teaselbridge/runtime/web.py
@@ -21,6 +21,7 @@
 
 BACKLOG = 1_024
 KEEP_ALIVE_S = 30
+GRACEFUL_S = 2
 USER_TIMEOUT_MS = 20_000
 REQUEST_MS = 30_000
 
@@ -89,6 +90,9 @@
     :param address: ``ip:port`` to listen on.
     :param tls: certificate, none for plain HTTP.
     :param request_ms: longest time that a request may take to arrive.
+    :param keep_alive_s: how long a connection may stay idle, in seconds.
+    :param graceful_s: how long open responses may go on after the stop, in
+        seconds.
     """
 
     def __init__(
@@ -98,6 +102,8 @@
         address: str,
         tls: model.Tls | None = None,
         request_ms: int = REQUEST_MS,
+        keep_alive_s: int = KEEP_ALIVE_S,
+        graceful_s: int = GRACEFUL_S,
     ) -> None:
         self._address = address
         self._tls = tls
@@ -109,9 +115,10 @@
                 access_log=False,
                 proxy_headers=False,
                 server_header=False,
+                date_header=False,
                 lifespan='off',
-                timeout_keep_alive=KEEP_ALIVE_S,
-                timeout_graceful_shutdown=2,
+                timeout_keep_alive=keep_alive_s,
+                timeout_graceful_shutdown=graceful_s,
                 ssl_certfile=None if tls is None else tls.certificate,
                 ssl_keyfile=None if tls is None else tls.key,
             )
--- a/src/teaselbridge/settings/load.py
+++ b/src/teaselbridge/settings/load.py
@@ -70,13 +70,27 @@
     _check(listen.peers, source, '$.listen.peers')
     for index, seed in enumerate(settings.seeds):
         _check(seed, source, f'$.seeds[{index}]')
+    if settings.site is not None:
+        _check_site(settings.site, source)
+        return
     platform = settings.platform
+    if platform is None:
+        expected = 'expected `platform` or `site`'
+        raise errors.DocumentError(source, '$', expected)
     _check_url(platform.keyvalue, source, '$.platform.keyvalue')
     _check_url(platform.hosts, source, '$.platform.hosts')
     _check_url(platform.cloud, source, '$.platform.cloud')
     _check_url(platform.weights, source, '$.platform.weights')
 
 
+def _check_site(site: model.Site, source: str) -> None:
+    _check(site.ready, source, '$.site.ready')
+    _check(site.store, source, '$.site.store')
+    for name in ('directory', 'cloud'):
+        if getattr(site, name):
+            _check(getattr(site, name), source, f'$.site.{name}')
+
+
 def _check(address: str, source: str, path: str) -> None:
     try:
         split(address)
--- a/src/teaselbridge/settings/model.py
+++ b/src/teaselbridge/settings/model.py
@@ -57,6 +57,53 @@
     weights: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Bounds:
+    """What the users' platform promises and demands.
+
+    The defaults are those of the first two deployments.
+
+    :param grace_s: from the signal to stop until the process is killed.
+    :param strict_keys: whether revoked keys must not be used even while
+        the platform's store cannot be asked.
+    :param revoke_ms: after this time no revoked key may be used.
+    :param retry_share: further attempts allowed as a share of requests,
+        over all nodes.
+    :param retry_extra: further attempts allowed besides.
+    :param usage_window_s: span of one usage report.
+    :param duties: duties that are accepted, by the platform's names.
+    """
+
+    grace_s: float = 8
+    strict_keys: bool = True
+    revoke_ms: int = 5_000
+    retry_share: float = 0.2
+    retry_extra: float = 50
+    usage_window_s: float = 5
+    duties: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Site:
+    """A deployment on the users' platform.
+
+    :param ready: ``ip:port`` where the platform asks for readiness.
+    :param directory: ``ip:port`` where callers ask for addresses, empty
+        where this node is not asked.
+    :param store: ``ip:port`` of the platform's store.
+    :param cloud: ``ip:port`` of the platform's duty API, empty for none.
+    :param zones: availability zones of the deployment.
+    :param bounds: what the platform promises and demands.
+    """
+
+    ready: str
+    store: str
+    directory: str = ''
+    cloud: str = ''
+    zones: tuple[str, ...] = ()
+    bounds: Bounds = Bounds()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Tls:
     """Certificate files of one listener.
@@ -112,7 +159,10 @@
 
     :param node: who this node is.
     :param listen: addresses to listen on.
-    :param platform: addresses of the platform's services.
+    :param platform: addresses of the platform's services, none where
+        ``site`` is given.
+    :param site: the deployment on the users' platform, none for one on the
+        project's own stand-ins.
     :param seeds: ``ip:port`` of peers to join through.
     :param operator_key: shared key that the admin interface asks for.
     :param tls: certificate for callers and operators, none for plain HTTP.
@@ -123,7 +173,8 @@
 
     node: Node
     listen: Listen
-    platform: Platform
+    platform: Platform | None = None
+    site: Site | None = None
     seeds: tuple[str, ...] = ()
     operator_key: str = ''
     tls: Tls | None = None
--- a/src/teaselbridge/standins/cloud.py
+++ b/src/teaselbridge/standins/cloud.py
@@ -13,7 +13,7 @@
 
 from teaselbridge import clock as clocks
 from teaselbridge.decisions import events
-from teaselbridge.platform import cloud
+from teaselbridge.protocols import cloud
 
 if typing.TYPE_CHECKING:
     import collections.abc
--- a/src/teaselbridge/standins/fleet.py
+++ b/src/teaselbridge/standins/fleet.py
@@ -13,7 +13,7 @@
 
 from teaselbridge import clock as clocks
 from teaselbridge.decisions import events
-from teaselbridge.platform import cloud as cloud_port
+from teaselbridge.protocols import cloud as cloud_port
 from teaselbridge.standins import behaviour as behaviours
 from teaselbridge.standins import cloud
 from teaselbridge.standins import engine as engines
--- a/src/teaselbridge/tables/join.py
+++ b/src/teaselbridge/tables/join.py
@@ -31,7 +31,15 @@
             key=lambda route: len(route.match.path),
             reverse=True,
         )
-        self._keys = {row.key: row for row in tables.workspaces}
+        self._by_host: dict[str, list[model.Route]] = {}
+        for route in self._paths:
+            self._by_host.setdefault(route.match.host, []).append(route)
+        self._keys = {
+            key: row
+            for row in tables.workspaces
+            for key in (row.key, *row.keys)
+            if key
+        }
         self._workspaces = {row.name: row for row in tables.workspaces}
 
     @property
@@ -69,6 +77,21 @@
                 return route
         return None
 
+    def route_of_host(self, host: str, path: str) -> model.Route | None:
+        """Find the route of a host with the longest prefix of a path.
+
+        :param host: host name that the caller asked for.
+        :param path: path as it was sent; prefixes end with a slash.
+        """
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.match.path):
+                return route
+        return None
+
+    def workspace(self, name: str) -> model.Workspace | None:
+        """Find a workspace by name."""
+        return self._workspaces.get(name)
+
     def workspace_of_key(self, key: str) -> model.Workspace | None:
         """Find who a bearer key belongs to.
 
--- a/src/teaselbridge/tables/model.py
+++ b/src/teaselbridge/tables/model.py
@@ -17,10 +17,15 @@
 
 
 class Kind(enum.Enum):
-    """What the backend servers of a pool speak."""
+    """What the backend servers of a pool speak.
+
+    Requests to a relayed pool are passed on as they came, and each of their
+    sendings has an id of its own, so that no claim is kept for them.
+    """
 
     ENGINE = 'engine'
     SERVICE = 'service'
+    RELAYED = 'relayed'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -28,11 +33,25 @@
     """Which requests a route takes.
 
     :param model: model name in a completion request, for engines.
-    :param path: path prefix, for plain services.
+    :param path: path prefix, for plain services and relayed pools.
+    :param host: host name that the caller must ask for, empty for any.
     """
 
     model: str = ''
     path: str = ''
+    host: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PoolShare:
+    """A pool's part in the traffic of a route.
+
+    :param pool: name of the pool.
+    :param weight: share relative to the others.
+    """
+
+    pool: str
+    weight: Count
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -50,6 +69,13 @@
     :param workspace_limit: requests of one workspace at one node at a time.
     :param retry_share: retries allowed as a share of first attempts.
     :param window_ms: how long the outcome of an order is kept.
+    :param shares: pools that share its traffic by weight, none for one.
+    :param attempts: most backend servers that may run one request.
+    :param public: whether no workspace key is asked for.
+    :param streaming: whether answers are streams of events.
+    :param resumable: whether another server can go on with a stream.
+    :param goal_ms: time within which an answer has its full worth, 0 for
+        unknown.
     """
 
     name: Name
@@ -63,6 +89,51 @@
     workspace_limit: Positive = 64
     retry_share: Share = 0.2
     window_ms: Millis = 600_000
+    shares: tuple[PoolShare, ...] = ()
+    attempts: Positive = 6
+    public: bool = False
+    streaming: bool = False
+    resumable: bool = False
+    goal_ms: Count = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Engine:
+    """Sizes of the model engines of a pool.
+
+    :param slots: requests that one runs at a time.
+    :param cache_tokens: tokens that the KV cache of one holds.
+    """
+
+    slots: Positive = 64
+    cache_tokens: Positive = 500_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ZonePrice:
+    """Price of one backend server in an availability zone, per second."""
+
+    zone: str
+    price: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Scaling:
+    """How many backend servers of a pool may be ordered.
+
+    :param least: fewest in each availability zone.
+    :param most: most in each availability zone.
+    :param boot_ms: time from an order until a server serves.
+    :param reclaimable_price: price of a reclaimable server as a share of
+        the price of the others.
+    :param prices: price in each availability zone.
+    """
+
+    least: Count = 0
+    most: Positive = 1
+    boot_ms: Count = 4_000
+    reclaimable_price: float = 1.0
+    prices: tuple[ZonePrice, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -91,6 +162,8 @@
     :param classes: host classes to use.
     :param checks_fencing: whether its servers refuse old fencing numbers.
     :param move_by_ms: wall time by which a version move must be done.
+    :param engine: sizes of its model engines, none for plain services.
+    :param scaling: how many servers may be ordered, none for none.
     """
 
     name: Name
@@ -103,6 +176,24 @@
     classes: tuple[Name, ...] = ('standard',)
     checks_fencing: bool = False
     move_by_ms: Count = 0
+    engine: Engine | None = None
+    scaling: Scaling | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rate:
+    """What a workspace may ask for, over all nodes together.
+
+    :param per_s: refill a second.
+    :param burst: most that may be saved up.
+    :param in_tokens: whether tokens are counted instead of requests.
+    :param plain_tokens: cost of a request that tells no token counts.
+    """
+
+    per_s: float
+    burst: float
+    in_tokens: bool = False
+    plain_tokens: Count = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -112,11 +203,31 @@
     :param name: unique name.
     :param key: bearer key of its callers.
     :param weight: share of a contended route, relative to the others.
+    :param keys: further keys of its callers.
+    :param priority: rank of its requests, none for that of the route.
+    :param rate: what it may ask for, none for no limit.
     """
 
     name: Name
     key: str
     weight: Positive = 1
+    keys: tuple[str, ...] = ()
+    priority: Priority | None = None
+    rate: Rate | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallerLimits:
+    """What a caller may send, and how long it may stay idle.
+
+    :param header_bytes: largest head of a request.
+    :param body_bytes: largest body of a request.
+    :param idle_ms: how long a connection may stay idle.
+    """
+
+    header_bytes: Positive = 16_384
+    body_bytes: Positive = 4_194_304
+    idle_ms: Millis = 15_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -126,11 +237,13 @@
     :param routes: which work goes where.
     :param pools: backend servers.
     :param workspaces: who may call; none means that anyone may.
+    :param limits: what callers may send.
     """
 
     routes: tuple[Route, ...] = ()
     pools: tuple[Pool, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
+    limits: CallerLimits = CallerLimits()
 
 
 WRITERS = 32
