--- a/src/teaselbridge/settings/model.py
+++ b/src/teaselbridge/settings/model.py
@@ -92,7 +92,6 @@
         where this node is not asked.
     :param store: ``ip:port`` of the platform's store.
     :param cloud: ``ip:port`` of the platform's duty API, empty for none.
-    :param zones: availability zones of the deployment.
     :param bounds: what the platform promises and demands.
     """
 
@@ -100,7 +99,6 @@
     store: str
     directory: str = ''
     cloud: str = ''
-    zones: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
 
 
