--- a/src/teaselbridge/runtime/outlets.py
+++ b/src/teaselbridge/runtime/outlets.py
@@ -15,6 +15,9 @@
 
 Output: typing.TypeAlias = (
     effects.SendToken
+    | effects.SendHead
+    | effects.SendEvents
+    | effects.SendFinish
     | effects.SendEnd
     | effects.SendAnswer
     | effects.SendRefusal
