--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -148,7 +148,7 @@
             if server.inflight
         ),
         cached=state.loads.take_untold(),
-        demand=state.rates.demand(now),
+        demand=state.rates.tell(now),
         usage=told,
     )
 
--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -1,13 +1,19 @@
 """Rates of workspaces, kept by all nodes together without asking.
 
-Each node refills a token bucket by its share of the workspace's rate. The
-shares follow the demand that the nodes tell each other, so that they add up
-to one however the callers are spread. A node that was not heard for a while
-keeps its share: it may be cut off and still serve.
+What a workspace may ask for holds for all nodes and any span of some
+seconds. Each node knows exactly what it let through in that span, and the
+others tell it theirs a few times a second. A request goes on if the sum
+leaves room for it. What the others let through since they were last heard
+is covered by the excess that the platform allows.
+
+A node that hears nobody keeps to an equal part, as the others may go on
+without it. One that has just started, and may have forgotten what it let
+through before, takes the span before as used up.
 """
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import typing
 
@@ -19,75 +25,86 @@
     from teaselbridge.decisions import state as states
     from teaselbridge.tables import model
 
-# Span over which demand is averaged: the quicker, the sooner shares follow
-# callers that move; the slower, the less they jitter.
-DEMAND_MS = 2_000
-# A dead node's share is free once it can't be running unheard any more.
-KEEP_MS = 12_000
-# Demand assumed of an idle node, as a share of the rate: what it may give
-# out before the others hear of it.
-FLOOR = 0.1
+# Nodes tell each other four times a second; three may get lost.
+UNHEARD_MS = 1_000
+# Part of the platform's slack that a new node may use at once.
+START_SLACK = 0.3
 RETRY_LEAST_MS = 200
 RETRY_MOST_MS = 2_000
 
 
-@dataclasses.dataclass(slots=True)
-class _Bucket:
-    level: float
-    updated: int
-    demand: float = 0.0
+class _Window:
+    """Costs that were let through in the last seconds.
+
+    :param span_ms: length of the window.
+    """
+
+    def __init__(self, *, span_ms: int) -> None:
+        self._span_ms = span_ms
+        self._costs: collections.deque[tuple[int, int]] = collections.deque()
+        self._sum = 0
+
+    def add(self, mono: int, cost: int) -> None:
+        """Count a cost."""
+        self._costs.append((mono, cost))
+        self._sum += cost
+
+    def sum(self, mono: int) -> int:
+        """Add up what still counts."""
+        while self._costs and mono - self._costs[0][0] >= self._span_ms:
+            self._sum -= self._costs.popleft()[1]
+        return self._sum
+
+    def wait(self, mono: int, cost: float) -> int:
+        """Give the milliseconds until so much has left the window."""
+        left = cost
+        for sent, item in self._costs:
+            left -= item
+            if left <= 0:
+                return sent + self._span_ms - mono
+        return self._span_ms
 
 
 @dataclasses.dataclass(slots=True)
-class _PeerDemand:
+class _Peer:
+    """What another node let through.
+
+    :param heard: monotonic milliseconds.
+    :param spent: costs in its window, by workspace.
+    """
+
     heard: int
-    by_workspace: dict[str, float]
+    spent: dict[str, int]
 
 
 class Rates:
-    """Buckets of all workspaces, and what the others ask for."""
+    """What this node and the others let through.
 
-    def __init__(self) -> None:
-        self._buckets: dict[str, _Bucket] = {}
-        self._peers: dict[str, _PeerDemand] = {}
+    :param span_ms: span that a rate holds for.
+    :param slack: excess that the platform allows in it.
+    """
+
+    def __init__(self, *, span_ms: int, slack: float) -> None:
+        self._span_ms = span_ms
+        self._slack = slack
+        self._started: int | None = None
+        self._own: dict[str, _Window] = {}
+        self._peers: dict[tuple[str, int], _Peer] = {}
 
     def hear(self, message: messages.Loads, now: clock.Instant) -> None:
-        """Take in another node's demand."""
-        demand = {item.workspace: item.per_s for item in message.demand}
-        self._peers[message.node] = _PeerDemand(now.mono, demand)
-
-    def demand(self, now: clock.Instant) -> tuple[messages.Demand, ...]:
-        """Tell this node's demand, for the others."""
-        for bucket in self._buckets.values():
-            _age(bucket, now)
+        """Take in what another node let through."""
+        spent = {item.workspace: item.spent for item in message.demand}
+        source = (message.node, message.incarnation)
+        self._peers[source] = _Peer(now.mono, spent)
+
+    def tell(self, now: clock.Instant) -> tuple[messages.Demand, ...]:
+        """Tell what this node let through, for the others."""
         return tuple(
-            messages.Demand(workspace=name, per_s=round(bucket.demand, 1))
-            for name, bucket in self._buckets.items()
-            if bucket.demand >= 1
+            messages.Demand(workspace=name, spent=spent)
+            for name, window in self._own.items()
+            if (spent := window.sum(now.mono))
         )
 
-    def share(
-        self, name: str, rate: model.Rate, nodes: int, now: clock.Instant
-    ) -> float:
-        """Give this node's share of a workspace's rate.
-
-        :param name: name of the workspace.
-        :param nodes: live nodes that are known, this one included.
-        """
-        floor = FLOOR * rate.per_s
-        bucket = self._buckets.get(name)
-        own = floor + (0.0 if bucket is None else bucket.demand)
-        others = 0.0
-        count = 1
-        for node, peer in list(self._peers.items()):
-            if now.mono - peer.heard > KEEP_MS:
-                del self._peers[node]
-                continue
-            count += 1
-            others += floor + peer.by_workspace.get(name, 0.0)
-        others += floor * max(0, nodes - count)
-        return own / (own + others)
-
     def take(
         self,
         call: calls.Call,
@@ -95,55 +112,72 @@
         nodes: int,
         now: clock.Instant,
     ) -> int:
-        """Take the cost of a request out of its workspace's bucket.
+        """Let a request through, or tell when it may come again.
 
         :param nodes: live nodes that are known, this one included.
-        :return: 0 where there was enough, else milliseconds until then.
+        :return: 0 where it is let through, else milliseconds until then.
         """
+        if self._started is None:
+            self._started = now.mono
         name = call.key.workspace
         cost = cost_of(call, rate)
-        share = self.share(name, rate, nodes, now)
-        bucket = self._buckets.get(name)
-        if bucket is None:
-            bucket = _Bucket(rate.burst * share, now.mono)
-            self._buckets[name] = bucket
-        span = now.mono - bucket.updated
-        _age(bucket, now)
-        bucket.demand += cost * 1000 / DEMAND_MS
-        refill = rate.per_s * share
-        level = bucket.level + refill * span / 1000
-        bucket.level = min(level, rate.burst * share)
-        # A request larger than what may be saved up goes out of a full one.
-        if bucket.level >= min(cost, rate.burst * share * 0.5):
-            bucket.level -= cost
+        limit = rate.per_s * self._span_ms / 1000 + rate.burst
+        window = self._own.get(name)
+        if window is None:
+            window = self._own[name] = _Window(span_ms=self._span_ms)
+        own = window.sum(now.mono)
+        others, unheard = self._others(name, nodes, now)
+        used = own + others + self._forgotten(limit, now)
+        fits = used + cost <= limit
+        if unheard and own + cost > limit / (nodes + unheard):
+            fits = False
+        if fits:
+            window.add(now.mono, cost)
             return 0
-        missing = min(cost, rate.burst * share) - bucket.level
-        wait = 1000 * missing / max(1.0, refill)
+        wait = window.wait(now.mono, used + cost - limit)
         return round(min(RETRY_MOST_MS, max(RETRY_LEAST_MS, wait)))
 
+    def _others(
+        self, name: str, nodes: int, now: clock.Instant
+    ) -> tuple[int, int]:
+        """Add up what the others let through.
+
+        :return: the sum, and how many of them were not heard lately.
+        """
+        total = 0
+        heard = 1
+        for source, peer in list(self._peers.items()):
+            age = now.mono - peer.heard
+            if age >= self._span_ms:
+                del self._peers[source]
+                continue
+            total += peer.spent.get(name, 0)
+            heard += age < UNHEARD_MS
+        return total, max(0, nodes - heard)
+
+    def _forgotten(self, limit: float, now: clock.Instant) -> float:
+        """Guess what a life of this node before let through."""
+        assert self._started is not None
+        left = 1 - (now.mono - self._started) / self._span_ms
+        if left <= 0:
+            return 0.0
+        return max(0.0, limit * left - START_SLACK * self._slack)
+
 
 def cost_of(call: calls.Call, rate: model.Rate) -> int:
-    """Tell what a request takes out of its workspace's bucket."""
+    """Tell how much of its workspace's rate a request takes."""
     if not rate.in_tokens:
         return 1
     return (call.tokens_in + call.max_tokens) or rate.plain_tokens
 
 
 def check(state: states.State, call: calls.Call, now: clock.Instant) -> int:
-    """Take a request's cost, unless its workspace asks for too much.
+    """Let a request through, unless its workspace asks for too much.
 
     :return: 0 where it may go on, else milliseconds until a retry can help.
     """
     workspace = state.index.workspace(call.key.workspace)
     if workspace is None or workspace.rate is None:
         return 0
-    if workspace.rate.per_s <= 0:
-        return 0
     nodes = 1 + len(state.membership.alive)
     return state.rates.take(call, workspace.rate, nodes, now)
-
-
-def _age(bucket: _Bucket, now: clock.Instant) -> None:
-    span = max(0, now.mono - bucket.updated)
-    bucket.demand *= max(0.0, 1 - span / DEMAND_MS)
-    bucket.updated = now.mono
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -40,6 +40,7 @@
 SILENT_FACTOR = 4.0
 SILENT_LEAST_MS = 150
 SILENT_GOAL = 0.5
+BUSY_FACTOR = 4
 FAILING_SMOOTHING = 0.15
 # Pauses of a stream: at a server that sends nothing else either, and at
 # one that does. Callers leave after two seconds or more.
@@ -352,7 +353,7 @@
     if not request.call.route.idempotent:
         return []
     waited = now.mono - request.progressed
-    limit = request.silent_ms
+    limit = _first_limit(state, request)
     if not request.first:
         limit = _gap_limit(state, request, now)
     if waited < limit:
@@ -370,6 +371,17 @@
     return [cancel, *fail(state, request, fault, None, now)]
 
 
+def _first_limit(state: states.State, request: requests.Request) -> int:
+    """Give the longest wait for the first byte.
+
+    A server that answered others meanwhile is only busy with this one.
+    """
+    server = state.servers.get(request.host)
+    if server is not None and server.heard > request.started:
+        return BUSY_FACTOR * request.silent_ms
+    return request.silent_ms
+
+
 def _gap_limit(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> int:
--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -33,7 +33,9 @@
 # On-demand servers are kept until others have served for this long.
 RELEASE_MS = 1_500
 # Reclaimable servers beyond the need, so that the loss of a zone is borne.
-SPARE = 1.34
+SPARE = 1.6
+# Fewer do not bear the loss of one.
+NEED_LEAST = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,7 +140,7 @@
 
 def need(state: states.State, pool: model.Pool) -> int:
     """Tell how many servers a pool needs to serve in time."""
-    return max(1, state.scaling.first.get(pool.name, 1))
+    return max(NEED_LEAST, state.scaling.first.get(pool.name, 1))
 
 
 def plan(
@@ -284,8 +286,13 @@
 
 def _note_first(state: states.State, pool: model.Pool) -> None:
     """Remember how many servers the operators started with."""
-    if pool.scaling is None:
-        return
-    known = len(state.servers.in_pool(pool.name))
     first = state.scaling.first
-    first[pool.name] = max(first.get(pool.name, 0), min(known, 8))
+    if pool.scaling is None or pool.name in first:
+        return
+    staying = [
+        server
+        for server in state.servers.in_pool(pool.name)
+        if not server.row.reclaimable
+    ]
+    if staying:
+        first[pool.name] = len(staying)
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -7,6 +7,7 @@
 import typing
 
 from teaselbridge.decisions import admission
+from teaselbridge.decisions import bounds as bounds_module
 from teaselbridge.decisions import capacity
 from teaselbridge.decisions import changes
 from teaselbridge.decisions import freshness
@@ -29,7 +30,6 @@
 from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
-    from teaselbridge.decisions import bounds as bounds_module
     from teaselbridge.decisions import calls
     from teaselbridge.decisions import drain
     from teaselbridge.decisions import requests
@@ -94,7 +94,10 @@
         self.knowledge = knowledge.Knowledge()
         self.loads = loads.Loads()
         self.speed = prefill.Speed()
-        self.rates = rates.Rates()
+        kept = options.bounds or bounds_module.Bounds()
+        self.rates = rates.Rates(
+            span_ms=kept.rate_window_ms, slack=kept.rate_slack
+        )
         self.usage = usage.Usage()
         self.scaling = scaling.Scaling()
         self.configured = False
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -354,10 +354,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Demand:
-    """What a workspace asks for at the sender, a second."""
+    """What the sender let through of a workspace in the last seconds."""
 
     workspace: str
-    per_s: float
+    spent: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -144,9 +144,8 @@
             )
         )
         self._tasks.start(links.follow(self._transport, self._loop))
-        self._tasks.start(self._watching.configuration())
-        self._tasks.start(self._watching.servers())
-        self._tasks.start(self._watching.nodes())
+        self._tasks.start(self._watching.follow())
+        self._tasks.start(self._watching.enter())
         self._tasks.start(self._loop.tick())
         for listener in (self._callers, *self._entrances):
             await listener.start()
@@ -258,6 +257,8 @@
         revoke_ms=found.revoke_ms if found.strict_keys else 0,
         retry_share=found.retry_share,
         retry_extra=found.retry_extra,
+        rate_window_ms=round(clocks.SECOND * found.rate_window_s),
+        rate_slack=found.rate_slack,
         usage_window_ms=round(clocks.SECOND * found.usage_window_s),
         duties=duties_module.known(found.duties) if site.cloud else (),
     )
--- a/src/teaselbridge/runtime/watching.py
+++ b/src/teaselbridge/runtime/watching.py
@@ -27,14 +27,17 @@
 WAIT_MS = 1_200
 RETRY_MS = 150
 RETRY_MOST_MS = 600
-NODES_EVERY_MS = 5_000
 NODE_LEASE_MS = 30_000
 NODE_KEEP_MS = 8_000
+EVERYTHING = ''
 NODES_PREFIX = 'teaselbridge/nodes/'
 # Connections that failed this often in a row may be silent for good.
 RECONNECT_AFTER = 2
 
 
+T = typing.TypeVar('T')
+
+
 class Watching:
     """Follows the store for as long as the node runs.
 
@@ -57,145 +60,116 @@
         self._name = name
         self._peers = peers
         self._failures = 0
+        self._nodes: dict[str, str] = {}
 
-    async def configuration(self) -> None:
-        """Follow what the operators write."""
-        await self._follow(
-            documents.OPERATOR_PREFIX,
-            keyvalue.Purpose.CONFIGURATION,
-            self._take_operator,
-        )
-
-    async def servers(self) -> None:
-        """Follow the entries of backend servers."""
-        await self._follow(
-            documents.SERVERS_PREFIX,
-            keyvalue.Purpose.SERVERS,
-            self._take_servers,
-        )
-
-    async def nodes(self) -> None:
-        """Tell where this node is, and find out where the others are."""
+    async def enter(self) -> None:
+        """Tell where this node is, for as long as it runs."""
         lease = 0
-        kept = 0
         while True:
             try:
-                if not lease:
-                    lease = await self._enter()
-                    kept = self._loop.now().mono
-                elif self._loop.now().mono - kept >= NODE_KEEP_MS:
-                    kept = self._loop.now().mono
-                    if not await self._store.keep(lease):
-                        lease = 0
-                        continue
-                await self._list_nodes()
+                if not lease or not await self._store.keep(lease):
+                    lease = await self._write()
             except keyvalue.KeyValueError as error:
                 self._loop.post(events.StoreAnswered(False, error.detail))
                 await _sleep(RETRY_MOST_MS)
                 continue
-            await _sleep(NODES_EVERY_MS if lease else RETRY_MS)
-
-    async def leave(self) -> None:
-        """Take this node's own entry back, before a stop."""
-        try:
-            await self._store.put(NODES_PREFIX + self._name, b'{}', 0)
-        except keyvalue.KeyValueError as error:
-            self._loop.post(events.StoreAnswered(False, error.detail))
-
-    async def _enter(self) -> int:
-        lease = await self._store.grant(NODE_LEASE_MS)
-        value = documents.encode_node(documents.Node(peers=self._peers))
-        if not await self._store.put(NODES_PREFIX + self._name, value, lease):
-            return 0
-        return lease
-
-    async def _list_nodes(self) -> None:
-        found = await self._store.list(
-            NODES_PREFIX, keyvalue.Purpose.MEMBERS, stale=bool(self._peers)
-        )
-        addresses = []
-        for entry in found.entries:
-            if entry.data is None:
-                continue
-            try:
-                addresses.append(documents.node(entry.data).peers)
-            except errors.DocumentError as error:
-                self._loop.post(events.Undecodable(entry.key, str(error)))
-        self._loop.post(events.NodesListed(tuple(sorted(addresses))))
+            await _sleep(NODE_KEEP_MS if lease else RETRY_MS)
 
-    async def _follow(
-        self,
-        prefix: str,
-        purpose: keyvalue.Purpose,
-        take: collections.abc.Callable[[stores.Entries, int, bool], None],
-    ) -> None:
+    async def follow(self) -> None:
         """Read all entries, then wait for changes; start over on a gap.
 
-        :param take: takes entries, the moment at which they were asked for,
-            and whether they are all there are.
+        One watch for everything: each one that waits is paid for.
         """
         revision: int | None = None
         wait = RETRY_MS
         while True:
             sent = self._loop.now().mono
             try:
-                if revision is None:
-                    found = await self._store.list(prefix, purpose)
-                else:
-                    found = await self._store.changes(
-                        prefix, revision, WAIT_MS, purpose
-                    )
+                found = await self._ask(revision)
             except stores.HistoryLostError:
                 revision = None
                 continue
             except keyvalue.KeyValueError as error:
+                # What was missed meanwhile comes with the history.
                 self._loop.post(events.StoreAnswered(False, error.detail))
                 await self._note_failure()
                 await _sleep(wait)
                 wait = min(RETRY_MOST_MS, 2 * wait)
-                # What was missed meanwhile comes with the history.
                 continue
             wait = RETRY_MS
             self._failures = 0
             self._loop.post(events.StoreAnswered(True))
-            take(found, sent, revision is None)
+            self._take(found, sent, whole=revision is None)
             revision = found.revision
 
+    async def _ask(self, revision: int | None) -> stores.Entries:
+        purpose = keyvalue.Purpose.CONFIGURATION
+        if revision is None:
+            return await self._store.list(EVERYTHING, purpose)
+        return await self._store.changes(
+            EVERYTHING, revision, WAIT_MS, purpose
+        )
+
+    async def _write(self) -> int:
+        """Write this node's entry.
+
+        :return: the lease that it stands under, 0 where that has ended.
+        """
+        lease = await self._store.grant(NODE_LEASE_MS)
+        value = documents.encode_node(documents.Node(peers=self._peers))
+        if not await self._store.put(NODES_PREFIX + self._name, value, lease):
+            return 0
+        return lease
+
     async def _note_failure(self) -> None:
         self._failures += 1
         if self._failures % RECONNECT_AFTER == 0:
             await self._store.reconnect()
 
-    def _take_operator(
-        self, found: stores.Entries, sent: int, whole: bool
-    ) -> None:
+    def _take(self, found: stores.Entries, sent: int, *, whole: bool) -> None:
+        """Post what was learnt.
+
+        :param sent: monotonic milliseconds before the question was sent.
+        :param whole: whether these are all entries there are.
+        """
         configuration = None
+        rows: dict[str, events.HostRow | None] = {}
+        nodes = {} if whole else dict(self._nodes)
         for entry in found.entries:
-            if entry.key != documents.CONFIGURATION_KEY or entry.data is None:
-                continue
-            try:
-                configuration = documents.configuration(entry.data)
-            except errors.DocumentError as error:
-                self._loop.post(events.Undecodable(entry.key, str(error)))
-        self._loop.post(
-            events.ConfigurationSeen(found=configuration, sent=sent)
-        )
-
-    def _take_servers(
-        self, found: stores.Entries, sent: int, whole: bool
-    ) -> None:
-        rows = {entry.key: self._row(entry) for entry in found.entries}
+            if entry.key == documents.CONFIGURATION_KEY:
+                configuration = self._decode(
+                    entry, lambda _, data: documents.configuration(data)
+                )
+            elif entry.key.startswith(documents.SERVERS_PREFIX):
+                rows[entry.key] = self._decode(entry, documents.server)
+            elif entry.key.startswith(NODES_PREFIX):
+                node = self._decode(
+                    entry, lambda _, data: documents.node(data)
+                )
+                nodes[entry.key] = '' if node is None else node.peers
         if whole:
             known = {key: row for key, row in rows.items() if row is not None}
             self._loop.post(events.ServersListed(rows=known))
         elif rows:
             self._loop.post(events.ServersChanged(rows=rows))
+        if nodes != self._nodes:
+            self._nodes = nodes
+            addresses = sorted(item for item in nodes.values() if item)
+            self._loop.post(events.NodesListed(tuple(addresses)))
+        self._loop.post(
+            events.ConfigurationSeen(found=configuration, sent=sent)
+        )
 
-    def _row(self, entry: stores.Entry) -> events.HostRow | None:
+    def _decode(
+        self,
+        entry: stores.Entry,
+        decode: collections.abc.Callable[[str, bytes], T],
+    ) -> T | None:
+        """Decode an entry, none where it was removed or cannot be."""
         if entry.data is None:
             return None
         try:
-            return documents.server(entry.key, entry.data)
+            return decode(entry.key, entry.data)
         except errors.DocumentError as error:
             self._loop.post(events.Undecodable(entry.key, str(error)))
             return None
