Keep reclaimable servers such that the loss of a zone is borne

Change: what is missing is what must be left after the loss of the largest zone; on-demand orders only grow until reclaimable ones suffice again.

--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -36,6 +36,8 @@
 SPARE = 1.6
 # Fewer do not bear the loss of one.
 NEED_LEAST = 4
+# What the operators start with just serves the usual load.
+NEED_FACTOR = 1.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,14 +86,13 @@
     serving: dict[Place, int]
     coming: dict[Place, int]
 
-    def total(self, *, reclaimable: bool | None = None) -> int:
-        """Count servers, of one sort or of both."""
-        return sum(
-            count
-            for stock in (self.serving, self.coming)
-            for place, count in stock.items()
-            if reclaimable is None or place.reclaimable is reclaimable
-        )
+    def of(self, place: Place) -> int:
+        """Count the servers of a place."""
+        return self.serving.get(place, 0) + self.coming.get(place, 0)
+
+    def total(self) -> int:
+        """Count all servers."""
+        return sum(self.serving.values()) + sum(self.coming.values())
 
 
 def tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
@@ -140,43 +141,36 @@
 
 def need(state: states.State, pool: model.Pool) -> int:
     """Tell how many servers a pool needs to serve in time."""
-    return max(NEED_LEAST, state.scaling.first.get(pool.name, 1))
+    first = state.scaling.first.get(pool.name, 1)
+    return max(NEED_LEAST, math.ceil(NEED_FACTOR * first))
 
 
 def plan(
-    wanted: int,
-    scaling: model.Scaling,
-    stock: Stock,
-    refused: set[Place],
-    pool: str,
+    wanted: int, scaling: model.Scaling, stock: Stock, pool: str
 ) -> dict[Place, int]:
     """Decide how many servers of each sort there shall be in each zone.
 
-    :param wanted: servers that are needed to serve in time.
-    :param stock: what there is.
-    :param refused: where none can be had at present.
+    :param wanted: servers that are needed to serve in time, also after the
+        loss of all reclaimable ones in a zone.
+    :param stock: what there is and what comes.
     :param pool: name of the pool.
     """
     zones = sorted(scaling.prices, key=lambda item: item.price)
-    total = math.ceil(wanted * SPARE)
+    share = math.ceil(wanted * SPARE / max(1, len(zones)))
     target: dict[Place, int] = {}
-    room: dict[str, int] = {}
-    share = math.ceil(total / max(1, len(zones)))
-    expected = 0
+    largest = 0
     for item in zones:
         place = Place(pool, item.zone, True)
         target[place] = min(scaling.most, max(scaling.least, share))
-        have = stock.serving.get(place, 0)
-        coming = stock.coming.get(place, 0)
-        room[item.zone] = scaling.most - target[place]
-        if place in refused:
-            room[item.zone] = scaling.most - have
-        expected += have + coming
-    missing = max(0, wanted - expected)
+        largest = max(largest, stock.of(place))
+    missing = wanted + largest - stock.total()
     for item in zones:
         place = Place(pool, item.zone, False)
-        target[place] = min(missing, max(0, room[item.zone]))
-        missing -= target[place]
+        have = stock.of(place)
+        room = scaling.most - have - stock.of(Place(pool, item.zone, True))
+        more = max(0, min(missing, room))
+        target[place] = have + more
+        missing -= more
     return target
 
 
@@ -195,13 +189,13 @@
         if until > now.mono and place.pool == pool.name
     }
     wanted = need(state, pool)
-    target = plan(wanted, limits, stock, refused, pool.name)
+    target = plan(wanted, limits, stock, pool.name)
     settled = _is_settled(state, pool, stock, wanted, now)
     out: list[effects.Effect] = []
     for place, count in target.items():
         have = stock.serving.get(place, 0)
-        if not place.reclaimable and count < have and not settled:
-            continue
+        if not place.reclaimable and settled:
+            count = 0
         if place in refused or not _is_due(
             scaling.orders.get(place), count, have, limits, now
         ):
@@ -247,12 +241,15 @@
     wanted: int,
     now: clock.Instant,
 ) -> bool:
-    """Tell whether reclaimable servers alone have sufficed for a while."""
+    """Tell whether reclaimable servers alone have sufficed for a while.
+
+    That is so if they still do without those of any one zone.
+    """
     enough = state.scaling.enough
-    serving = sum(
+    serving = [
         count for place, count in stock.serving.items() if place.reclaimable
-    )
-    if serving < wanted:
+    ]
+    if sum(serving) - max(serving, default=0) < wanted:
         enough.pop(pool.name, None)
         return False
     since = enough.setdefault(pool.name, now.mono)
