--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -350,7 +350,8 @@
     """Move repeatable work away from a server that says nothing."""
     if request.phase is not requests.Phase.RUNNING:
         return []
-    if not request.call.route.idempotent:
+    route = request.call.route
+    if not route.idempotent or request.runs + 1 >= route.attempts:
         return []
     waited = now.mono - request.progressed
     limit = _first_limit(state, request)
