Drive the program through the adapter against stand-ins of the platform

Found by them: after any start the rates took eight seconds as used up, also where nothing had run before; now only as far as nodes have forgotten, and never at the first start.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test fix check dist
+# Tests run on so many processes at once.
+JOBS ?= auto
+
+.PHONY: demo test quick fix check dist
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -27,7 +30,11 @@
 	$(BIN)/isort -q src tests bench
 
 test: check
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(JOBS) --dist worksteal
+
+quick: check
+	$(BIN)/python -m pytest -n $(JOBS) --dist worksteal \
+	    --ignore tests/failures --ignore tests/fuzz --ignore tests/experiment
 
 dist: $(STAMP)
 	mkdir -p dist
--- a/src/teaselbridge/decisions/bounds.py
+++ b/src/teaselbridge/decisions/bounds.py
@@ -18,6 +18,7 @@
     :param rate_slack: excess over a rate that is allowed in that span.
     :param usage_window_ms: span of one usage report.
     :param duties: duties that the platform takes calls of.
+    :param first_start: whether no node of the deployment ran before.
     """
 
     revoke_ms: int = 5_000
@@ -27,3 +28,4 @@
     rate_slack: float = 190_000
     usage_window_ms: int = 5_000
     duties: tuple[str, ...] = ()
+    first_start: bool = False
--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -138,6 +138,7 @@
         node=me.name,
         incarnation=me.incarnation,
         wall=now.wall,
+        up_ms=state.rates.up_ms(now),
         servers=tuple(
             messages.ServerLoad(
                 host=server.host,
--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -7,8 +7,8 @@
 is covered by the excess that the platform allows.
 
 A node that hears nobody keeps to an equal part, as the others may go on
-without it. One that has just started, and may have forgotten what it let
-through before, takes the span before as used up.
+without it. One that has just started has forgotten what it let through
+before; where many have, they take so much of the span before as used up.
 """
 
 from __future__ import annotations
@@ -71,10 +71,12 @@
 
     :param heard: monotonic milliseconds.
     :param spent: costs in its window, by workspace.
+    :param started: monotonic milliseconds at which it began to count.
     """
 
     heard: int
     spent: dict[str, int]
+    started: int
 
 
 class Rates:
@@ -82,11 +84,16 @@
 
     :param span_ms: span that a rate holds for.
     :param slack: excess that the platform allows in it.
+    :param first_start: whether no node ran before, which could have
+        forgotten anything.
     """
 
-    def __init__(self, *, span_ms: int, slack: float) -> None:
+    def __init__(
+        self, *, span_ms: int, slack: float, first_start: bool = False
+    ) -> None:
         self._span_ms = span_ms
         self._slack = slack
+        self._first_start = first_start
         self._started: int | None = None
         self._own: dict[str, _Window] = {}
         self._peers: dict[tuple[str, int], _Peer] = {}
@@ -95,7 +102,15 @@
         """Take in what another node let through."""
         spent = {item.workspace: item.spent for item in message.demand}
         source = (message.node, message.incarnation)
-        self._peers[source] = _Peer(now.mono, spent)
+        self._peers[source] = _Peer(now.mono, spent, now.mono - message.up_ms)
+
+    def up_ms(self, now: clock.Instant) -> int:
+        """Tell how long this node has counted."""
+        if self._started is None:
+            self._started = now.mono
+        if self._first_start:
+            return max(self._span_ms, now.mono - self._started)
+        return now.mono - self._started
 
     def tell(self, now: clock.Instant) -> tuple[messages.Demand, ...]:
         """Tell what this node let through, for the others."""
@@ -117,8 +132,6 @@
         :param nodes: live nodes that are known, this one included.
         :return: 0 where it is let through, else milliseconds until then.
         """
-        if self._started is None:
-            self._started = now.mono
         name = call.key.workspace
         cost = cost_of(call, rate)
         limit = rate.per_s * self._span_ms / 1000 + rate.burst
@@ -156,12 +169,16 @@
         return total, max(0, nodes - heard)
 
     def _forgotten(self, limit: float, now: clock.Instant) -> float:
-        """Guess what a life of this node before let through."""
-        assert self._started is not None
-        left = 1 - (now.mono - self._started) / self._span_ms
-        if left <= 0:
+        """Guess what was let through by lives of nodes that ended.
+
+        Nodes that run on have told what they let through.
+        """
+        ages = [now.mono - peer.started for peer in self._peers.values()]
+        ages.append(self.up_ms(now))
+        left = sum(max(0.0, 1 - age / self._span_ms) for age in ages)
+        if not left:
             return 0.0
-        return max(0.0, limit * left - START_SLACK * self._slack)
+        return max(0.0, limit * left / len(ages) - START_SLACK * self._slack)
 
 
 def cost_of(call: calls.Call, rate: model.Rate) -> int:
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -96,7 +96,9 @@
         self.speed = prefill.Speed()
         kept = options.bounds or bounds_module.Bounds()
         self.rates = rates.Rates(
-            span_ms=kept.rate_window_ms, slack=kept.rate_slack
+            span_ms=kept.rate_window_ms,
+            slack=kept.rate_slack,
+            first_start=kept.first_start,
         )
         self.usage = usage.Usage()
         self.scaling = scaling.Scaling()
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -379,6 +379,7 @@
     :param node: the sender.
     :param incarnation: the sender's at its start.
     :param wall: the sender's wall milliseconds.
+    :param up_ms: how long the sender has counted requests.
     :param servers: all servers with work of the sender.
     :param cached: what was given to servers since the last message.
     :param demand: by workspace.
@@ -388,6 +389,7 @@
     node: str
     incarnation: int
     wall: int
+    up_ms: int
     servers: tuple[ServerLoad, ...]
     cached: tuple[Cached, ...] = ()
     demand: tuple[Demand, ...] = ()
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -123,6 +123,11 @@
             for app in [self._directory()]
         ]
 
+    @property
+    def settings(self) -> model.Settings:
+        """Settings in force."""
+        return self._settings
+
     @property
     def loop(self) -> loops.Loop:
         """Runs the decisions."""
@@ -259,6 +264,7 @@
         retry_extra=found.retry_extra,
         rate_window_ms=round(clocks.SECOND * found.rate_window_s),
         rate_slack=found.rate_slack,
+        first_start=found.first_start,
         usage_window_ms=round(clocks.SECOND * found.usage_window_s),
         duties=duties_module.known(found.duties) if site.cloud else (),
     )
--- a/src/teaselbridge/settings/model.py
+++ b/src/teaselbridge/settings/model.py
@@ -74,6 +74,8 @@
     :param rate_slack: excess over a rate that is allowed in that span.
     :param usage_window_s: span of one usage report.
     :param duties: duties that are accepted, by the platform's names.
+    :param first_start: whether the whole deployment starts for the first
+        time, so that nothing was done before that could be forgotten.
     """
 
     grace_s: float = 8
@@ -85,6 +87,7 @@
     rate_slack: float = 0
     usage_window_s: float = 5
     duties: tuple[str, ...] = ()
+    first_start: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/src/teaselbridge/standins/duties.py
@@ -0,0 +1,76 @@
+"""Stand-in of the users' platform's duty API."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import litestar
+import msgspec
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call as it came.
+
+    :param holder: node that says that it holds the duty.
+    :param fence: number of the holder.
+    :param body: the decoded body.
+    """
+
+    path: str
+    holder: str
+    fence: int
+    body: dict[str, typing.Any]
+
+
+class Duties:
+    """Takes calls and keeps a record of them."""
+
+    def __init__(self) -> None:
+        self.calls: list[Call] = []
+        self.dry = False
+
+    def build(self) -> litestar.Litestar:
+        """Build the web application."""
+
+        @litestar.post('/usage', status_code=200)
+        async def usage(
+            request: litestar.Request[typing.Any, typing.Any, typing.Any],
+        ) -> litestar.Response[bytes]:
+            await self._note(request)
+            return litestar.Response(b'', status_code=200)
+
+        @litestar.post('/scale', status_code=200)
+        async def scale(
+            request: litestar.Request[typing.Any, typing.Any, typing.Any],
+        ) -> litestar.Response[bytes]:
+            call = await self._note(request)
+            refused = self.dry and call.body.get('spot', False)
+            return litestar.Response(b'', status_code=409 if refused else 200)
+
+        return litestar.Litestar(
+            route_handlers=[usage, scale],
+            openapi_config=None,
+            logging_config=None,
+        )
+
+    def usage(self) -> dict[int, dict[str, int]]:
+        """Give the reported counts by window."""
+        return {
+            call.body['window-id']: call.body['counts']
+            for call in self.calls
+            if call.path == '/usage'
+        }
+
+    async def _note(
+        self, request: litestar.Request[typing.Any, typing.Any, typing.Any]
+    ) -> Call:
+        call = Call(
+            path=request.url.path,
+            holder=request.headers.get('teaselbridge-duty-holder', ''),
+            fence=int(request.headers.get('teaselbridge-fence-token', '0')),
+            body=msgspec.json.decode(await request.body()),
+        )
+        self.calls.append(call)
+        return call
--- /dev/null
+++ b/src/teaselbridge/standins/runner.py
@@ -0,0 +1,302 @@
+"""Stand-in of a backend server of the users' platform.
+
+It answers on plain sockets, so that it can also break answers off, send a
+second one, or say nothing. It keeps a record of all that it ran.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import enum
+import typing
+
+import h11
+import msgspec
+
+from teaselbridge import clock as clocks
+from teaselbridge.standins import hosting
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from teaselbridge.standins import store as stores
+
+READ_BYTES = 65_536
+Headers: typing.TypeAlias = list[tuple[str, str]]
+
+
+class Fault(enum.Enum):
+    """How a request is treated."""
+
+    NONE = 'none'
+    NOT_RUN = 'not-run'
+    ERROR = 'error'
+    CUT = 'cut'
+    CUT_IN_EVENT = 'cut-in-event'
+    LOST = 'lost'
+    SILENT = 'silent'
+    EXTRA = 'extra'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """One request that a server ran.
+
+    :param attempt: the caller's id of the request.
+    :param headers: all headers as they came, names in lower case.
+    """
+
+    attempt: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Runner:
+    """One backend server.
+
+    :param instance: its id.
+    :param pool: service that it belongs to.
+    :param zone: availability zone.
+    :param reclaimable: whether the platform may take it back.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        pool: str,
+        zone: str,
+        reclaimable: bool = False,
+    ) -> None:
+        self.instance = instance
+        self.pool = pool
+        self.zone = zone
+        self.reclaimable = reclaimable
+        self.address = f'127.0.0.1:{hosting.free_port()}'
+        self.born = 1
+        self.events = 3
+        self.event_ms = 5.0
+        self.work_ms = 2.0
+        self.runs: list[Run] = []
+        self.cancelled = 0
+        self.faults: collections.deque[Fault] = collections.deque()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def key(self) -> str:
+        """Key of its entry in the store."""
+        return f'servers/{self.instance}'
+
+    def entry(self, state: str = 'ready', **more: object) -> bytes:
+        """Encode its entry in the store."""
+        return msgspec.json.encode(
+            {
+                'service': self.pool,
+                'address': self.address,
+                'zone': self.zone,
+                'version': 'v1',
+                'slots': 64,
+                'state': state,
+                'born': self.born,
+                'spot': self.reclaimable,
+                **more,
+            }
+        )
+
+    async def register(
+        self, store: stores.Store, state: str = 'ready', **more: object
+    ) -> None:
+        """Write its entry."""
+        await store.put(self.key, self.entry(state, **more))
+
+    async def start(self) -> None:
+        """Listen."""
+        host, _, port = self.address.rpartition(':')
+        self._server = await asyncio.start_server(
+            self._connected, host, int(port)
+        )
+
+    async def kill(self) -> None:
+        """Stop to listen and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def count(self, attempt: str) -> int:
+        """Count how often a request ran here."""
+        return sum(run.attempt == attempt for run in self.runs)
+
+    async def _connected(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except (asyncio.CancelledError, ConnectionError):
+            writer.transport.abort()
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = h11.Connection(h11.SERVER)
+        while True:
+            run = await _read(connection, reader)
+            if run is None:
+                return
+            if not await self._answer(run, connection, reader, writer):
+                writer.transport.abort()
+                return
+            connection.start_next_cycle()
+
+    async def _answer(
+        self,
+        run: Run,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer a request.
+
+        :return: whether the connection stands.
+        """
+        fault = self.faults.popleft() if self.faults else Fault.NONE
+        headers = self._headers(run)
+        expected = run.headers.get('teaselbridge-expect-instance')
+        if expected not in (None, self.instance):
+            return await _send(connection, writer, 421, headers, b'')
+        if fault is Fault.NOT_RUN:
+            refused = [*headers, ('Teaselbridge-Not-Run', '1')]
+            return await _send(connection, writer, 503, refused, b'')
+        self.runs.append(run)
+        if fault is Fault.LOST:
+            return False
+        if fault is Fault.SILENT:
+            await asyncio.Event().wait()
+        if fault is Fault.ERROR:
+            return await _send(connection, writer, 500, headers, b'failed')
+        if run.target.startswith('/stream/'):
+            return await self._stream(run, connection, reader, writer, fault)
+        await asyncio.sleep(self.work_ms / clocks.SECOND)
+        body = f'{self.instance} ran {run.attempt}'.encode()
+        if fault is Fault.CUT:
+            head = h11.Response(
+                status_code=200,
+                headers=[*headers, ('Content-Length', str(len(body)))],
+            )
+            writer.write(connection.send(head) or b'')
+            writer.write(body[:5])
+            await writer.drain()
+            return False
+        sent = await _send(connection, writer, 200, headers, body)
+        if fault is Fault.EXTRA:
+            writer.write(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n'
+                b'Teaselbridge-Attempt-Id: other\r\n\r\nextra'
+            )
+            await writer.drain()
+        return sent
+
+    async def _stream(
+        self,
+        run: Run,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        fault: Fault,
+    ) -> bool:
+        first = 1 + int(run.headers.get('last-event-id') or 0)
+        headers = self._headers(run)
+        head = h11.Response(
+            status_code=200,
+            headers=[*headers, ('Content-Type', 'text/event-stream')],
+        )
+        writer.write(connection.send(head) or b'')
+        for number in range(first, self.events + 1):
+            data = event(number)
+            if fault is Fault.CUT_IN_EVENT and number == first + 1:
+                writer.write(connection.send(h11.Data(data=data[:6])) or b'')
+                await writer.drain()
+                return False
+            writer.write(connection.send(h11.Data(data=data)) or b'')
+            await writer.drain()
+            await asyncio.sleep(self.event_ms / clocks.SECOND)
+            if reader.at_eof():
+                self.cancelled += 1
+                return False
+        writer.write(connection.send(h11.EndOfMessage()) or b'')
+        await writer.drain()
+        return True
+
+    def _headers(self, run: Run) -> Headers:
+        return [
+            ('Teaselbridge-Attempt-Id', run.attempt),
+            ('Teaselbridge-Reply-Stamp', f'{self.instance}.{run.attempt}'),
+            ('Teaselbridge-Runner-Load', '1,0,64'),
+        ]
+
+
+def event(number: int) -> bytes:
+    """Give an event of a stream, as each server makes it."""
+    return f'id: {number}\ndata: piece {number}\n\n'.encode()
+
+
+async def _read(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> Run | None:
+    head: h11.Request | None = None
+    body = b''
+    while True:
+        found = connection.next_event()
+        if found is h11.NEED_DATA:
+            connection.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(found, h11.Request):
+            head = found
+        elif isinstance(found, h11.Data):
+            body += found.data
+        elif isinstance(found, h11.EndOfMessage):
+            assert head is not None
+            return _run(head, body)
+        else:
+            return None
+
+
+def _run(head: h11.Request, body: bytes) -> Run:
+    headers = {
+        name.decode('latin-1'): value.decode('latin-1')
+        for name, value in head.headers
+    }
+    return Run(
+        attempt=headers.get('teaselbridge-attempt-id', ''),
+        method=head.method.decode('latin-1'),
+        target=head.target.decode('latin-1'),
+        headers=headers,
+        body=body,
+    )
+
+
+async def _send(
+    connection: h11.Connection,
+    writer: asyncio.StreamWriter,
+    status: int,
+    headers: Headers,
+    body: bytes,
+) -> bool:
+    length = ('Content-Length', str(len(body)))
+    head = h11.Response(status_code=status, headers=[*headers, length])
+    writer.write(connection.send(head) or b'')
+    writer.write(connection.send(h11.Data(data=body)) or b'')
+    writer.write(connection.send(h11.EndOfMessage()) or b'')
+    await writer.drain()
+    return True
--- /dev/null
+++ b/tests/failures/test_site_duties.py
@@ -0,0 +1,133 @@
+"""Duties on the users' platform: usage reports and orders of servers."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+from teaselbridge.decisions import leases
+from teaselbridge.standins import store as stores
+from tests.failures import base
+from tests.failures import site
+
+SCALING = (
+    {
+        **site.SERVICES[0],
+        'scaling': {
+            'min-replicas': 1,
+            'max-replicas': 4,
+            'boot-s': 1.0,
+            'spot-price': 0.15,
+            'zone-prices': {'zone-a': 1.0, 'zone-b': 0.8},
+        },
+    },
+    site.SERVICES[1],
+)
+
+
+class TestUsage(base.TestCase):
+    """Each window is reported once, with what began in it."""
+
+    def test_counts_of_all_nodes(self) -> None:
+        async def run() -> None:
+            async with site.trial(2) as trial:
+                for number in range(12):
+                    await trial.call('/stock/1', node=number % 2)
+                await trial.call('/open/1', key='')
+
+                def total() -> int:
+                    found: collections.Counter[str] = collections.Counter()
+                    for counts in trial.duties.usage().values():
+                        found.update(counts)
+                    self.assertNotIn('', found)
+                    return found['parish']
+
+                await site.until(lambda: total() == 12)
+
+        self.go(run())
+
+    def test_new_holder_repeats_exactly_and_goes_on(self) -> None:
+        async def run() -> None:
+            async with site.trial(3) as trial:
+                await site.until(lambda: len(trial.duties.usage()) > 1)
+                first = trial.duties.calls[-1]
+                for _ in range(6):
+                    await trial.call('/stock/1')
+                (holder,) = [
+                    node
+                    for node in trial.nodes
+                    if node.settings.node.name == first.holder
+                ]
+                trial.nodes.remove(holder)
+                await holder.abort()
+                await site.until(
+                    lambda: trial.duties.calls[-1].holder != first.holder
+                )
+                await asyncio.sleep(2.0)
+                fences = [call.fence for call in trial.duties.calls]
+                self.assertEqual(sorted(fences), fences)
+                by_window: dict[int, set[str]] = {}
+                for call in trial.duties.calls:
+                    if call.path == '/usage':
+                        window = call.body['window-id']
+                        told = repr(sorted(call.body['counts'].items()))
+                        by_window.setdefault(window, set()).add(told)
+                self.assertTrue(
+                    all(len(told) == 1 for told in by_window.values())
+                )
+
+        self.go(run())
+
+    def test_holder_that_cannot_renew_stops(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                state = trial.nodes[0].loop.state
+                await site.until(lambda: trial.duties.usage())
+                trial.store.mode = stores.Mode.SILENT
+                await asyncio.sleep(2.2)
+                now = trial.nodes[0].loop.now()
+                self.assertIsNone(leases.held(state, leases.DUTIES, now))
+                count = len(trial.duties.calls)
+                await asyncio.sleep(1.0)
+                self.assertEqual(count, len(trial.duties.calls))
+
+        self.go(run())
+
+
+class TestScaling(base.TestCase):
+    """Reclaimable servers are ordered first, others fill up."""
+
+    def test_reclaimable_servers_are_ordered(self) -> None:
+        async def run() -> None:
+            document = site.document(1, services=SCALING)
+            async with site.trial(configuration=document) as trial:
+                await site.until(
+                    lambda: [
+                        call
+                        for call in trial.duties.calls
+                        if call.path == '/scale'
+                    ]
+                )
+                call = next(
+                    call
+                    for call in trial.duties.calls
+                    if call.path == '/scale'
+                )
+                self.assertTrue(call.body['spot'])
+                self.assertEqual('engines', call.body['service'])
+
+        self.go(run())
+
+    def test_others_fill_up_where_none_are_to_be_had(self) -> None:
+        async def run() -> None:
+            document = site.document(1, services=SCALING)
+            async with site.trial(configuration=document) as trial:
+                trial.duties.dry = True
+                await site.until(
+                    lambda: any(
+                        call.path == '/scale' and not call.body.get('spot')
+                        for call in trial.duties.calls
+                    )
+                )
+
+        self.go(run())
--- /dev/null
+++ b/tests/failures/test_site_knowledge.py
@@ -0,0 +1,191 @@
+"""What a node knows on the users' platform, and how old it may be."""
+
+from __future__ import annotations
+
+import asyncio
+
+from teaselbridge.standins import store as stores
+from tests.failures import base
+from tests.failures import site
+
+
+class TestConfiguration(base.TestCase):
+    """Configurations come into force and never go back."""
+
+    def test_new_one_is_in_force_within_two_seconds(self) -> None:
+        async def run() -> None:
+            async with site.trial(2) as trial:
+                routes = (
+                    {**site.ROUTES[3], 'name': 'new', 'path-prefix': '/new/'},
+                    *site.ROUTES,
+                )
+                document = site.document(7, routes=routes)
+                await trial.store.put('op/config', document)
+                await asyncio.sleep(0.5)
+                for node in range(2):
+                    response = await trial.call('/new/1', node=node)
+                    self.assertEqual(200, response.status_code)
+
+        self.go(run())
+
+    def test_undecodable_one_changes_nothing(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                await trial.store.put('op/config', b'{"version": "nine"')
+                await trial.store.put('servers/other', b'\xff\xfe')
+                await trial.store.put('servers/odd', b'{"service": 7}')
+                await asyncio.sleep(0.3)
+                response = await trial.call('/stock/1')
+                self.assertEqual(200, response.status_code)
+                state = trial.nodes[0].loop.state
+                self.assertEqual(3, len(state.knowledge.undecodable))
+                self.assertEqual(4, len(state.servers.all))
+
+        self.go(run())
+
+    def test_history_is_lost_with_a_change_in_the_gap(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                gone = trial.of('shop')[0]
+                await trial.store.compact()
+                await trial.store.put('op/config', site.document(9))
+                await trial.store.remove(gone.key)
+                state = trial.nodes[0].loop.state
+                await site.until(lambda: state.index.generation == 9, 2.0)
+                await site.until(lambda: len(state.servers.all) == 3, 2.0)
+
+        self.go(run())
+
+    def test_node_without_a_configuration_serves_nothing(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                trial.store.mode = stores.Mode.BUSY
+                state = trial.nodes[0].loop.state
+                state.configured = False
+                response = await trial.call('/stock/1')
+                self.assertEqual(503, response.status_code)
+                self.assertFalse(await trial.ready())
+
+        self.go(run())
+
+
+class TestKeys(base.TestCase):
+    """Revoked keys stop to count, also at nodes that cannot ask."""
+
+    def test_revoked_key_is_refused(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                tenants = ({'name': 'parish', 'api-keys': ['second-key']},)
+                document = site.document(2, tenants=tenants)
+                await trial.store.put('op/config', document)
+                await asyncio.sleep(0.3)
+                refused = await trial.call('/stock/1')
+                served = await trial.call('/stock/1', key='second-key')
+                self.assertEqual(401, refused.status_code)
+                self.assertEqual(200, served.status_code)
+
+        self.go(run())
+
+    def test_keys_end_when_the_store_is_silent(self) -> None:
+        async def run() -> None:
+            for mode in (stores.Mode.SILENT, stores.Mode.BUSY):
+                async with site.trial() as trial:
+                    trial.store.mode = mode
+                    await asyncio.sleep(5.0)
+                    keyed = await trial.call('/stock/1')
+                    public = await trial.call('/open/1', key='')
+                    self.assertEqual(503, keyed.status_code)
+                    self.assertEqual(200, public.status_code)
+                    self.assertFalse(await trial.ready())
+                    trial.store.mode = stores.Mode.SOUND
+                    state = trial.nodes[0].loop.state
+                    await site.until(
+                        lambda state=state: state.knowledge.fresh, 4.0
+                    )
+                    again = await trial.call('/stock/1')
+                    self.assertEqual(200, again.status_code)
+
+        self.go(run())
+
+
+class TestServers(base.TestCase):
+    """Backend servers that leave, lapse and are replaced."""
+
+    def test_leaving_server_gets_no_new_work(self) -> None:
+        async def run() -> None:
+            async with site.trial(2) as trial:
+                leaving, _ = trial.of('shop')
+                await leaving.register(trial.store, 'draining')
+                await asyncio.sleep(0.3)
+                before = len(leaving.runs)
+                for number in range(10):
+                    response = await trial.call('/stock/1', node=number % 2)
+                    self.assertEqual(200, response.status_code)
+                self.assertEqual(before, len(leaving.runs))
+
+        self.go(run())
+
+    def test_reused_address_runs_nothing(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                reused, _ = trial.of('shop')
+                reused.instance = 'of-another-service'
+                for _ in range(6):
+                    response = await trial.call('/orders/1')
+                    self.assertEqual(200, response.status_code)
+                self.assertEqual([], reused.runs)
+
+        self.go(run())
+
+    def test_entries_that_lapse_in_an_outage_hold(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                state = trial.nodes[0].loop.state
+                lapsed, gone = trial.of('shop')
+                trial.store.mode = stores.Mode.BUSY
+                await asyncio.sleep(1.5)
+                await trial.store.remove(lapsed.key)
+                await trial.store.remove(gone.key)
+                await trial.store.compact()
+                trial.store.mode = stores.Mode.SOUND
+                await site.until(lambda: state.knowledge.up, 3.0)
+                await site.until(lambda: state.knowledge.missing, 3.0)
+                self.assertEqual(4, len(state.servers.all))
+                await lapsed.register(trial.store)
+                await site.until(lambda: len(state.servers.all) == 3, 4.0)
+                hosts = [server.row.instance for server in state.servers.all]
+                self.assertIn(lapsed.instance, hosts)
+
+        self.go(run())
+
+
+class TestDirectory(base.TestCase):
+    """Callers are told the nodes that take work."""
+
+    def test_nodes_find_each_other_and_leave(self) -> None:
+        async def run() -> None:
+            async with site.trial(3) as trial:
+                directory = trial.nodes[0].settings.site.directory
+                url = f'http://{directory}/api/resolve'
+
+                async def listed() -> set[str]:
+                    answer = await trial.client.get(
+                        url, params={'name': site.HOST, 'zone': 'zone-a'}
+                    )
+                    return set(answer.json()['addresses'])
+
+                everyone = {site.callers(node) for node in trial.nodes}
+                async with asyncio.timeout(5):
+                    while await listed() != everyone:
+                        await asyncio.sleep(0.05)
+                trial.nodes[2].drain()
+                await asyncio.sleep(0.5)
+                self.assertEqual(
+                    everyone - {site.callers(trial.nodes[2])}, await listed()
+                )
+                self.assertFalse(await trial.ready(2))
+                response = await trial.call('/stock/1', node=2)
+                self.assertEqual(200, response.status_code)
+                self.assertEqual('close', response.headers['connection'])
+
+        self.go(run())
--- /dev/null
+++ b/tests/failures/test_site_requests.py
@@ -0,0 +1,286 @@
+"""Requests on the users' platform: passed on, repeated, refused."""
+
+from __future__ import annotations
+
+import asyncio
+
+import httpx
+
+from teaselbridge.standins import runner as runners
+from tests.failures import base
+from tests.failures import site
+
+WHOLE = b''.join(runners.event(number) for number in (1, 2, 3))
+
+
+class TestPassThrough(base.TestCase):
+    """What leaves a node is what came in."""
+
+    def test_request_leaves_as_it_came(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                path = '/orders/a%2Fb/./x?q=1&q=%20two'
+                response = await trial.call(
+                    path, body=b'\x00raw', X_Extra='kept', Kv_From='no'
+                )
+                self.assertEqual(200, response.status_code)
+                (ran,) = [item for one in trial.runners for item in one.runs]
+                self.assertEqual(('POST', path), (ran.method, ran.target))
+                self.assertEqual(b'\x00raw', ran.body)
+                self.assertEqual('kept', ran.headers['x-extra'])
+                self.assertEqual('parish', ran.headers['teaselbridge-tenant'])
+                self.assertNotIn('teaselbridge-credential', ran.headers)
+                self.assertNotIn('kv-from', ran.headers)
+                left = int(ran.headers['teaselbridge-deadline-ms'])
+                self.assertTrue(1_000 < left <= 1_500, left)
+
+        self.go(run())
+
+    def test_answer_leaves_as_it_came(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                response = await trial.call('/stock/1')
+                attempt = site.attempt_of(response)
+                stamp = response.headers['teaselbridge-reply-stamp']
+                instance, _, ran = stamp.rpartition('.')
+                self.assertEqual(attempt, ran)
+                self.assertEqual(
+                    f'{instance} ran {attempt}', response.content.decode()
+                )
+
+        self.go(run())
+
+    def test_callers_cannot_set_the_workspace(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                await trial.call(
+                    '/open/1', key='', Teaselbridge_Tenant='parish'
+                )
+                (ran,) = [item for one in trial.runners for item in one.runs]
+                self.assertNotIn('teaselbridge-tenant', ran.headers)
+
+        self.go(run())
+
+    def test_ambiguous_framing_is_refused(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                host, _, port = site.callers(trial.nodes[0]).rpartition(':')
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(
+                    b'POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\n'
+                    b'Teaselbridge-Attempt-Id: smuggled\r\n'
+                    b'Teaselbridge-Credential: parish-key\r\n'
+                    b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n'
+                    b'0\r\n\r\n'
+                )
+                answer = await reader.read()
+                writer.close()
+                self.assertIn(b' 400 ', answer.split(b'\r\n')[0])
+                self.assertEqual(0, trial.runs('smuggled'))
+
+        self.go(run())
+
+
+class TestRefusals(base.TestCase):
+    """Refusals that promise that nothing ran."""
+
+    def test_unknown_route_and_key(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                none = await trial.call('/nowhere/1')
+                wrong = await trial.call('/stock/1', key='wrong')
+                missing = await trial.call('/stock/1', key='')
+                self.assertEqual(404, none.status_code)
+                self.assertEqual(401, wrong.status_code)
+                self.assertEqual(401, missing.status_code)
+
+        self.go(run())
+
+    def test_server_that_did_not_run_it_is_passed_by(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                for server in trial.of('shop'):
+                    server.faults.append(runners.Fault.NOT_RUN)
+                response = await trial.call('/orders/1')
+                self.assertEqual(200, response.status_code)
+                self.assertEqual(1, trial.runs(site.attempt_of(response)))
+
+        self.go(run())
+
+    def test_no_server_is_told_with_when_to_come_back(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                for server in trial.of('shop'):
+                    await server.kill()
+                response = await trial.call(
+                    '/orders/1', Teaselbridge_Deadline_Ms='400'
+                )
+                self.assertEqual(503, response.status_code)
+                self.assertGreater(float(response.headers['retry-after']), 0)
+
+        self.go(run())
+
+    def test_rate_of_a_workspace(self) -> None:
+        async def run() -> None:
+            tenants = (
+                {'name': 'parish', 'api-keys': [site.KEY], 'rate-per-s': 1,
+                 'burst': 2},
+            )  # fmt: skip
+            document = site.document(1, tenants=tenants)
+            async with site.trial(configuration=document) as trial:
+                statuses = [
+                    (await trial.call('/stock/1')).status_code
+                    for _ in range(14)
+                ]
+                # 1/s over 8 s and a burst of 2, over all nodes.
+                self.assertEqual([200] * 10 + [429] * 4, statuses)
+
+        self.go(run())
+
+
+class TestRepeats(base.TestCase):
+    """What runs again, and what must not."""
+
+    def test_order_whose_answer_is_lost_runs_once(self) -> None:
+        async def run() -> None:
+            for fault in (
+                runners.Fault.LOST,
+                runners.Fault.CUT,
+                runners.Fault.ERROR,
+            ):
+                async with site.trial() as trial:
+                    for server in trial.of('shop'):
+                        server.faults.append(fault)
+                    response = await trial.call('/orders/1')
+                    self.assertIn(response.status_code, (500, 502))
+                    attempt = site.attempt_of(response)
+                    self.assertEqual(1, trial.runs(attempt))
+
+        self.go(run())
+
+    def test_silent_order_runs_once_and_ends_in_time(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                for server in trial.of('shop'):
+                    server.faults.append(runners.Fault.SILENT)
+                response = await trial.call(
+                    '/orders/1', Teaselbridge_Deadline_Ms='800'
+                )
+                self.assertEqual(504, response.status_code)
+                self.assertEqual(1, trial.runs(site.attempt_of(response)))
+
+        self.go(run())
+
+    def test_idempotent_work_is_repeated_elsewhere(self) -> None:
+        async def run() -> None:
+            for fault in (
+                runners.Fault.LOST,
+                runners.Fault.CUT,
+                runners.Fault.ERROR,
+                runners.Fault.SILENT,
+            ):
+                async with site.trial() as trial:
+                    first, second = trial.of('shop')
+                    first.faults.append(fault)
+                    responses = [
+                        await trial.call('/stock/1') for _ in range(8)
+                    ]
+                    statuses = {item.status_code for item in responses}
+                    self.assertEqual({200}, statuses, fault)
+
+        self.go(run())
+
+    def test_second_answer_belongs_to_nobody(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                trial.of('shop')[0].faults.extend([runners.Fault.EXTRA] * 8)
+                for _ in range(12):
+                    response = await trial.call('/stock/1')
+                    self.assertEqual(200, response.status_code)
+                    attempt = site.attempt_of(response)
+                    self.assertIn(attempt.encode(), response.content)
+
+        self.go(run())
+
+
+class TestStreams(base.TestCase):
+    """Events come whole, once and in order."""
+
+    def test_whole_stream(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                response = await trial.call('/stream/1')
+                self.assertEqual(WHOLE, response.content)
+
+        self.go(run())
+
+    def test_broken_stream_goes_on_elsewhere(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                first = trial.of('engines')[0]
+                first.faults.append(runners.Fault.CUT_IN_EVENT)
+                while first.faults:
+                    response = await trial.call('/stream/1')
+                    self.assertEqual(WHOLE, response.content)
+                ran = [
+                    item.headers.get('last-event-id')
+                    for one in trial.of('engines')
+                    for item in one.runs
+                ]
+                self.assertIn('1', ran)
+
+        self.go(run())
+
+    def test_broken_stream_that_cannot_go_on_looks_broken(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                for server in trial.of('engines'):
+                    server.faults.append(runners.Fault.CUT_IN_EVENT)
+                error = None
+                try:
+                    await trial.call('/stream/once/1')
+                except httpx.RemoteProtocolError as found:
+                    error = found
+                self.assertIsNotNone(error)
+                total = sum(len(one.runs) for one in trial.of('engines'))
+                self.assertEqual(1, total)
+
+        self.go(run())
+
+    def test_caller_that_leaves_ends_the_run(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                for server in trial.of('engines'):
+                    server.events = 400
+                address = site.callers(trial.nodes[0])
+                async with trial.client.stream(
+                    'POST',
+                    f'http://{address}/stream/1',
+                    headers=site.request_headers(
+                        site.KEY, Teaselbridge_Deadline_Ms='8000'
+                    ),
+                ) as response:
+                    async for _ in response.aiter_raw():
+                        break
+                await site.until(
+                    lambda: sum(one.cancelled for one in trial.of('engines')),
+                    0.5,
+                )
+
+        self.go(run())
+
+    def test_run_ends_at_the_time_of_its_route(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                for server in trial.of('engines'):
+                    server.events = 400
+                error = None
+                try:
+                    await trial.call(
+                        '/stream/1', Teaselbridge_Deadline_Ms='600'
+                    )
+                except httpx.RemoteProtocolError as found:
+                    error = found
+                self.assertIsNotNone(error)
+
+        self.go(run())
