Size pools by what prompts ask for, and by all servers at the start

Change: servers are counted for three seconds; the prompt tokens that all nodes send a pool set the need as well; reclaimable servers without room are ordered again as soon as on-demand ones leave.

--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -28,6 +28,8 @@
 # What was not heard again for this long is over.
 STALE_MS = 1_500
 TOLD_MOST = 24
+# Span that prompt tokens are added up over.
+READING_MS = 3_000
 PARTS_KEPT = 20_000
 # The engines drop parts that were not used for long.
 PARTS_MS = 40_000
@@ -37,6 +39,7 @@
 class _Peer:
     heard: int
     servers: dict[str, messages.ServerLoad]
+    reading: dict[str, int]
 
 
 class Loads:
@@ -48,13 +51,17 @@
             collections.OrderedDict()
         )
         self._untold: dict[str, dict[str, None]] = {}
+        self._reading: collections.deque[tuple[int, str, int]] = (
+            collections.deque()
+        )
         self.due = 0
         self.count = 0
 
     def hear(self, message: messages.Loads, now: clock.Instant) -> None:
         """Take in what another node has under way."""
         servers = {item.host: item for item in message.servers}
-        self._peers[message.node] = _Peer(now.mono, servers)
+        reading = {item.pool: item.tokens for item in message.reading}
+        self._peers[message.node] = _Peer(now.mono, servers, reading)
         for item in message.cached:
             for part in item.parts:
                 self._keep(item.host, part, now.mono)
@@ -78,6 +85,29 @@
             for host, parts in untold.items()
         )
 
+    def count_reading(
+        self, pool: str, tokens: int, now: clock.Instant
+    ) -> None:
+        """Count prompt tokens that a server has to read for this node."""
+        self._reading.append((now.mono, pool, tokens))
+
+    def own_reading(self, now: clock.Instant) -> dict[str, int]:
+        """Add up what this node gave servers to read, by pool."""
+        while self._reading and now.mono - self._reading[0][0] > READING_MS:
+            self._reading.popleft()
+        total: collections.Counter[str] = collections.Counter()
+        for _, pool, tokens in self._reading:
+            total[pool] += tokens
+        return dict(total)
+
+    def reading(self, pool: str, now: clock.Instant) -> float:
+        """Give the prompt tokens a second that all nodes send a pool."""
+        total = self.own_reading(now).get(pool, 0)
+        for peer in self._peers.values():
+            if now.mono - peer.heard < STALE_MS:
+                total += peer.reading.get(pool, 0)
+        return total * 1000 / READING_MS
+
     def forget(self, name: str) -> None:
         """A node is dead: what it had under way is over."""
         self._peers.pop(name, None)
@@ -151,6 +181,10 @@
         cached=state.loads.take_untold(),
         demand=state.rates.tell(now),
         usage=told,
+        reading=tuple(
+            messages.Reading(pool=pool, tokens=tokens)
+            for pool, tokens in state.loads.own_reading(now).items()
+        ),
     )
 
 
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -149,6 +149,7 @@
     unread = prefill.unread(state, server, call, now)
     request.unread = unread
     server.prefill += unread
+    state.loads.count_reading(call.route.pool, unread, now)
     for part in call.parts:
         state.loads.give(server.host, part.id, now)
     request.silent_ms = _silent_limit(state, request, server)
--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -31,13 +31,22 @@
 # A server that did not come this long after it should have is ordered anew.
 LATE_MS = 2_500
 # On-demand servers are kept until others have served for this long.
-RELEASE_MS = 1_500
+RELEASE_MS = 500
+# Released servers leave room after so long.
+ROOM_MS = 500
 # Reclaimable servers beyond the need, so that the loss of a zone is borne.
 SPARE = 1.6
 # Fewer do not bear the loss of one.
 NEED_LEAST = 4
 # What the operators start with just serves the usual load.
 NEED_FACTOR = 1.25
+# How long after the first sight of a pool its servers are counted.
+FIRST_MS = 3_000
+# Part of the time that engines may spend reading prompts: the rest is for
+# bursts, and for the tokens of others meanwhile.
+READING_PART = 0.4
+# Each quarter of a second; half of it after twelve seconds.
+ASKED_DECAY = 0.986
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +79,8 @@
         self.orders: dict[Place, _Order] = {}
         self.refused: dict[Place, int] = {}
         self.first: dict[str, int] = {}
+        self.since: dict[str, int] = {}
+        self.asked: dict[str, float] = {}
         self.enough: dict[str, int] = {}
         self.due = 0
         self.fence = 0
@@ -103,7 +114,8 @@
         return []
     scaling.due = now.mono + EVERY_MS
     for pool in state.index.pools:
-        _note_first(state, pool)
+        _note_first(state, pool, now)
+        _note_asked(state, pool, now)
     lease = leases.held(state, leases.DUTIES, now)
     if lease is None or lease.orders_from > now.mono:
         return []
@@ -140,9 +152,16 @@
 
 
 def need(state: states.State, pool: model.Pool) -> int:
-    """Tell how many servers a pool needs to serve in time."""
-    first = state.scaling.first.get(pool.name, 1)
-    return max(NEED_LEAST, math.ceil(NEED_FACTOR * first))
+    """Tell how many servers a pool needs to serve in time.
+
+    The operators start with what serves the usual load; what prompts ask
+    for may be more.
+    """
+    scaling = state.scaling
+    first = scaling.first.get(pool.name, 1)
+    asked = scaling.asked.get(pool.name, 0.0)
+    reading = asked / (1000 * state.speed.of(pool.name) * READING_PART)
+    return max(NEED_LEAST, math.ceil(NEED_FACTOR * first), math.ceil(reading))
 
 
 def plan(
@@ -196,6 +215,8 @@
         have = stock.serving.get(place, 0)
         if not place.reclaimable and settled:
             count = 0
+            if have:
+                _order_again_soon(scaling, place, limits, now)
         if place in refused or not _is_due(
             scaling.orders.get(place), count, have, limits, now
         ):
@@ -214,6 +235,21 @@
     return out
 
 
+def _order_again_soon(
+    scaling: Scaling,
+    released: Place,
+    limits: model.Scaling,
+    now: clock.Instant,
+) -> None:
+    """Order again what had no room while other servers were there.
+
+    :param released: on-demand servers that leave.
+    """
+    order = scaling.orders.get(dataclasses.replace(released, reclaimable=True))
+    if order is not None and not order.filled:
+        order.sent = now.mono - limits.boot_ms - LATE_MS + ROOM_MS
+
+
 def _is_due(
     order: _Order | None,
     count: int,
@@ -281,15 +317,39 @@
     return Place(row.pool, row.zone, row.reclaimable)
 
 
-def _note_first(state: states.State, pool: model.Pool) -> None:
-    """Remember how many servers the operators started with."""
-    first = state.scaling.first
-    if pool.scaling is None or pool.name in first:
+def _note_first(
+    state: states.State, pool: model.Pool, now: clock.Instant
+) -> None:
+    """Remember how many servers the operators started with.
+
+    Where servers were ordered before this node started, those orders had
+    the spare ones in them.
+    """
+    scaling = state.scaling
+    if pool.scaling is None or not state.options.bounds:
         return
-    staying = [
-        server
-        for server in state.servers.in_pool(pool.name)
-        if not server.row.reclaimable
-    ]
-    if staying:
-        first[pool.name] = len(staying)
+    known = state.servers.in_pool(pool.name)
+    if not known:
+        return
+    since = scaling.since.setdefault(pool.name, now.mono)
+    if now.mono - since > FIRST_MS:
+        return
+    count = len(known)
+    if any(server.row.reclaimable for server in known):
+        if state.options.bounds.first_start:
+            return
+        count = math.floor(count / SPARE / NEED_FACTOR)
+    scaling.first[pool.name] = max(scaling.first.get(pool.name, 1), count)
+
+
+def _note_asked(
+    state: states.State, pool: model.Pool, now: clock.Instant
+) -> None:
+    """Follow how many prompt tokens a second are to be read, by all nodes.
+
+    It rises at once and falls slowly: servers take seconds to come.
+    """
+    scaling = state.scaling
+    rate = state.loads.reading(pool.name, now)
+    known = scaling.asked.get(pool.name, 0.0) * ASKED_DECAY
+    scaling.asked[pool.name] = max(rate, known)
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -372,6 +372,14 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reading:
+    """Prompt tokens that the sender gave a pool to read lately."""
+
+    pool: str
+    tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Loads:
     """What the sender has under way; sent a few times a second.
@@ -384,6 +392,7 @@
     :param cached: what was given to servers since the last message.
     :param demand: by workspace.
     :param usage: counts of the last windows, none where they are not told.
+    :param reading: by pool.
     """
 
     node: str
@@ -394,6 +403,7 @@
     cached: tuple[Cached, ...] = ()
     demand: tuple[Demand, ...] = ()
     usage: tuple[Usage, ...] = ()
+    reading: tuple[Reading, ...] = ()
 
 
 Message = (
