--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -40,11 +40,13 @@
 NEED_LEAST = 4
 # What the operators start with just serves the usual load.
 NEED_FACTOR = 1.25
+# Part of the need that on-demand servers fill up to.
+FILL_PART = 0.8
 # How long after the first sight of a pool its servers are counted.
 FIRST_MS = 3_000
 # Part of the time that engines may spend reading prompts: the rest is for
 # bursts, and for the tokens of others meanwhile.
-READING_PART = 0.4
+READING_PART = 0.55
 # Each quarter of a second; half of it after twelve seconds.
 ASKED_DECAY = 0.986
 
@@ -182,7 +184,7 @@
         place = Place(pool, item.zone, True)
         target[place] = min(scaling.most, max(scaling.least, share))
         largest = max(largest, stock.of(place))
-    missing = wanted + largest - stock.total()
+    missing = math.ceil(wanted * FILL_PART) + largest - stock.total()
     for item in zones:
         place = Place(pool, item.zone, False)
         have = stock.of(place)
@@ -277,15 +279,12 @@
     wanted: int,
     now: clock.Instant,
 ) -> bool:
-    """Tell whether reclaimable servers alone have sufficed for a while.
-
-    That is so if they still do without those of any one zone.
-    """
+    """Tell whether reclaimable servers alone have sufficed for a while."""
     enough = state.scaling.enough
-    serving = [
+    serving = sum(
         count for place, count in stock.serving.items() if place.reclaimable
-    ]
-    if sum(serving) - max(serving, default=0) < wanted:
+    )
+    if serving < wanted:
         enough.pop(pool.name, None)
         return False
     since = enough.setdefault(pool.name, now.mono)
