Swap on-demand servers for reclaimable ones where both share a limit

Change: on-demand servers leave once reclaimable ones bear the most; the loss of a further zone is only prepared for while none are to be had.

--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -28,6 +28,8 @@
 # After a refusal: the platform has none for many seconds, and asking costs.
 REFUSED_MS = 3_000
 UNANSWERED_MS = 1_000
+# After a refusal ends, the next loss of a zone is still borne alone.
+DRY_MS = 3_000
 # A server that did not come this long after it should have is ordered anew.
 LATE_MS = 2_500
 # On-demand servers are kept until others have served for this long.
@@ -41,7 +43,7 @@
 # What the operators start with just serves the usual load.
 NEED_FACTOR = 1.25
 # Part of the need that on-demand servers fill up to.
-FILL_PART = 0.8
+FILL_PART = 0.7
 # How long after the first sight of a pool its servers are counted.
 FIRST_MS = 3_000
 # Part of the time that engines may spend reading prompts: the rest is for
@@ -83,11 +85,23 @@
         self.first: dict[str, int] = {}
         self.since: dict[str, int] = {}
         self.asked: dict[str, float] = {}
-        self.enough: dict[str, int] = {}
+        self.surplus: dict[Place, int] = {}
         self.due = 0
         self.fence = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Count:
+    """Servers of one sort.
+
+    :param serving: servers that take work.
+    :param coming: servers that were ordered and are not there yet.
+    """
+
+    serving: int
+    coming: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Stock:
     """Servers of a pool that serve or are on their way, by place.
@@ -103,9 +117,20 @@
         """Count the servers of a place."""
         return self.serving.get(place, 0) + self.coming.get(place, 0)
 
-    def total(self) -> int:
-        """Count all servers."""
-        return sum(self.serving.values()) + sum(self.coming.values())
+    def count(self, *, reclaimable: bool) -> Count:
+        """Count the servers of one sort in all zones."""
+        return Count(
+            serving=_sum(self.serving, reclaimable),
+            coming=_sum(self.coming, reclaimable),
+        )
+
+
+def _sum(counts: dict[Place, int], reclaimable: bool) -> int:
+    return sum(
+        count
+        for place, count in counts.items()
+        if place.reclaimable is reclaimable
+    )
 
 
 def tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
@@ -125,6 +150,7 @@
         scaling.fence = lease.fence
         scaling.orders.clear()
         scaling.refused.clear()
+        scaling.surplus.clear()
     out: list[effects.Effect] = []
     for pool in state.index.pools:
         if pool.scaling is not None:
@@ -167,14 +193,24 @@
 
 
 def plan(
-    wanted: int, scaling: model.Scaling, stock: Stock, pool: str
+    wanted: int,
+    scaling: model.Scaling,
+    stock: Stock,
+    pool: str,
+    *,
+    dry: bool,
 ) -> dict[Place, int]:
     """Decide how many servers of each sort there shall be in each zone.
 
-    :param wanted: servers that are needed to serve in time, also after the
-        loss of all reclaimable ones in a zone.
+    Both sorts share the limit of a zone, so that on-demand servers leave as
+    soon as the reclaimable ones bear the most of the load, and make room
+    for more of them.
+
+    :param wanted: servers that are needed to serve in time.
     :param stock: what there is and what comes.
     :param pool: name of the pool.
+    :param dry: whether reclaimable servers were refused lately; the loss of
+        another zone must be borne without new ones then.
     """
     zones = sorted(scaling.prices, key=lambda item: item.price)
     share = math.ceil(wanted * SPARE / max(1, len(zones)))
@@ -183,15 +219,22 @@
     for item in zones:
         place = Place(pool, item.zone, True)
         target[place] = min(scaling.most, max(scaling.least, share))
-        largest = max(largest, stock.of(place))
-    missing = math.ceil(wanted * FILL_PART) + largest - stock.total()
+        largest = max(largest, stock.serving.get(place, 0))
+    fill = math.ceil(wanted * FILL_PART)
+    reclaimable = stock.count(reclaimable=True)
+    borne = reclaimable.serving - (largest if dry else 0)
+    missing = fill - borne - reclaimable.coming
+    on_demand = stock.count(reclaimable=False)
+    missing -= on_demand.serving + on_demand.coming
+    kept = 0 if borne >= fill else max(0, wanted - borne)
     for item in zones:
         place = Place(pool, item.zone, False)
         have = stock.of(place)
         room = scaling.most - have - stock.of(Place(pool, item.zone, True))
         more = max(0, min(missing, room))
-        target[place] = have + more
         missing -= more
+        target[place] = min(have, kept) + more
+        kept -= min(have, kept)
     return target
 
 
@@ -210,15 +253,21 @@
         if until > now.mono and place.pool == pool.name
     }
     wanted = need(state, pool)
-    target = plan(wanted, limits, stock, pool.name)
-    settled = _is_settled(state, pool, stock, wanted, now)
+    dry = any(
+        now.mono - until < DRY_MS
+        for place, until in scaling.refused.items()
+        if place.pool == pool.name
+    )
+    target = plan(wanted, limits, stock, pool.name, dry=dry)
     out: list[effects.Effect] = []
     for place, count in target.items():
         have = stock.serving.get(place, 0)
-        if not place.reclaimable and settled:
-            count = 0
-            if have:
-                _order_again_soon(scaling, place, limits, now)
+        if not place.reclaimable and count < have:
+            if not _is_settled(scaling, place, now):
+                continue
+            _order_again_soon(scaling, place, limits, now)
+        elif not place.reclaimable:
+            scaling.surplus.pop(place, None)
         if place in refused or not _is_due(
             scaling.orders.get(place), count, have, limits, now
         ):
@@ -272,22 +321,9 @@
     return now.mono - order.sent > limits.boot_ms + LATE_MS
 
 
-def _is_settled(
-    state: states.State,
-    pool: model.Pool,
-    stock: Stock,
-    wanted: int,
-    now: clock.Instant,
-) -> bool:
-    """Tell whether reclaimable servers alone have sufficed for a while."""
-    enough = state.scaling.enough
-    serving = sum(
-        count for place, count in stock.serving.items() if place.reclaimable
-    )
-    if serving < wanted:
-        enough.pop(pool.name, None)
-        return False
-    since = enough.setdefault(pool.name, now.mono)
+def _is_settled(scaling: Scaling, place: Place, now: clock.Instant) -> bool:
+    """Tell whether servers have been too many for a while."""
+    since = scaling.surplus.setdefault(place, now.mono)
     return now.mono - since >= RELEASE_MS
 
 
