--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -43,7 +43,7 @@
 # What the operators start with just serves the usual load.
 NEED_FACTOR = 1.25
 # Part of the need that on-demand servers fill up to.
-FILL_PART = 0.7
+FILL_PART = 0.85
 # How long after the first sight of a pool its servers are counted.
 FIRST_MS = 3_000
 # Part of the time that engines may spend reading prompts: the rest is for
