--- a/tests/decisions/samples.py
+++ b/tests/decisions/samples.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
+
+from teaselbridge import clock
+from teaselbridge.decisions import bounds
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import events
 from teaselbridge.decisions import state as states
@@ -14,8 +18,11 @@
 )
 
 
-def state() -> states.State:
-    """Make the state of a node."""
+def state(found: bounds.Bounds | None = None) -> states.State:
+    """Make the state of a node.
+
+    :param found: what the users' platform demands, none off it.
+    """
     me = messages.Member(
         name='n',
         incarnation=1,
@@ -26,7 +33,7 @@
         zone='z',
         region='r',
     )
-    return states.State(options=states.Options(me=me))
+    return states.State(options=states.Options(me=me, bounds=found))
 
 
 def row(host: str) -> events.HostRow:
@@ -53,3 +60,42 @@
         prefix=prefix,
         prompt_size=size,
     )
+
+
+def instant(mono: int) -> clock.Instant:
+    """Give a moment, with the wall clock some way ahead."""
+    return clock.Instant(mono, 1_000_000 + mono)
+
+
+def relayed(
+    handle: int = 1,
+    *,
+    parts: tuple[calls.PromptPart, ...] = (),
+    workspace: str = 'w',
+    tokens_in: int = 0,
+    deadline: int = 10_000,
+    **route: object,
+) -> calls.Call:
+    """Make a relayed request.
+
+    :param route: fields of its route.
+    """
+    found = dataclasses.replace(
+        model.Route(
+            name='r',
+            match=model.Match(path='/r/', host='h'),
+            pool='p',
+            goal_ms=400,
+        ),
+        **route,  # type: ignore[arg-type]
+    )
+    return calls.Call(
+        handle=handle,
+        key=calls.RequestKey(workspace, f'attempt-{handle}'),
+        route=found,
+        kind=model.Kind.RELAYED,
+        deadline=deadline,
+        path='/r/x',
+        parts=parts,
+        tokens_in=tokens_in,
+    )
--- /dev/null
+++ b/tests/decisions/test_scaling.py
@@ -0,0 +1,86 @@
+"""Tests of how many servers are ordered.
+
+Load pattern: zones of reclaimable servers are taken back one after the
+other, and for a while none are to be had.
+"""
+
+from __future__ import annotations
+
+import testtools
+
+from teaselbridge.decisions import scaling
+from teaselbridge.tables import model
+
+ZONES = ('a', 'b', 'c', 'd')
+LIMITS = model.Scaling(
+    least=1,
+    most=3,
+    boot_ms=4_000,
+    reclaimable_price=0.15,
+    prices=tuple(
+        model.ZonePrice(zone=zone, price=price)
+        for zone, price in zip(ZONES, (1.0, 0.8, 1.25, 0.9), strict=True)
+    ),
+)
+WANTED = 6
+
+
+def place(zone: str, *, reclaimable: bool) -> scaling.Place:
+    """Name a place of the pool."""
+    return scaling.Place('p', zone, reclaimable)
+
+
+def stock(
+    reclaimable: dict[str, int], on_demand: dict[str, int] | None = None
+) -> scaling.Stock:
+    """Make what serves, by zone."""
+    serving = {
+        place(zone, reclaimable=True): count
+        for zone, count in reclaimable.items()
+    }
+    for zone, count in (on_demand or {}).items():
+        serving[place(zone, reclaimable=False)] = count
+    return scaling.Stock(serving=serving, coming={})
+
+
+def on_demand(target: dict[scaling.Place, int]) -> int:
+    """Count the on-demand servers of a plan."""
+    return sum(count for item, count in target.items() if not item.reclaimable)
+
+
+class TestPlan(testtools.TestCase):
+    """Reclaimable servers everywhere; others only while they are short."""
+
+    def test_reclaimable_servers_are_spread_over_all_zones(self) -> None:
+        target = scaling.plan(WANTED, LIMITS, stock({}), 'p', dry=False)
+        for zone in ZONES:
+            self.assertEqual(3, target[place(zone, reclaimable=True)])
+
+    def test_the_start_keeps_what_is_there(self) -> None:
+        there = stock({}, dict.fromkeys(ZONES, 1))
+        target = scaling.plan(WANTED, LIMITS, there, 'p', dry=False)
+        self.assertTrue(4 <= on_demand(target) <= WANTED)
+
+    def test_others_leave_once_reclaimable_ones_serve(self) -> None:
+        there = stock(dict.fromkeys(ZONES, 2), dict.fromkeys(ZONES, 1))
+        target = scaling.plan(WANTED, LIMITS, there, 'p', dry=False)
+        self.assertEqual(0, on_demand(target))
+
+    def test_loss_of_a_further_zone_is_prepared_for_while_dry(self) -> None:
+        there = stock({'a': 2, 'b': 2})
+        calm = scaling.plan(WANTED, LIMITS, there, 'p', dry=False)
+        dry = scaling.plan(WANTED, LIMITS, there, 'p', dry=True)
+        self.assertEqual(2, on_demand(calm))
+        self.assertEqual(4, on_demand(dry))
+
+    def test_both_sorts_share_the_limit_of_a_zone(self) -> None:
+        there = stock({'a': 3, 'b': 1})
+        target = scaling.plan(12, LIMITS, there, 'p', dry=True)
+        self.assertEqual(0, target[place('a', reclaimable=False)])
+        self.assertEqual(2, target[place('b', reclaimable=False)])
+
+    def test_cheapest_zone_goes_first(self) -> None:
+        there = stock({'a': 1, 'b': 1, 'c': 1, 'd': 1})
+        target = scaling.plan(WANTED, LIMITS, there, 'p', dry=False)
+        self.assertEqual(2, target[place('b', reclaimable=False)])
+        self.assertEqual(0, target[place('c', reclaimable=False)])
--- /dev/null
+++ b/tests/decisions/test_usage.py
@@ -0,0 +1,116 @@
+"""Tests of the counts of requests that began to run."""
+
+from __future__ import annotations
+
+import testtools
+
+from teaselbridge.decisions import bounds
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import leases
+from teaselbridge.decisions import tickets
+from teaselbridge.decisions import usage
+from teaselbridge.peers import messages
+from tests.decisions import samples
+
+BOUNDS = bounds.Bounds(usage_window_ms=5_000, duties=(usage.DUTY,))
+
+
+def loads(node: str, *, wall: int, **more: object) -> messages.Loads:
+    """Make another node's message."""
+    return messages.Loads(
+        node=node,
+        incarnation=1,
+        wall=wall,
+        up_ms=0,
+        servers=(),
+        **more,  # type: ignore[arg-type]
+    )
+
+
+class TestCounts(testtools.TestCase):
+    """Counts by the clock that most nodes agree on."""
+
+    def test_counts_of_a_killed_node_are_kept(self) -> None:
+        found = usage.Usage()
+        now = samples.instant(0)
+        told = (messages.Usage(window=3, workspace='w', count=4),)
+        found.hear(loads('a', wall=now.wall, usage=told), now)
+        found.begin('me/1', 3, 'w')
+        self.assertEqual({'w': 5}, found.total(3))
+
+    def test_late_message_takes_nothing_back(self) -> None:
+        found = usage.Usage()
+        now = samples.instant(0)
+        for count in (4, 2):
+            told = (messages.Usage(window=3, workspace='w', count=count),)
+            found.hear(loads('a', wall=now.wall, usage=told), now)
+        self.assertEqual({'w': 4}, found.total(3))
+
+    def test_clock_that_jumped_is_outvoted(self) -> None:
+        found = usage.Usage()
+        now = samples.instant(0)
+        for node in ('a', 'b', 'c'):
+            found.hear(loads(node, wall=now.wall + 2_400), now)
+        self.assertEqual(now.wall + 2_400, found.wall(now))
+
+    def test_others_clock_that_jumped_changes_nothing(self) -> None:
+        found = usage.Usage()
+        now = samples.instant(0)
+        found.hear(loads('a', wall=now.wall - 2_400), now)
+        found.hear(loads('b', wall=now.wall + 3), now)
+        self.assertEqual(now.wall, found.wall(now))
+
+
+class TestReports(testtools.TestCase):
+    """What the holder of the duty sends."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = samples.state(BOUNDS)
+        lease = self.state.leases.get(leases.DUTIES)
+        lease.phase = leases.Phase.HELD
+        lease.until = 1_000_000
+        lease.fence = 7
+        # The wall clock is a million milliseconds ahead: window 200 begins.
+        self.now = samples.instant(0)
+
+    def _start(self, stands: bytes | None) -> None:
+        (ask,) = usage.tick(self.state, self.now)
+        self.assertEqual(
+            effects.ReadKey(tickets.UsageTicket(), usage.KEY), ask
+        )
+        event = events.KeyRead(tickets.UsageTicket(), stands, 5)
+        usage.read(self.state, event, self.now)
+
+    def test_report_is_written_before_it_is_sent(self) -> None:
+        self.state.usage.begin('me/1', 198, 'w')
+        self._start(None)
+        (write,) = usage.tick(self.state, self.now)
+        assert isinstance(write, effects.SwapKey)
+        self.assertEqual(5, write.revision)
+        decided = events.KeySwapped(tickets.UsageTicket(), True, 9)
+        (report,) = usage.swapped(self.state, decided, self.now)
+        assert isinstance(report, effects.ReportUsage)
+        self.assertEqual((197, 7), (report.window, report.fence))
+
+    def test_successor_repeats_what_stands(self) -> None:
+        self.state.usage.begin('me/1', 198, 'w')
+        self._start(b'{"window": 198, "counts": {"w": 9}}')
+        (report,) = usage.tick(self.state, self.now)
+        assert isinstance(report, effects.ReportUsage)
+        self.assertEqual(198, report.window)
+        self.assertEqual((effects.WorkspaceCount('w', 9),), report.counts)
+
+    def test_lost_race_reads_again(self) -> None:
+        self._start(None)
+        usage.tick(self.state, self.now)
+        decided = events.KeySwapped(tickets.UsageTicket(), False, 0)
+        self.assertEqual([], usage.swapped(self.state, decided, self.now))
+        (again,) = usage.tick(self.state, self.now)
+        self.assertIsInstance(again, effects.ReadKey)
+
+    def test_holder_whose_lease_ended_sends_nothing(self) -> None:
+        self._start(None)
+        self.state.leases.get(leases.DUTIES).until = 0
+        self.assertEqual([], usage.tick(self.state, self.now))
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,146 @@
+"""Tests of the decoding of the store's entries."""
+
+from __future__ import annotations
+
+import pathlib
+
+import msgspec
+import testtools
+
+from teaselbridge.decisions import events
+from teaselbridge import errors
+from teaselbridge.platform import documents
+from tests.failures import site
+
+ENTRY = {
+    'service': 'engines',
+    'address': '10.0.0.9:8080',
+    'zone': 'zone-a',
+    'version': 'v1',
+    'slots': 64,
+    'state': 'ready',
+    'cold-left-ms': 0,
+    'seqno': 4,
+    'born': 1_700_000_000_000,
+    'unheard-of': {'deep': [1]},
+}
+
+
+def entry(**more: object) -> bytes:
+    """Encode a server's entry."""
+    return msgspec.json.encode({**ENTRY, **more})
+
+
+class TestServers(testtools.TestCase):
+    """Entries of backend servers."""
+
+    def test_ready(self) -> None:
+        row = documents.server('servers/i-7', entry())
+        self.assertEqual(('i-7', 'engines'), (row.instance, row.pool))
+        self.assertIs(events.HostState.LIVE, row.state)
+        self.assertFalse(row.reclaimable)
+
+    def test_leaving_with_notice(self) -> None:
+        row = documents.server(
+            'servers/i-7', entry(state='draining', spot=True, leaves_ms=2500.0)
+        )
+        self.assertIs(events.HostState.LEAVING, row.state)
+        self.assertEqual((True, 2_500), (row.reclaimable, row.left_ms))
+
+    def test_restart_under_the_same_id_is_another_server(self) -> None:
+        first = documents.server('servers/i-7', entry())
+        second = documents.server('servers/i-7', entry(born=1_700_000_009_000))
+        self.assertNotEqual(first.host, second.host)
+        self.assertEqual(first.instance, second.instance)
+
+    def test_entries_of_other_writers_name_no_server(self) -> None:
+        for data in (
+            b'',
+            b'\xff\xfe',
+            b'[]',
+            b'{"service": "engines"}',
+            entry(state='asleep'),
+            entry(address='nowhere'),
+            entry(address=7),
+            entry(slots='many'),
+            entry(service=''),
+        ):
+            self.assertRaises(
+                errors.DocumentError, documents.server, 'servers/x', data
+            )
+
+
+class TestConfiguration(testtools.TestCase):
+    """The operators' document."""
+
+    def test_rows(self) -> None:
+        found = documents.configuration(site.document(7))
+        self.assertEqual(7, found.generation)
+        routes = {route.name: route for route in found.tables.routes}
+        self.assertTrue(routes['chat'].idempotent)
+        self.assertTrue(routes['chat'].resumable)
+        self.assertFalse(routes['once'].idempotent)
+        self.assertFalse(routes['orders'].idempotent)
+        self.assertTrue(routes['open'].public)
+        pools = {pool.name: pool for pool in found.tables.pools}
+        self.assertIsNotNone(pools['engines'].engine)
+        self.assertIsNone(pools['shop'].engine)
+
+    def test_scaling_and_rates(self) -> None:
+        found = documents.configuration(
+            site.document(
+                7,
+                services=(
+                    {
+                        'name': 'lm',
+                        'scaling': {
+                            'min-replicas': 1,
+                            'max-replicas': 3,
+                            'boot-s': 4.0,
+                            'spot-price': 0.15,
+                            'zone-prices': {'a': 1.0},
+                        },
+                    },
+                ),
+                tenants=(
+                    {
+                        'name': 'w',
+                        'api-keys': ['k'],
+                        'unit': 'tokens',
+                        'plain-tokens': 200,
+                        'rate-per-s': 123,
+                        'burst': 456,
+                    },
+                    {'name': 'free', 'api-keys': []},
+                ),
+            )
+        )
+        (pool,) = found.tables.pools
+        assert pool.scaling is not None
+        self.assertEqual((3, 4_000), (pool.scaling.most, pool.scaling.boot_ms))
+        limited, free = found.tables.workspaces
+        assert limited.rate is not None
+        self.assertEqual(
+            (123, True), (limited.rate.per_s, limited.rate.in_tokens)
+        )
+        self.assertIsNone(free.rate)
+
+    def test_undecodable(self) -> None:
+        for data in (b'', b'{"version": 1}', b'{"version": "x"}'):
+            self.assertRaises(
+                errors.DocumentError, documents.configuration, data
+            )
+
+
+class TestNames(testtools.TestCase):
+    """The platform's words stay in its folder."""
+
+    def test_no_other_package_knows_them(self) -> None:
+        words = ('teaselbridge-', '/api/', 'api-keys', 'path-prefix', 'if-rev')
+        source = pathlib.Path(documents.__file__).parent.parent
+        for path in source.rglob('*.py'):
+            if path.parent.name in ('platform', 'standins'):
+                continue
+            text = path.read_text()
+            for word in words:
+                self.assertNotIn(word, text.lower(), path)
--- /dev/null
+++ b/tests/platform/test_ingress.py
@@ -0,0 +1,184 @@
+"""Tests of the decoding of callers' requests."""
+
+from __future__ import annotations
+
+import testtools
+
+from teaselbridge.decisions import calls
+from teaselbridge.platform import documents
+from teaselbridge.platform import ingress
+from teaselbridge.platform import names
+from teaselbridge.tables import join
+from tests.failures import site
+
+INDEX = join.Index(
+    configuration=documents.configuration(
+        site.document(
+            3,
+            routes=(
+                *site.ROUTES,
+                {
+                    'name': 'split',
+                    'host': 'Other.example',
+                    'path-prefix': '/split/',
+                    'route-kind': 'idempotent',
+                    'timeout-ms': 900,
+                    'priority': 5,
+                    'public': True,
+                    'backends': [
+                        {'service': 'shop', 'weight': 90},
+                        {'service': 'engines', 'weight': 10},
+                    ],
+                },
+            ),
+            tenants=(
+                {'name': 'parish', 'api-keys': [site.KEY], 'priority': 0},
+            ),
+        )
+    )
+)
+
+
+def raw(target: str, *more: tuple[bytes, bytes]) -> ingress.Raw:
+    """Make a request."""
+    headers = [
+        (b'host', site.HOST.encode()),
+        (names.CREDENTIAL, site.KEY.encode()),
+        (names.ATTEMPT_ID, b'a1'),
+        (names.DEADLINE_MS, b'700'),
+    ]
+    given = {name for name, _ in more}
+    return ingress.Raw(
+        handle=1,
+        method='POST',
+        target=target,
+        headers=[item for item in headers if item[0] not in given]
+        + list(more),
+        body=b'',
+        now=1_000,
+    )
+
+
+class TestDecode(testtools.TestCase):
+    """Routes, keys and what prompts are made of."""
+
+    def _reason(self, found: ingress.Raw) -> calls.Reason:
+        error = self.assertRaises(
+            ingress.RefusedError, ingress.decode, found, INDEX
+        )
+        assert isinstance(error, ingress.RefusedError)
+        return error.refusal.reason
+
+    def test_longest_prefix_wins(self) -> None:
+        call = ingress.decode(raw('/stream/once/1?x=%2F'), INDEX)
+        self.assertEqual('once', call.route.name)
+        self.assertEqual('/stream/once/1?x=%2F', call.path)
+
+    def test_priority_of_the_workspace_goes_before_the_routes(self) -> None:
+        call = ingress.decode(raw('/stream/1'), INDEX)
+        self.assertEqual(0, call.route.priority)
+
+    def test_deadline_is_bounded_by_the_route(self) -> None:
+        short = ingress.decode(raw('/orders/1'), INDEX)
+        long = ingress.decode(
+            raw('/orders/1', (names.DEADLINE_MS, b'99999')), INDEX
+        )
+        none = ingress.decode(
+            raw('/orders/1', (names.DEADLINE_MS, b'soon')), INDEX
+        )
+        self.assertEqual(
+            [1_700, 2_500, 2_500],
+            [item.deadline for item in (short, long, none)],
+        )
+
+    def test_parts_of_a_prompt(self) -> None:
+        call = ingress.decode(
+            raw(
+                '/stream/1',
+                (names.TOKEN_COUNTS, b'1460,80'),
+                (names.PROMPT_PREFIX, b'5c1e:800, e44:660'),
+            ),
+            INDEX,
+        )
+        self.assertEqual((1_460, 80), (call.tokens_in, call.max_tokens))
+        self.assertEqual(
+            (calls.PromptPart('5c1e', 800), calls.PromptPart('e44', 660)),
+            call.parts,
+        )
+
+    def test_malformed_counts_are_left_out(self) -> None:
+        call = ingress.decode(
+            raw(
+                '/stream/1',
+                (names.TOKEN_COUNTS, b'many'),
+                (names.PROMPT_PREFIX, b'a:b:c'),
+            ),
+            INDEX,
+        )
+        self.assertEqual((0, 0), (call.tokens_in, call.max_tokens))
+        self.assertEqual((), call.parts)
+
+    def test_weights_of_a_split_route(self) -> None:
+        pools = [
+            ingress.decode(
+                raw(
+                    '/split/1',
+                    (b'host', b'other.EXAMPLE'),
+                    (names.ATTEMPT_ID, str(number).encode()),
+                ),
+                INDEX,
+            ).route.pool
+            for number in range(1_000)
+        ]
+        self.assertTrue(60 < pools.count('engines') < 140)
+
+    def test_refusals(self) -> None:
+        self.assertEqual(calls.Reason.NO_ROUTE, self._reason(raw('/no/')))
+        self.assertEqual(calls.Reason.NO_ROUTE, self._reason(raw('/stream')))
+        self.assertEqual(
+            calls.Reason.BAD_KEY,
+            self._reason(raw('/stream/1', (names.CREDENTIAL, b'no'))),
+        )
+
+    def test_public_route_asks_for_no_key(self) -> None:
+        call = ingress.decode(raw('/open/1', (names.CREDENTIAL, b'no')), INDEX)
+        self.assertEqual('', call.key.workspace)
+
+    def test_system_headers_of_callers_are_dropped(self) -> None:
+        call = ingress.decode(
+            raw(
+                '/stream/1',
+                (b'Kv-From', b'1'),
+                (b'Teaselbridge-Hold', b'1'),
+                (b'Connection', b'close, X-One'),
+                (b'X-One', b'1'),
+                (b'X-Two', b'2'),
+            ),
+            INDEX,
+        )
+        left = {header.name for header in call.headers}
+        self.assertEqual({'host', 'teaselbridge-attempt-id', 'X-Two'}, left)
+
+
+class TestRefusals(testtools.TestCase):
+    """Statuses that promise that nothing ran are true."""
+
+    def test_no_promise_where_it_may_have_run(self) -> None:
+        for reason in calls.Reason:
+            refusal = calls.Refusal(reason, calls.Ran.UNKNOWN, '')
+            status = ingress.status_of(refusal)
+            self.assertNotIn(status, ingress.NOT_RUN_STATUSES, reason)
+
+    def test_retry_after_has_fractions(self) -> None:
+        refusal = calls.Refusal(calls.Reason.NO_SERVER, calls.Ran.NO, '', 250)
+        headers = dict(ingress.refusal_headers(refusal, 'a1'))
+        self.assertEqual(b'0.250', headers[names.RETRY_AFTER])
+
+    def test_ambiguous_framing(self) -> None:
+        for headers in (
+            [(b'Content-Length', b'1'), (b'Transfer-Encoding', b'chunked')],
+            [(b'Content-Length', b'1'), (b'content-length', b'2')],
+        ):
+            self.assertRaises(
+                ingress.RefusedError, ingress.check_framing, headers
+            )
