Move pools to the versions that operators order, by the clock

Cause: an order to move a service was not read; new servers beside the old ones took their part of the traffic at once, bad or not. Change: op/rollout is decoded into a move of the existing kind, so that its evidence, its verdicts by gossip and its shares apply; steps follow each node's clock: 8% for half of the time, then all, done once what ran on the old version had time to end. Telling the operators is the duty of one node.

--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -74,7 +74,7 @@
     nodes = state.membership.nodes
     usable = state.servers.usable(call.route.pool, now)
     wanted = usable
-    if not call.is_relayed:
+    if not call.is_relayed or state.moves.get(call.route.pool) is not None:
         wanted = versions.narrow(state, request, usable)
     candidates = [server for server in wanted if server.has_room(nodes)]
     if state.poison.is_suspect(call.fingerprint):
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -333,6 +333,28 @@
     until: int
 
 
+class MoveState(enum.Enum):
+    """What operators are told of a move."""
+
+    RUNNING = 'running'
+    DONE = 'done'
+    UNDONE = 'undone'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TellMove:
+    """Tell the operators how far a pool's move has come.
+
+    :param number: number of the move.
+    :param version: version that was asked for.
+    """
+
+    pool: str
+    number: int
+    version: str
+    state: MoveState
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadPrices:
     """Ask the cloud for its prices."""
@@ -552,6 +574,7 @@
     | SendFinish
     | OrderServers
     | ReportUsage
+    | TellMove
     | CancelAttempt
     | DropConnections
     | SendToken
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -238,6 +238,47 @@
     detail: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutSeen:
+    """The operators ask for another version of a pool.
+
+    :param version: version that is wanted.
+    :param duration_ms: time that the move may take.
+    :param number: grows with each such order.
+    """
+
+    pool: str
+    version: str
+    duration_ms: int
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutEnded:
+    """The operators have been told how a move ended.
+
+    :param version: version that was asked for.
+    :param done: whether it serves now, else the old one does.
+    """
+
+    pool: str
+    version: str
+    done: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MoveTold:
+    """The operators were told of a move, or could not be.
+
+    :param number: number of the move.
+    :param written: whether it stands in the store.
+    """
+
+    pool: str
+    number: int
+    written: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Undecodable:
     """An entry of the store could not be decoded.
@@ -478,6 +519,9 @@
     | NodesListed
     | ConfigurationSeen
     | StoreAnswered
+    | RolloutSeen
+    | RolloutEnded
+    | MoveTold
     | Undecodable
     | ServersOrdered
     | UsageReported
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -22,6 +22,7 @@
 from teaselbridge.decisions import relays
 from teaselbridge.decisions import reports
 from teaselbridge.decisions import requests
+from teaselbridge.decisions import rollouts
 from teaselbridge.decisions import scaling
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import steps
@@ -163,6 +164,12 @@
             return scaling.ordered(state, event, now)
         case events.UsageReported():
             return usage.reported(state, event, now)
+        case events.RolloutSeen():
+            return rollouts.see(state, event, now)
+        case events.RolloutEnded():
+            return rollouts.ended(state, event, now)
+        case events.MoveTold():
+            return rollouts.told(state, event, now)
     return []
 
 
@@ -192,6 +199,8 @@
     out += loads.tick(state, now)
     out += usage.tick(state, now)
     out += scaling.tick(state, now)
+    out += rollouts.tick(state, now)
+    out += reports.tick(state, now)
     return out
 
 
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -14,6 +14,7 @@
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge.decisions import freshness
+from teaselbridge.decisions import moves
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import poison
 from teaselbridge.decisions import prefill
@@ -239,7 +240,9 @@
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
     """A stream ended whole."""
-    out = _succeed(state, request)
+    span = now.mono - request.started
+    out = _judge(state, request, now, failed=False, span=span)
+    out += _succeed(state, request)
     out += _answered(state, request, 'stream', now)
     out.append(effects.SendFinish(request.outlet, True))
     return out + requests.drop(state, request)
@@ -260,8 +263,10 @@
             f'status {found.status}',
         )
         return fail(state, request, fault, found, now)
-    state.pace.answer(request.call.route.name, now.mono - request.started)
-    out = _succeed(state, request)
+    span = now.mono - request.started
+    state.pace.answer(request.call.route.name, span)
+    out = _judge(state, request, now, failed=False, span=span)
+    out += _succeed(state, request)
     return out + _deliver(state, request, found, now)
 
 
@@ -485,6 +490,9 @@
         out += servers.leave(state, server.host, 'address reused', now)
         return out
     server.failing += FAILING_SMOOTHING * (1 - server.failing)
+    if not server.leaving:
+        request.failed_on = server.version
+        out += _judge(state, request, now, failed=True, span=0)
     if fault.kind is calls.FaultKind.SILENT:
         out.append(effects.DropConnections(server.row.address))
     if fault.kind in (calls.FaultKind.RESET, calls.FaultKind.CUT):
@@ -502,6 +510,25 @@
         server.heard = now.mono
 
 
+def _judge(
+    state: states.State,
+    request: requests.Request,
+    now: clock.Instant,
+    *,
+    failed: bool,
+    span: int,
+) -> list[effects.Effect]:
+    """Count an outcome for or against the server's version.
+
+    :param span: milliseconds that it took, 0 for unknown.
+    """
+    server = state.servers.get(request.host)
+    if server is None:
+        return []
+    route = request.call.route.name
+    return moves.outcome(state, server, route, now, failed=failed, span=span)
+
+
 def _succeed(
     state: states.State, request: requests.Request
 ) -> list[effects.Effect]:
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -23,6 +23,7 @@
 from teaselbridge.decisions import prompts
 from teaselbridge.decisions import rates
 from teaselbridge.decisions import retry
+from teaselbridge.decisions import rollouts
 from teaselbridge.decisions import scaling
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import usage
@@ -102,6 +103,7 @@
         )
         self.usage = usage.Usage()
         self.scaling = scaling.Scaling()
+        self.rollouts = rollouts.Rollouts()
         self.configured = False
         self.keyvalue_heard = 0
         self.keyvalue_up = True
--- a/src/teaselbridge/platform/documents.py
+++ b/src/teaselbridge/platform/documents.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge import errors
 from teaselbridge.tables import model
@@ -18,6 +19,8 @@
 CONFIGURATION_KEY = 'op/config'
 OPERATOR_PREFIX = 'op/'
 SERVERS_PREFIX = 'servers/'
+ROLLOUT_PREFIX = 'op/rollout/'
+ROLLOUT_STATUS_PREFIX = 'status/rollout/'
 ROUTE_KINDS = frozenset({'idempotent', 'non_idempotent', 'streaming'})
 STATES = {
     'ready': events.HostState.LIVE,
@@ -89,6 +92,18 @@
     tenants: tuple[_Tenant, ...] = ()
 
 
+class _Rollout(msgspec.Struct, frozen=True, rename='kebab'):
+    service: str
+    # Version that the service's servers shall have, not a server.
+    target: str
+    duration_s: float
+
+
+class _RolloutStatus(msgspec.Struct, frozen=True, rename='kebab'):
+    state: str
+    target: str
+
+
 class _Server(msgspec.Struct, frozen=True, rename='kebab'):
     service: str
     address: str
@@ -156,6 +171,57 @@
     )
 
 
+def rollout(data: bytes, revision: int) -> events.RolloutSeen:
+    """Decode the order to move a pool to another version.
+
+    :param revision: revision of the entry, which numbers the move.
+    :raises errors.DocumentError: it cannot be decoded.
+    """
+    found = _decode(data, _Rollout)
+    return events.RolloutSeen(
+        pool=found.service,
+        version=found.target,
+        duration_ms=max(0, round(1000 * found.duration_s)),
+        number=revision,
+    )
+
+
+def rollout_status(key: str, data: bytes) -> events.RolloutEnded | None:
+    """Decode what was told of a move.
+
+    :param key: key of the entry, which ends with the pool's name.
+    :return: none where the move goes on.
+    :raises errors.DocumentError: it cannot be decoded.
+    """
+    found = _decode(data, _RolloutStatus)
+    if found.state not in ('complete', 'reverted'):
+        return None
+    return events.RolloutEnded(
+        pool=key.removeprefix(ROLLOUT_STATUS_PREFIX),
+        version=found.target,
+        done=found.state == 'complete',
+    )
+
+
+def rollout_status_key(pool: str) -> str:
+    """Name the entry that tells operators of a pool's move."""
+    return ROLLOUT_STATUS_PREFIX + pool
+
+
+ROLLOUT_STATES = {
+    effects.MoveState.RUNNING: 'running',
+    effects.MoveState.DONE: 'complete',
+    effects.MoveState.UNDONE: 'reverted',
+}
+
+
+def encode_rollout_status(state: effects.MoveState, version: str) -> bytes:
+    """Encode what operators are told of a move."""
+    return msgspec.json.encode(
+        _RolloutStatus(state=ROLLOUT_STATES[state], target=version)
+    )
+
+
 def _route(found: _Route) -> model.Route:
     if found.route_kind not in ROUTE_KINDS:
         raise _error(f'no such kind of route: `{found.route_kind}`')
--- a/src/teaselbridge/platform/store.py
+++ b/src/teaselbridge/platform/store.py
@@ -63,10 +63,12 @@
     """An entry of the store.
 
     :param data: content, none where it was removed.
+    :param revision: revision of its last change.
     """
 
     key: str
     data: bytes | None
+    revision: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -310,12 +312,12 @@
 
 def _entry(item: _Item) -> Entry:
     if item.tombstone:
-        return Entry(item.key, None)
+        return Entry(item.key, None, item.rev)
     try:
         data = base64.b64decode(item.value, validate=True)
     except ValueError:
         data = item.value.encode()
-    return Entry(item.key, data)
+    return Entry(item.key, data, item.rev)
 
 
 T = typing.TypeVar('T')
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -19,8 +19,10 @@
 from teaselbridge.peers import messages
 from teaselbridge.peers import transport as transports
 from teaselbridge.platform import directory
+from teaselbridge.platform import documents
 from teaselbridge.platform import duties as duties_module
 from teaselbridge.platform import store as stores
+from teaselbridge.ports import keyvalue
 from teaselbridge.runtime import attempts as attempts_module
 from teaselbridge.runtime import keys
 from teaselbridge.runtime import links
@@ -103,6 +105,7 @@
         self._loop.handle(effects.Stop, lambda _: self._stopped.set())
         self._loop.handle(effects.ReportUsage, self._report_usage)
         self._loop.handle(effects.OrderServers, self._order_servers)
+        self._loop.handle(effects.TellMove, self._tell_move)
         self._callers = self._web(
             relay.Relay(
                 loop=self._loop,
@@ -242,6 +245,26 @@
             )
         )
 
+    def _tell_move(self, effect: effects.TellMove) -> None:
+        self._tasks.start(self._write_move(effect))
+
+    async def _write_move(self, effect: effects.TellMove) -> None:
+        key = documents.rollout_status_key(effect.pool)
+        data = documents.encode_rollout_status(effect.state, effect.version)
+        purpose = keyvalue.Purpose.MOVE
+        written = False
+        try:
+            known = await self._store.get(key, purpose)
+            swap = await self._store.swap(key, data, known.revision, purpose)
+            written = swap.swapped
+        except keyvalue.KeyValueError as error:
+            self._loop.post(events.StoreAnswered(False, error.detail))
+        self._loop.post(
+            events.MoveTold(
+                pool=effect.pool, number=effect.number, written=written
+            )
+        )
+
     def _directory(self) -> typing.Any:
         return directory.Directory(loop=self._loop, meter=self._meter).build()
 
--- a/src/teaselbridge/runtime/watching.py
+++ b/src/teaselbridge/runtime/watching.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 import typing
 
@@ -137,16 +138,14 @@
         nodes = {} if whole else dict(self._nodes)
         for entry in found.entries:
             if entry.key == documents.CONFIGURATION_KEY:
-                configuration = self._decode(
-                    entry, lambda _, data: documents.configuration(data)
-                )
+                configuration = self._decode(entry, documents.configuration)
             elif entry.key.startswith(documents.SERVERS_PREFIX):
-                rows[entry.key] = self._decode(entry, documents.server)
+                decode = functools.partial(documents.server, entry.key)
+                rows[entry.key] = self._decode(entry, decode)
             elif entry.key.startswith(NODES_PREFIX):
-                node = self._decode(
-                    entry, lambda _, data: documents.node(data)
-                )
+                node = self._decode(entry, documents.node)
                 nodes[entry.key] = '' if node is None else node.peers
+        self._take_rollouts(found)
         if whole:
             known = {key: row for key, row in rows.items() if row is not None}
             self._loop.post(events.ServersListed(rows=known))
@@ -160,16 +159,35 @@
             events.ConfigurationSeen(found=configuration, sent=sent)
         )
 
+    def _take_rollouts(self, found: stores.Entries) -> None:
+        """Post orders of moves, then what was told of them."""
+        for entry in found.entries:
+            if not entry.key.startswith(documents.ROLLOUT_PREFIX):
+                continue
+            decode = functools.partial(
+                documents.rollout, revision=entry.revision
+            )
+            order = self._decode(entry, decode)
+            if order is not None:
+                self._loop.post(order)
+        for entry in found.entries:
+            if not entry.key.startswith(documents.ROLLOUT_STATUS_PREFIX):
+                continue
+            told = functools.partial(documents.rollout_status, entry.key)
+            ended = self._decode(entry, told)
+            if ended is not None:
+                self._loop.post(ended)
+
     def _decode(
         self,
         entry: stores.Entry,
-        decode: collections.abc.Callable[[str, bytes], T],
+        decode: collections.abc.Callable[[bytes], T],
     ) -> T | None:
         """Decode an entry, none where it was removed or cannot be."""
         if entry.data is None:
             return None
         try:
-            return decode(entry.key, entry.data)
+            return decode(entry.data)
         except errors.DocumentError as error:
             self._loop.post(events.Undecodable(entry.key, str(error)))
             return None
--- a/src/teaselbridge/standins/runner.py
+++ b/src/teaselbridge/standins/runner.py
@@ -78,6 +78,7 @@
         self.reclaimable = reclaimable
         self.address = f'127.0.0.1:{hosting.free_port()}'
         self.born = 1
+        self.version = 'v1'
         self.events = 3
         self.event_ms = 5.0
         self.work_ms = 2.0
@@ -99,7 +100,7 @@
                 'service': self.pool,
                 'address': self.address,
                 'zone': self.zone,
-                'version': 'v1',
+                'version': self.version,
                 'slots': 64,
                 'state': state,
                 'born': self.born,
--- /dev/null
+++ b/tests/decisions/test_rollouts.py
@@ -0,0 +1,146 @@
+"""Tests of version moves that the operators order with a deadline."""
+
+from __future__ import annotations
+
+import typing
+
+import testtools
+
+from teaselbridge.decisions import bounds
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import leases
+from teaselbridge.decisions import moves
+from teaselbridge.decisions import rollouts
+from teaselbridge.decisions import versions
+from teaselbridge.peers import messages
+from teaselbridge.tables import join
+from teaselbridge.tables import model
+from tests.decisions import samples
+
+DURATION_MS = 12_000
+BOUNDS = bounds.Bounds(duties=('usage',))
+ORDER = events.RolloutSeen(
+    pool='p', version='v2', duration_ms=DURATION_MS, number=40
+)
+
+
+class TestRollouts(testtools.TestCase):
+    """Steps by the clock, and what the operators are told."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = samples.state(BOUNDS)
+        pool = model.Pool(
+            name='p', kind=model.Kind.RELAYED, versions=(), zones=()
+        )
+        self.state.index = join.Index(
+            configuration=model.Configuration(
+                tables=model.Tables(pools=(pool,))
+            )
+        )
+        self.add('v', 4)
+        rollouts.see(self.state, ORDER, samples.instant(0))
+
+    def add(self, version: str, count: int) -> None:
+        """Add servers of a version."""
+        for number in range(count):
+            row = samples.row(f'{version}-{number}')
+            self.state.servers.add(row, version, samples.instant(0))
+
+    def lead(self) -> None:
+        """Let this node hold the duties."""
+        lease = self.state.leases.get(leases.DUTIES)
+        lease.phase = leases.Phase.HELD
+        lease.until = 1_000_000
+
+    def play(self, until: int, begin: int = 0) -> list[effects.TellMove]:
+        """Let time pass; what is told stands at once."""
+        told = []
+        for now in range(begin, until, 100):
+            for effect in rollouts.tick(self.state, samples.instant(now)):
+                if isinstance(effect, effects.TellMove):
+                    told.append(effect)
+                    event = events.MoveTold(pool='p', number=40, written=True)
+                    rollouts.told(self.state, event, samples.instant(now))
+        return told
+
+    @property
+    def move(self) -> messages.Move:
+        """The move under way."""
+        move = self.state.moves.get('p')
+        assert move is not None
+        return move
+
+    def share(self) -> float:
+        """Give the part of requests that the new version gets."""
+        found = 0
+        servers = self.state.servers.in_pool('p')
+        for number in range(2_000):
+            call = samples.relayed(number)
+            request = _Request(call)
+            chosen = versions.narrow(
+                self.state, typing.cast(typing.Any, request), servers
+            )
+            found += chosen[0].version == 'v2'
+        return found / 2_000
+
+    def test_good_version_is_done_before_the_deadline(self) -> None:
+        self.lead()
+        self.add('v2', 4)
+        told = [item.state for item in self.play(DURATION_MS)]
+        self.assertEqual(
+            [effects.MoveState.RUNNING, effects.MoveState.DONE], told
+        )
+        self.assertEqual(1.0, self.share())
+
+    def test_old_version_has_time_to_end(self) -> None:
+        self.lead()
+        self.add('v2', 4)
+        self.play(round(DURATION_MS * 0.7))
+        self.assertEqual(1.0, self.share())
+        self.assertIs(messages.Stage.RUNNING, self.move.stage)
+
+    def test_trial_share_is_small(self) -> None:
+        self.add('v2', 4)
+        self.play(DURATION_MS // 3)
+        self.assertTrue(0 < self.share() < 0.1, self.share())
+
+    def test_bad_version_gets_nothing_more_without_any_duty(self) -> None:
+        self.add('v2', 4)
+        self.play(2_000)
+        verdict = messages.Verdict(
+            pool='p', number=40, node='other', route='*', cause='errors'
+        )
+        moves.hear_verdict(self.state, verdict)
+        self.assertEqual(0.0, self.share())
+        self.play(DURATION_MS, 2_000)
+        self.assertIs(messages.Stage.UNDONE, self.move.stage)
+        self.lead()
+        (told,) = self.play(DURATION_MS + 1_000, DURATION_MS)
+        self.assertIs(effects.MoveState.UNDONE, told.state)
+
+    def test_version_without_servers_is_taken_back_in_time(self) -> None:
+        self.lead()
+        told = self.play(DURATION_MS + 200)
+        self.assertIs(effects.MoveState.UNDONE, told[-1].state)
+
+    def test_node_that_starts_later_learns_how_it_ended(self) -> None:
+        self.add('v2', 4)
+        ended = events.RolloutEnded(pool='p', version='v2', done=True)
+        rollouts.ended(self.state, ended, samples.instant(100))
+        self.assertEqual(1.0, self.share())
+        self.lead()
+        self.assertEqual([], self.play(DURATION_MS, 200))
+
+    def test_same_order_again_changes_nothing(self) -> None:
+        again = rollouts.see(self.state, ORDER, samples.instant(5_000))
+        self.assertEqual([], again)
+
+
+class _Request:
+    """The part of a request that the choice of a version looks at."""
+
+    def __init__(self, call: typing.Any) -> None:
+        self.call = call
+        self.failed_on = ''
