Show the time to first byte and whole answer as histograms

Cause: the metrics address had counters only; what callers wait for was in single log lines. Change: one histogram by route and span. Checked: the tests of requests over sockets pass.

--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -491,6 +491,26 @@
     amount: int = 1
 
 
+class Span(enum.Enum):
+    """Times that are shown as histograms."""
+
+    FIRST = 'first'
+    WHOLE = 'whole'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observe:
+    """Add to a histogram.
+
+    :param label: route that it is shown under.
+    :param span_ms: milliseconds from the arrival of the request.
+    """
+
+    span: Span
+    label: str
+    span_ms: int
+
+
 class Mark(enum.Enum):
     """Kinds of entries in the time line."""
 
@@ -600,5 +620,6 @@
     | Wake
     | Stop
     | Count
+    | Observe
     | Record
 )
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -207,7 +207,10 @@
     if request.streaming:
         return []
     request.streaming = True
-    return [effects.SendHead(request.outlet, event.head)]
+    return [
+        _observe(request, effects.Span.FIRST, now),
+        effects.SendHead(request.outlet, event.head),
+    ]
 
 
 def events_came(
@@ -578,6 +581,7 @@
     span = now.mono - request.arrived
     return [
         effects.Count(effects.Counter.ANSWERED, route),
+        _observe(request, effects.Span.WHOLE, now),
         requests.record(
             request,
             effects.Mark.ANSWERED,
@@ -586,6 +590,13 @@
     ]
 
 
+def _observe(
+    request: requests.Request, span: effects.Span, now: clock.Instant
+) -> effects.Effect:
+    route = request.call.route.name
+    return effects.Observe(span, route, now.mono - request.arrived)
+
+
 def _silent_limit(
     state: states.State, request: requests.Request, server: servers.Server
 ) -> int:
--- a/src/teaselbridge/runtime/loop.py
+++ b/src/teaselbridge/runtime/loop.py
@@ -51,6 +51,7 @@
         self._busy = False
         self._performers: dict[type, Performer] = {
             effects.Count: meter.count,
+            effects.Observe: meter.observe,
             effects.Record: self.record,
             effects.Wake: self._wake,
         }
--- a/src/teaselbridge/telemetry/metrics.py
+++ b/src/teaselbridge/telemetry/metrics.py
@@ -6,10 +6,16 @@
 
 import prometheus_client
 
+from teaselbridge import clock
+
 if typing.TYPE_CHECKING:
     from teaselbridge.decisions import effects
 
 
+# Seconds; the goals of routes lie between a tenth and a few.
+BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 4, 8)
+
+
 class Meter:
     """All figures of one process."""
 
@@ -21,6 +27,13 @@
             ['kind', 'label'],
             registry=self._registry,
         )
+        self._spans = prometheus_client.Histogram(
+            'teaselbridge_request_seconds',
+            'Time from arrival to the first byte and to the whole answer.',
+            ['span', 'route'],
+            buckets=BUCKETS_S,
+            registry=self._registry,
+        )
         self._keyvalue = prometheus_client.Counter(
             'teaselbridge_keyvalue_calls',
             'Calls to the key-value service, by kind and purpose.',
@@ -60,6 +73,11 @@
         kind = effect.counter.value
         self._decisions.labels(kind, effect.label).inc(effect.amount)
 
+    def observe(self, effect: effects.Observe) -> None:
+        """Add to a histogram."""
+        span = effect.span_ms / clock.SECOND
+        self._spans.labels(effect.span.value, effect.label).observe(span)
+
     def count_keyvalue(self, kind: str, purpose: str) -> None:
         """Count a call to the key-value service.
 
