--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -88,7 +88,7 @@
     if call.is_relayed:
         if call.parts:
             return prefill.choose(state, candidates, call, now)
-        return prefill.least_loaded(state, candidates)
+        return prefill.least_loaded(state, candidates, now)
     view = placement.View(
         call, state.random, state.rotation, state.options.me.zone
     )
--- a/src/teaselbridge/decisions/prefill.py
+++ b/src/teaselbridge/decisions/prefill.py
@@ -31,6 +31,12 @@
 RANK_MS = 12.0
 # Slower first token for each running request, which shares the steps.
 RUNNING_MS = 1.2
+# A first byte that came late says that its server is slow, for a while.
+LAG_SMOOTHING = 0.3
+LAG_HALF_MS = 3_000
+LAG_MOST_MS = 3_000
+# Lag that weighs like a full server, for plain services.
+LAG_LOAD_MS = 200
 # Penalty for a server that fails, in milliseconds at a failure rate of 1.
 FAILING_MS = 4_000.0
 
@@ -69,6 +75,25 @@
     return max(0, call.tokens_in - cached)
 
 
+def lag(server: servers.Server, now: clock.Instant) -> float:
+    """Give how late a server's first bytes are, fading with time."""
+    age = now.mono - server.lag_at
+    return float(server.lag_ms * 0.5 ** (age / LAG_HALF_MS))
+
+
+def see_lag(
+    server: servers.Server, late_ms: float, now: clock.Instant
+) -> None:
+    """Take in how much later than predicted a first byte came.
+
+    :param late_ms: milliseconds, below zero where it came sooner.
+    """
+    known = lag(server, now)
+    seen = min(LAG_MOST_MS, max(0.0, late_ms))
+    server.lag_ms = known + LAG_SMOOTHING * (seen - known)
+    server.lag_at = now.mono
+
+
 def choose(
     state: states.State,
     candidates: list[servers.Server],
@@ -95,13 +120,16 @@
             + RANK_MS * ranks.get(server.host, 0)
             + RUNNING_MS * running
             + FAILING_MS * server.failing
+            + lag(server, now)
         )
 
     return min(candidates, key=cost)
 
 
 def least_loaded(
-    state: states.State, candidates: list[servers.Server]
+    state: states.State,
+    candidates: list[servers.Server],
+    now: clock.Instant,
 ) -> servers.Server:
     """Choose the server of a plain service with the most room.
 
@@ -110,7 +138,8 @@
     return min(
         candidates,
         key=lambda server: (
-            round(server.load + 2 * server.failing, 2),
+            round(server.load + 2 * server.failing, 2)
+            + round(lag(server, now) / LAG_LOAD_MS, 1),
             state.random.random(),
         ),
     )
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -47,6 +47,8 @@
 # one that does. Callers leave after two seconds or more.
 GAP_SILENT_MS = 600
 GAP_MOST_MS = 1_600
+# Predictions are no better than this.
+LAG_TOLERATED_MS = 100
 # Load headers may lower the room of a server for so long.
 FULL_MS = 100
 
@@ -153,7 +155,8 @@
     state.loads.count_reading(call.route.pool, unread, now)
     for part in call.parts:
         state.loads.give(server.host, part.id, now)
-    request.silent_ms = _silent_limit(state, request, server)
+    request.expected_ms = _expected(state, request, server)
+    request.silent_ms = _silent_limit(request)
     pool = state.index.pool(call.route.pool)
     ranked = pool is not None and pool.engine is not None
     last = call.last_event
@@ -258,6 +261,7 @@
     now: clock.Instant,
 ) -> list[effects.Effect]:
     """A whole answer came; one that tells of a failure may be repeated."""
+    _heard(state, request, now)
     _began(state, request, now)
     if found.status >= 500:
         fault = calls.Fault(
@@ -359,6 +363,7 @@
     """Move repeatable work away from a server that says nothing."""
     if request.phase is not requests.Phase.RUNNING:
         return []
+    _note_lag(state, request, now)
     route = request.call.route
     if not route.idempotent or request.runs + 1 >= route.attempts:
         return []
@@ -381,6 +386,20 @@
     return [cancel, *fail(state, request, fault, None, now)]
 
 
+def _note_lag(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> None:
+    """A first byte that is overdue says as much as one that came late."""
+    server = state.servers.get(request.host)
+    if server is None or not request.first:
+        return
+    late = now.mono - request.started - request.expected_ms
+    late = min(prefill.LAG_MOST_MS, late - LAG_TOLERATED_MS)
+    if late > prefill.lag(server, now):
+        server.lag_ms = late
+        server.lag_at = now.mono
+
+
 def _first_limit(state: states.State, request: requests.Request) -> int:
     """Give the longest wait for the first byte.
 
@@ -508,9 +527,14 @@
 def _heard(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> None:
+    """Note a sign of life of a request's server, and how late it was."""
     server = state.servers.get(request.host)
-    if server is not None:
-        server.heard = now.mono
+    if server is None:
+        return
+    server.heard = now.mono
+    if request.first:
+        waited = now.mono - request.started
+        prefill.see_lag(server, waited - request.expected_ms, now)
 
 
 def _judge(
@@ -597,18 +621,23 @@
     return effects.Observe(span, route, now.mono - request.arrived)
 
 
-def _silent_limit(
+def _expected(
     state: states.State, request: requests.Request, server: servers.Server
-) -> int:
+) -> float:
+    """Predict the milliseconds until the first byte."""
     call = request.call
-    speed = state.speed.of(call.route.pool)
-    expected = (server.prefill + server.others_prefill) / speed
-    if not call.parts:
-        expected = state.pace.answer_ms(call.route.name)
-    least = max(SILENT_LEAST_MS, round(SILENT_GOAL * call.route.goal_ms))
     if not call.parts:
-        least = max(LEAST_MS, round(SILENT_GOAL * call.route.goal_ms))
-    return max(least, round(SILENT_FACTOR * expected))
+        return state.pace.answer_ms(call.route.name)
+    speed = state.speed.of(call.route.pool)
+    return (server.prefill + server.others_prefill) / speed
+
+
+def _silent_limit(request: requests.Request) -> int:
+    """Give the silence after which a server is taken to be mute."""
+    call = request.call
+    least = SILENT_LEAST_MS if call.parts else LEAST_MS
+    least = max(least, round(SILENT_GOAL * call.route.goal_ms))
+    return max(least, round(SILENT_FACTOR * request.expected_ms))
 
 
 def _refusal(
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -69,6 +69,7 @@
         self.refusals = 0
         self.unread = 0
         self.silent_ms = 0
+        self.expected_ms = 0.0
         self.last_event: int | None = None
 
     @property
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -53,6 +53,8 @@
     :param failing: smoothed share of attempts at it that failed.
     :param full_until: monotonic milliseconds; it said that it was full.
     :param heard: monotonic milliseconds of its last sign of life.
+    :param lag_ms: how much later than predicted its first bytes came.
+    :param lag_at: monotonic milliseconds at which that was seen.
     """
 
     row: events.HostRow
@@ -74,6 +76,8 @@
     failing: float = 0.0
     full_until: int = 0
     heard: int = 0
+    lag_ms: float = 0.0
+    lag_at: int = 0
 
     @property
     def host(self) -> str:
--- a/tests/decisions/test_prefill.py
+++ b/tests/decisions/test_prefill.py
@@ -87,6 +87,18 @@
         first.failing = 0.5
         self.assertIsNot(first, prefill.choose(state, found, prompt('x'), NOW))
 
+    def test_slow_server_is_passed_by_for_a_while(self) -> None:
+        state = samples.state()
+        found = engines(2)
+        first = prefill.choose(state, found, prompt('x'), NOW)
+        for _ in range(4):
+            prefill.see_lag(first, 900.0, NOW)
+        second = prefill.choose(state, found, prompt('x'), NOW)
+        self.assertIsNot(first, second)
+        later = samples.instant(40_000)
+        again = prefill.choose(state, found, prompt('x'), later)
+        self.assertIs(first, again)
+
     def test_speed_follows_what_answers_show(self) -> None:
         speed = prefill.Speed()
         for _ in range(200):
@@ -105,5 +117,5 @@
             server.slots = 6
         found[0].inflight = 2
         found[1].others = 3
-        chosen = prefill.least_loaded(samples.state(), found)
+        chosen = prefill.least_loaded(samples.state(), found, NOW)
         self.assertIs(found[2], chosen)
