Give cut-off nodes their part of a bucket only

Cause: test_cut_off_nodes_keep_to_their_part let 686,720 tokens through in eight seconds, 685,000 are allowed: each of three groups had a whole burst. Change: the copy holds the heard part of the burst.

--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -7,8 +7,8 @@
 through, a few times a second. What they let through since is covered by the
 excess that the platform allows, and is taken out when it is heard of.
 
-A node that does not hear some of the others refills its copy by the part of
-the nodes that it hears, as the others may go on without it. One that starts
+A node that does not hear some of the others has the part of the bucket that
+the nodes which it hears make up, as the others may go on without it. One that starts
 anew begins with an empty bucket: it may have let through much before.
 """
 
@@ -124,8 +124,9 @@
             bucket = _Bucket(max(1.0, level), now.mono)
             self._buckets[name] = bucket
         span = now.mono - bucket.updated
-        fresh = rate.per_s * self._heard_part(now) * span / 1000
-        bucket.level = min(max(1.0, rate.burst), bucket.level + fresh)
+        part = self._heard_part(now)
+        fresh = rate.per_s * part * span / 1000
+        bucket.level = min(max(1.0, rate.burst * part), bucket.level + fresh)
         bucket.updated = now.mono
         return bucket
 
