--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -8,8 +8,9 @@
 excess that the platform allows, and is taken out when it is heard of.
 
 A node that does not hear some of the others has the part of the bucket that
-the nodes which it hears make up, as the others may go on without it. One that starts
-anew begins with an empty bucket: it may have let through much before.
+the nodes which it hears make up, as the others may go on without it. One
+that starts anew begins with an empty bucket: it may have let through much
+before.
 """
 
 from __future__ import annotations
