Fill up with on-demand servers to the least that serves in time

Change: reclaimable servers follow the usual need, on-demand ones 0.55 of the start or 1.5 times what prompts ask for.

--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -40,10 +40,10 @@
 SPARE = 1.6
 # Fewer do not bear the loss of one.
 NEED_LEAST = 4
-# What the operators start with just serves the usual load.
-NEED_FACTOR = 1.25
-# Part of the need that on-demand servers fill up to.
-FILL_PART = 0.85
+# Part of what the operators start with, and times what prompts ask for, that
+# on-demand servers fill up to: they cost many times as much.
+LEAST_PART = 0.55
+LEAST_FACTOR = 1.5
 # How long after the first sight of a pool its servers are counted.
 FIRST_MS = 3_000
 # Part of the time that engines may spend reading prompts: the rest is for
@@ -90,6 +90,18 @@
         self.fence = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Need:
+    """How many servers a pool needs.
+
+    :param usual: to serve in comfort, at the price of reclaimable ones.
+    :param least: to serve in time, at any price.
+    """
+
+    usual: int
+    least: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Count:
     """Servers of one sort.
@@ -179,21 +191,28 @@
     ]
 
 
-def need(state: states.State, pool: model.Pool) -> int:
+def need(state: states.State, pool: model.Pool) -> Need:
     """Tell how many servers a pool needs to serve in time.
 
-    The operators start with what serves the usual load; what prompts ask
-    for may be more.
+    The operators start with what serves the usual load in comfort; what
+    prompts ask for may be more.
     """
     scaling = state.scaling
     first = scaling.first.get(pool.name, 1)
     asked = scaling.asked.get(pool.name, 0.0)
     reading = asked / (1000 * state.speed.of(pool.name) * READING_PART)
-    return max(NEED_LEAST, math.ceil(NEED_FACTOR * first), math.ceil(reading))
+    return Need(
+        usual=max(NEED_LEAST, first, math.ceil(reading)),
+        least=max(
+            NEED_LEAST,
+            math.ceil(LEAST_PART * first),
+            math.ceil(LEAST_FACTOR * reading),
+        ),
+    )
 
 
 def plan(
-    wanted: int,
+    wanted: Need,
     scaling: model.Scaling,
     stock: Stock,
     pool: str,
@@ -213,20 +232,20 @@
         another zone must be borne without new ones then.
     """
     zones = sorted(scaling.prices, key=lambda item: item.price)
-    share = math.ceil(wanted * SPARE / max(1, len(zones)))
+    share = math.ceil(wanted.usual * SPARE / max(1, len(zones)))
     target: dict[Place, int] = {}
     largest = 0
     for item in zones:
         place = Place(pool, item.zone, True)
         target[place] = min(scaling.most, max(scaling.least, share))
         largest = max(largest, stock.serving.get(place, 0))
-    fill = math.ceil(wanted * FILL_PART)
+    fill = wanted.least
     reclaimable = stock.count(reclaimable=True)
     borne = reclaimable.serving - (largest if dry else 0)
     missing = fill - borne - reclaimable.coming
     on_demand = stock.count(reclaimable=False)
     missing -= on_demand.serving + on_demand.coming
-    kept = 0 if borne >= fill else max(0, wanted - borne)
+    kept = 0 if borne >= fill else max(0, wanted.usual - borne)
     for item in zones:
         place = Place(pool, item.zone, False)
         have = stock.of(place)
@@ -373,7 +392,7 @@
     if any(server.row.reclaimable for server in known):
         if state.options.bounds.first_start:
             return
-        count = math.floor(count / SPARE / NEED_FACTOR)
+        count = math.floor(count / SPARE)
     scaling.first[pool.name] = max(scaling.first.get(pool.name, 1), count)
 
 
--- a/tests/decisions/test_scaling.py
+++ b/tests/decisions/test_scaling.py
@@ -22,7 +22,7 @@
         for zone, price in zip(ZONES, (1.0, 0.8, 1.25, 0.9), strict=True)
     ),
 )
-WANTED = 6
+WANTED = scaling.Need(usual=6, least=6)
 
 
 def place(zone: str, *, reclaimable: bool) -> scaling.Place:
@@ -59,7 +59,7 @@
     def test_the_start_keeps_what_is_there(self) -> None:
         there = stock({}, dict.fromkeys(ZONES, 1))
         target = scaling.plan(WANTED, LIMITS, there, 'p', dry=False)
-        self.assertTrue(4 <= on_demand(target) <= WANTED)
+        self.assertEqual(6, on_demand(target))
 
     def test_others_leave_once_reclaimable_ones_serve(self) -> None:
         there = stock(dict.fromkeys(ZONES, 2), dict.fromkeys(ZONES, 1))
@@ -73,9 +73,17 @@
         self.assertEqual(2, on_demand(calm))
         self.assertEqual(4, on_demand(dry))
 
+    def test_on_demand_ones_fill_up_to_the_least(self) -> None:
+        need = scaling.Need(usual=9, least=5)
+        target = scaling.plan(need, LIMITS, stock({'a': 1}), 'p', dry=False)
+        self.assertEqual(4, on_demand(target))
+        self.assertEqual(3, target[place('a', reclaimable=True)])
+
     def test_both_sorts_share_the_limit_of_a_zone(self) -> None:
         there = stock({'a': 3, 'b': 1})
-        target = scaling.plan(12, LIMITS, there, 'p', dry=True)
+        target = scaling.plan(
+            scaling.Need(usual=12, least=12), LIMITS, there, 'p', dry=True
+        )
         self.assertEqual(0, target[place('a', reclaimable=False)])
         self.assertEqual(2, target[place('b', reclaimable=False)])
 
