--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -35,6 +35,7 @@
 EXCESS_PART = 0.8
 SLACK_PART = 0.25
 HASH_SPAN = 1 << 63
+MEAN_SMOOTHING = 0.1
 # Above this part of a bucket nodes let requests through without a draw.
 LOW_PART = 0.7
 RETRY_LEAST_MS = 200
@@ -49,11 +50,13 @@
         was larger than the rest, or that several nodes let through at once.
     :param updated: monotonic milliseconds.
     :param spent: what this node let through since its start.
+    :param mean: smoothed cost of a request.
     """
 
     level: float
     updated: int
     spent: int = 0
+    mean: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -133,8 +136,10 @@
         """
         bucket = self._refill(call.key.workspace, rate, now)
         cost = cost_of(call, rate)
-        # One that is larger than the bucket goes out of a full one.
-        needed = min(cost, max(1.0, rate.burst))
+        # The same for all sizes: else small requests would keep the bucket
+        # too low for large ones.
+        bucket.mean += MEAN_SMOOTHING * (cost - bucket.mean)
+        needed = min(bucket.mean, max(1.0, rate.burst))
         low = min(
             self._capacity(rate) * LOW_PART,
             needed * max(1.0, self._draw(call, now)),
@@ -164,8 +169,7 @@
         bucket = self._buckets.get(name)
         if bucket is None:
             level = self._capacity(rate) if self._first_start else 0.0
-            # The first request of a workspace opens its bucket.
-            bucket = _Bucket(max(1.0, level), now.mono)
+            bucket = _Bucket(level, now.mono)
             self._buckets[name] = bucket
         span = now.mono - bucket.updated
         part = self._heard_part(now)
