--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -66,7 +66,7 @@
     drain = state.drain
     if drain is None:
         return False
-    listed_until = drain.began + state.options.address_ttl_ms
+    listed_until = drain.began + state.options.listed_ms
     return now.mono >= min(listed_until, drain.by - STOP_MARGIN_MS)
 
 
@@ -97,7 +97,7 @@
     out: list[effects.Effect] = []
     for request in list(state.requests.values()):
         out += _move(state, request, now)
-    listed_until = drain.began + state.options.address_ttl_ms
+    listed_until = drain.began + state.options.listed_ms
     settled = not state.requests and not state.ledger.open
     if now.mono < drain.by and not (settled and now.mono >= listed_until):
         return out
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -44,7 +44,9 @@
     :param me: this node, as the others get to know it.
     :param seeds: ``ip:port`` of peers to join through.
     :param queue: requests that may wait for a backend server.
-    :param address_ttl_ms: how long callers keep the address list.
+    :param address_ttl_ms: how long callers are told to keep the address
+        list.
+    :param listed_ms: how long some of them keep it at most.
     :param seed: seed of the random generator.
     :param policy: how a backend server is chosen.
     :param lease: times of leases.
@@ -56,6 +58,7 @@
     seeds: tuple[str, ...] = ()
     queue: int = 512
     address_ttl_ms: int = 2_000
+    listed_ms: int = 2_000
     seed: int = 0
     policy: placement.Policy = placement.prefix_aware
     lease: leases.Times = leases.Times()
--- a/src/teaselbridge/runtime/node.py
+++ b/src/teaselbridge/runtime/node.py
@@ -223,5 +223,6 @@
         seeds=settings.seeds,
         queue=settings.limits.queue,
         address_ttl_ms=settings.limits.address_ttl_ms,
+        listed_ms=settings.limits.address_ttl_ms,
         seed=now.wall,
     )
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -315,6 +315,7 @@
         seeds=settings.seeds,
         queue=settings.limits.queue,
         address_ttl_ms=ADDRESS_TTL_MS,
+        listed_ms=LISTED_MS,
         seed=now.wall,
         lease=LEASE,
         bounds=_bounds(settings.site),
--- /dev/null
+++ b/tests/decisions/test_drain.py
@@ -0,0 +1,29 @@
+"""Tests of the graceful stop."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import testtools
+
+from teaselbridge.decisions import drain
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from tests.decisions import samples
+
+
+class TestDrain(testtools.TestCase):
+    """A node serves on for as long as callers may come."""
+
+    def test_idle_node_stays_while_callers_keep_its_address(self) -> None:
+        state = samples.state()
+        state.options = dataclasses.replace(
+            state.options, address_ttl_ms=1_000, listed_ms=3_000
+        )
+        drain.ask(state, events.DrainAsked(7_000), samples.instant(0))
+        stopped = [
+            now
+            for now in range(0, 5_000, 100)
+            if effects.Stop() in drain.tick(state, samples.instant(now))
+        ]
+        self.assertEqual([3_000], stopped)
--- a/tests/failures/test_site_knowledge.py
+++ b/tests/failures/test_site_knowledge.py
@@ -187,5 +187,9 @@
                 response = await trial.call('/stock/1', node=2)
                 self.assertEqual(200, response.status_code)
                 self.assertEqual('close', response.headers['connection'])
+                # Some callers keep addresses for three times the time told.
+                await asyncio.sleep(2.0)
+                response = await trial.call('/stock/1', node=2)
+                self.assertEqual(200, response.status_code)
 
         self.go(run())
