Say where constants come from; require a server's version

Newcomer's reading: constants without a line, a version rule that read backwards, a method that nobody called.

--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -108,10 +108,6 @@
                 total += peer.reading.get(pool, 0)
         return total * 1000 / READING_MS
 
-    def forget(self, name: str) -> None:
-        """A node is dead: what it had under way is over."""
-        self._peers.pop(name, None)
-
     def of(self, host: str, now: clock.Instant) -> messages.ServerLoad:
         """Add up what the other nodes have under way at a server."""
         running = 0
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -34,11 +34,16 @@
 LEAST_MS = 20
 # How often a request that no server ran may be sent on.
 REFUSALS_MOST = 4
+# Wait before a request that was refused is sent on, times the refusals: a
+# slot of a plain service is free again after some 15 ms.
 REFUSED_WAIT_MS = 15
+# Callers come back spread over half a second, the least that a lost server
+# takes to be known everywhere.
 RETRY_AFTER_LEAST_MS = 150
 RETRY_AFTER_SPREAD_MS = 350
+# Weight of one outcome in a server's failure rate: some seven in a row.
 FAILING_SMOOTHING = 0.15
-# Load headers may lower the room of a server for so long.
+# A server that said that it is full gets nothing for so long.
 FULL_MS = 100
 
 
--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -24,9 +24,11 @@
     from teaselbridge.tables import model
 
 DUTY = 'scale'
+# Servers take seconds to come; a notice to leave gives two.
 EVERY_MS = 250
 # After a refusal: the platform has none for many seconds, and asking costs.
 REFUSED_MS = 3_000
+# After no answer the order may stand; it is sent again as it was.
 UNANSWERED_MS = 1_000
 # After a refusal ends, the next loss of a zone is still borne alone.
 DRY_MS = 3_000
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -230,12 +230,15 @@
 def _known_version(state: states.State, row: events.HostRow) -> str:
     """Say what a new server runs.
 
-    A service starts with its version. An engine may still have to load it,
-    so only its first report tells.
+    On the users' platform each server's entry tells. Else a service starts
+    with its version, and an engine may still have to load it, so that only
+    its first report tells.
     """
+    if state.options.bounds is not None:
+        return row.version
     pool = state.index.pool(row.pool)
-    if pool is None or pool.kind is not model.Kind.ENGINE:
-        return row.version if state.options.bounds or pool else ''
+    if pool is not None and pool.kind is model.Kind.SERVICE:
+        return row.version
     return ''
 
 
--- a/src/teaselbridge/decisions/silence.py
+++ b/src/teaselbridge/decisions/silence.py
@@ -22,6 +22,7 @@
 SILENT_FACTOR = 4.0
 SILENT_LEAST_MS = 150
 SILENT_GOAL = 0.5
+# Times that limit at a server that answers others meanwhile.
 BUSY_FACTOR = 4
 # Pauses of a stream: at a server that sends nothing else either, and at
 # one that does. Callers leave after two seconds or more.
--- a/src/teaselbridge/platform/documents.py
+++ b/src/teaselbridge/platform/documents.py
@@ -109,7 +109,7 @@
     address: str
     zone: str
     state: str
-    version: str = ''
+    version: str
     slots: int = 0
     # Unix milliseconds of the server's start: tells one life from the next.
     born: int = 0
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -64,6 +64,7 @@
             entry(address=7),
             entry(slots='many'),
             entry(service=''),
+            entry(version=None),
         ):
             self.assertRaises(
                 errors.DocumentError, documents.server, 'servers/x', data
