Keep the bound of a rate with few tokens and many nodes

Cause: found by a test of nine nodes and a rate of 5,000 tokens: 356,969 let through where 239,500 are allowed. What the others let through before a node saw its first request of a workspace was not taken out of its copy; and a bucket with a part of the slack in it was overdrawn by all nodes at once. Ruled out: a draw by the fullness of the bucket (refuses large requests of a calm workspace). Change: a bucket that others take out of first is opened without that; the level that is asked for is the mean cost, drawn by how many requests come unheard; the slack goes into the refill, as the platform allows it in each span anew.

--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -33,11 +33,14 @@
 FORGOTTEN_MS = 10_000
 # Parts of the platform's tolerance that callers may use.
 EXCESS_PART = 0.8
-SLACK_PART = 0.25
+SLACK_HELD = 0.1
+SLACK_REFILLED = 0.25
 HASH_SPAN = 1 << 63
 MEAN_SMOOTHING = 0.1
-# Above this part of a bucket nodes let requests through without a draw.
-LOW_PART = 0.7
+# Span over which requests are counted.
+ASKED_MS = 2_000
+# Four messages a second, and the way of one.
+UNHEARD_SPAN_MS = 300
 RETRY_LEAST_MS = 200
 RETRY_MOST_MS = 2_000
 
@@ -51,12 +54,16 @@
     :param updated: monotonic milliseconds.
     :param spent: what this node let through since its start.
     :param mean: smoothed cost of a request.
+    :param opened: whether a request of the workspace came to this node.
+    :param asked: requests in the last two seconds, smoothed.
     """
 
     level: float
     updated: int
     spent: int = 0
-    mean: float = 1.0
+    mean: float = 0.0
+    asked: float = 0.0
+    opened: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -111,9 +118,9 @@
         if known is not None and known.incarnation == message.incarnation:
             before = known.spent
         for name, total in spent.items():
-            bucket = self._buckets.get(name)
             # Of a node heard for the first time it is not known when.
-            if bucket is not None and known is not None:
+            if known is not None:
+                bucket = self._bucket(name, now)
                 bucket.level -= max(0, total - before.get(name, 0))
         self._peers[message.node] = _Peer(
             message.incarnation, now.mono, {**before, **spent}
@@ -138,59 +145,71 @@
         cost = cost_of(call, rate)
         # The same for all sizes: else small requests would keep the bucket
         # too low for large ones.
-        bucket.mean += MEAN_SMOOTHING * (cost - bucket.mean)
-        needed = min(bucket.mean, max(1.0, rate.burst))
-        low = min(
-            self._capacity(rate) * LOW_PART,
-            needed * max(1.0, self._draw(call, now)),
-        )
-        if bucket.level >= max(needed, low):
+        bucket.asked += 1
+        smoothing = MEAN_SMOOTHING if bucket.mean else 1.0
+        bucket.mean += smoothing * (cost - bucket.mean)
+        needed = min(bucket.mean, max(1.0, 0.9 * self._capacity(rate)))
+        together = self._together(bucket, now)
+        chance = placement.hash_of('rate', call.key.id) / HASH_SPAN
+        if bucket.level >= needed * max(1.0, chance * together):
             bucket.level -= cost
             bucket.spent += cost
             return 0
-        wait = 1000 * (needed - bucket.level) / rate.per_s
+        wait = 1000 * (needed - bucket.level) / self._per_s(rate)
         return round(min(RETRY_MOST_MS, max(RETRY_LEAST_MS, wait)))
 
-    def _draw(self, call: calls.Call, now: clock.Instant) -> float:
-        """Draw a number up to the count of nodes that share the bucket.
+    def _together(self, bucket: _Bucket, now: clock.Instant) -> float:
+        """Guess how many requests all nodes decide on unheard by each other.
 
         All nodes see the same low level at once. Where each let a request
-        through, it would be overdrawn by as many, and empty for long after.
+        through, it would be overdrawn by as many, and empty for long after;
+        so a request draws whether it is one of those that there is room for.
         """
         sharers = 1 + sum(
             now.mono - peer.heard < UNHEARD_MS for peer in self._peers.values()
         )
-        chance = placement.hash_of('rate', call.key.id) / HASH_SPAN
-        return sharers * chance
+        return sharers * bucket.asked * UNHEARD_SPAN_MS / ASKED_MS
 
     def _refill(
         self, name: str, rate: model.Rate, now: clock.Instant
     ) -> _Bucket:
-        bucket = self._buckets.get(name)
-        if bucket is None:
-            level = self._capacity(rate) if self._first_start else 0.0
-            bucket = _Bucket(level, now.mono)
-            self._buckets[name] = bucket
+        bucket = self._bucket(name, now)
+        if not bucket.opened:
+            bucket.opened = True
+            if self._first_start:
+                bucket.level += self._capacity(rate)
         span = now.mono - bucket.updated
+        bucket.asked *= max(0.0, 1 - span / ASKED_MS)
         part = self._heard_part(now)
-        fresh = rate.per_s * part * span / 1000
+        fresh = self._per_s(rate) * part * span / 1000
         most = max(1.0, self._capacity(rate) * part)
         bucket.level = min(most, bucket.level + fresh)
         bucket.updated = now.mono
         return bucket
 
+    def _bucket(self, name: str, now: clock.Instant) -> _Bucket:
+        """Give a bucket; one that others took out of first lacks that."""
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = self._buckets[name] = _Bucket(0.0, now.mono)
+        return bucket
+
     def _capacity(self, rate: model.Rate) -> float:
-        """Give what a bucket holds: the burst, and a part of the tolerance.
+        """Give what a bucket holds: the burst, and some of the slack."""
+        more = self._tolerance.slack if rate.in_tokens else 0.0
+        return rate.burst + SLACK_HELD * more
+
+    def _per_s(self, rate: model.Rate) -> float:
+        """Give the refill of a bucket a second.
 
-        What is refused below the platform's bound is lost to callers; the
-        rest of the tolerance is for what nodes let through unheard.
+        The platform allows its tolerance in each span anew. What is refused
+        below that is lost to callers; the rest of it is for what nodes let
+        through unheard.
         """
         tolerance = self._tolerance
-        span = rate.per_s * tolerance.span_ms / 1000 + rate.burst
-        more = EXCESS_PART * tolerance.excess * span
-        if rate.in_tokens:
-            more += SLACK_PART * tolerance.slack
-        return rate.burst + more
+        more = tolerance.slack if rate.in_tokens else 0.0
+        slack = 1000 * SLACK_REFILLED * more / tolerance.span_ms
+        return rate.per_s * (1 + EXCESS_PART * tolerance.excess) + slack
 
     def _heard_part(self, now: clock.Instant) -> float:
         """Give the part of the nodes, this one included, that are heard."""
