--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -37,6 +37,8 @@
 SLACK_REFILLED = 0.25
 HASH_SPAN = 1 << 63
 MEAN_SMOOTHING = 0.1
+# A request larger than the bucket goes out of a nearly full one.
+FULL_PART = 0.9
 # Span over which requests are counted.
 ASKED_MS = 2_000
 # Four messages a second, and the way of one.
@@ -148,7 +150,7 @@
         bucket.asked += 1
         smoothing = MEAN_SMOOTHING if bucket.mean else 1.0
         bucket.mean += smoothing * (cost - bucket.mean)
-        needed = min(bucket.mean, max(1.0, 0.9 * self._capacity(rate)))
+        needed = min(bucket.mean, max(1.0, FULL_PART * self._capacity(rate)))
         together = self._together(bucket, now)
         chance = placement.hash_of('rate', call.key.id) / HASH_SPAN
         if bucket.level >= needed * max(1.0, chance * together):
--- a/src/teaselbridge/runtime/watching.py
+++ b/src/teaselbridge/runtime/watching.py
@@ -26,8 +26,10 @@
 # A waiting watch proves nothing until it returns, so those that confirm
 # workspace keys wait for a part of the time that keys may be trusted.
 WAIT_MS = 1_200
+# Wait after a failure, doubled up to the most: keys outlive two of those.
 RETRY_MS = 150
 RETRY_MOST_MS = 600
+# A node's entry outlives three lost renewals.
 NODE_LEASE_MS = 30_000
 NODE_KEEP_MS = 8_000
 EVERYTHING = ''
