--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -227,14 +227,7 @@
     fault: calls.Fault,
     now: clock.Instant,
 ) -> list[effects.Effect]:
-    out: list[effects.Effect] = [
-        effects.Count(effects.Counter.FAULTS, fault.kind.value),
-        requests.record(
-            request,
-            effects.Mark.FAULT,
-            f'{fault.kind.value}, ran {fault.ran.value}: {fault.detail}',
-        ),
-    ]
+    out = requests.tell_fault(request, fault)
     server = state.servers.get(request.host)
     if server is None:
         return out
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -45,8 +45,12 @@
 LISTED_MS = 3 * ADDRESS_TTL_MS
 # Callers reuse connections up to their limit; the node never closes first.
 KEEP_ALIVE_S = 90
+# The platform looks at who acted within three seconds; a duty's call takes
+# at most 0.9 s.
 LEASE = leases.Times(ttl_ms=3_000, renew_ms=700, margin_ms=1_200, look_ms=700)
+# Connections stand within milliseconds; a server that is gone says nothing.
 RUNNER_CONNECT_MS = 400
+# Backend servers close idle connections after some seconds.
 RUNNER_KEEP_ALIVE_MS = 3_000
 
 
