--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -160,6 +160,15 @@
     )
 
 
+def tell_fault(request: Request, fault: calls.Fault) -> list[effects.Effect]:
+    """Count a failed attempt, and add it to the time line."""
+    detail = f'{fault.kind.value}, ran {fault.ran.value}: {fault.detail}'
+    return [
+        effects.Count(effects.Counter.FAULTS, fault.kind.value),
+        record(request, effects.Mark.FAULT, detail),
+    ]
+
+
 def drop(state: states.State, request: Request) -> list[effects.Effect]:
     """Forget a request, and give up its attempt."""
     out = release(state, request)
