--- a/src/teaselbridge/standins/runner.py
+++ b/src/teaselbridge/standins/runner.py
@@ -142,7 +142,11 @@
         self._tasks.add(task)
         try:
             await self._serve(reader, writer)
-        except (asyncio.CancelledError, ConnectionError):
+        except asyncio.CancelledError:
+            writer.transport.abort()
+        except ConnectionError:
+            # The other side closed while an answer was being written.
+            self.cancelled += 1
             writer.transport.abort()
         finally:
             self._tasks.discard(task)
