--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -161,16 +161,16 @@
         return round(min(RETRY_MOST_MS, max(RETRY_LEAST_MS, wait)))
 
     def _together(self, bucket: _Bucket, now: clock.Instant) -> float:
-        """Guess how many requests all nodes decide on unheard by each other.
+        """Guess how many requests the others decide on unheard.
 
         All nodes see the same low level at once. Where each let a request
         through, it would be overdrawn by as many, and empty for long after;
         so a request draws whether it is one of those that there is room for.
         """
-        sharers = 1 + sum(
+        others = sum(
             now.mono - peer.heard < UNHEARD_MS for peer in self._peers.values()
         )
-        return sharers * bucket.asked * UNHEARD_SPAN_MS / ASKED_MS
+        return others * bucket.asked * UNHEARD_SPAN_MS / ASKED_MS
 
     def _refill(
         self, name: str, rate: model.Rate, now: clock.Instant
--- a/tests/decisions/test_rates.py
+++ b/tests/decisions/test_rates.py
@@ -170,6 +170,20 @@
         call = samples.relayed(tokens_in=20_000)
         self.assertNotEqual(0, found.take(call, RATE, now))
 
+    def test_one_node_alone_uses_the_burst_up(self) -> None:
+        rate = model.Rate(per_s=0.001, burst=10)
+        for run in range(50):
+            found = rates.Rates(first_start=True)
+            through = sum(
+                not found.take(
+                    samples.relayed(100 * run + number),
+                    rate,
+                    samples.instant(0),
+                )
+                for number in range(14)
+            )
+            self.assertEqual(10, through)
+
     def test_wait_until_there_is_room(self) -> None:
         found = rates.Rates(first_start=True)
         call = samples.relayed(tokens_in=10 * LIMIT)
