--- a/src/teaselbridge/platform/documents.py
+++ b/src/teaselbridge/platform/documents.py
@@ -17,7 +17,6 @@
 from teaselbridge.tables import model
 
 CONFIGURATION_KEY = 'op/config'
-OPERATOR_PREFIX = 'op/'
 SERVERS_PREFIX = 'servers/'
 ROLLOUT_PREFIX = 'op/rollout/'
 ROLLOUT_STATUS_PREFIX = 'status/rollout/'
