Ask for the store's revision to confirm workspace keys

Cause: a waiting watch proves nothing until it returns, and each change wakes all nodes' watches at the same moment.

Ruled out: shorter watches (nine times as many calls), relayed ages in one-way messages (a message that is held up would make old knowledge new).

--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -430,6 +430,11 @@
     on: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfirmConfiguration:
+    """Ask the store for its revision, to confirm what is known of it."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportLoad:
     """Ask backend servers for their load.
@@ -616,6 +621,7 @@
     | AnswerApply
     | UseConfiguration
     | Watch
+    | ConfirmConfiguration
     | ReportLoad
     | Wake
     | Stop
--- a/src/teaselbridge/decisions/freshness.py
+++ b/src/teaselbridge/decisions/freshness.py
@@ -26,9 +26,14 @@
 
     :param confirmed: monotonic milliseconds before the question was sent
         whose answer confirmed it, none for never.
+    :param read_due: monotonic milliseconds from when the store may be asked
+        again.
+    :param ask_due: the same for a peer.
     """
 
     confirmed: int | None = None
+    read_due: int = 0
+    ask_due: int = 0
 
 
 def is_fresh(state: states.State, now: clock.Instant) -> bool:
--- a/src/teaselbridge/decisions/membership.py
+++ b/src/teaselbridge/decisions/membership.py
@@ -183,12 +183,13 @@
     if not ship.order:
         return []
     target = alive[ship.order.pop()]
-    return [_probe(state, target, now)]
+    return [probe(state, target, now)]
 
 
-def _probe(
+def probe(
     state: states.State, target: messages.Member, now: clock.Instant
 ) -> effects.Effect:
+    """Ask a peer whether it is there, and what it knows to be new."""
     ship = state.membership
     ship.sequence += 1
     ship.probes[ship.sequence] = members.Probe(target.name, now.mono)
@@ -204,7 +205,7 @@
     alive = state.membership.alive
     count = min(PUSH_FANOUT, len(alive))
     chosen = state.random.sample(alive, count)
-    return [_probe(state, member, now) for member in chosen]
+    return [probe(state, member, now) for member in chosen]
 
 
 def _ask_helpers(
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -9,6 +9,7 @@
 from teaselbridge.decisions import capacity
 from teaselbridge.decisions import changes
 from teaselbridge.decisions import configuration
+from teaselbridge.decisions import confirmation
 from teaselbridge.decisions import dispatch
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
@@ -195,6 +196,7 @@
 ) -> list[effects.Effect]:
     """Do what is due on the users' platform."""
     out = knowledge.tick(state, now)
+    out += confirmation.tick(state, now)
     out += leases.tick(state, now)
     out += loads.tick(state, now)
     out += usage.tick(state, now)
--- a/src/teaselbridge/platform/store.py
+++ b/src/teaselbridge/platform/store.py
@@ -22,6 +22,8 @@
 WATCH_SLACK_MS = 700
 LIST_TIMEOUT_MS = 2_000
 PAGES_MOST = 50
+# No key is ever written below this prefix.
+NOTHING = 'teaselbridge/nothing/'
 
 OK = 200
 NOT_FOUND = 404
@@ -233,6 +235,16 @@
                 break
         return Entries(tuple(found.values()), revision)
 
+    async def latest(self, purpose: keyvalue.Purpose) -> int:
+        """Ask for the present revision.
+
+        A list of nothing is the smallest answer that tells it for sure.
+        """
+        response = await self._call(
+            'GET', '/api/kv-range', purpose, params={'path-prefix': NOTHING}
+        )
+        return _decode(response, _Range, writes=False).as_of
+
     async def changes(
         self,
         prefix: str,
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -107,6 +107,7 @@
         # Every node here follows the store, chosen to watch or not.
         self._loop.handle(effects.Watch, lambda _: None)
         self._loop.handle(effects.UseConfiguration, lambda _: None)
+        self._loop.handle(effects.ConfirmConfiguration, self._confirm)
         self._loop.handle(effects.Stop, lambda _: self._stopped.set())
         self._loop.handle(effects.ReportUsage, self._report_usage)
         self._loop.handle(effects.OrderServers, self._order_servers)
@@ -224,6 +225,9 @@
         name = self._settings.node.name
         self._loop.record(effects.Record(mark=mark, host=name, detail=detail))
 
+    def _confirm(self, effect: effects.ConfirmConfiguration) -> None:
+        self._tasks.start(self._watching.confirm())
+
     def _report_usage(self, effect: effects.ReportUsage) -> None:
         self._tasks.start(self._send_usage(effect))
 
--- a/src/teaselbridge/runtime/watching.py
+++ b/src/teaselbridge/runtime/watching.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import dataclasses
 import functools
 import random
 import typing
@@ -36,6 +38,19 @@
 NODES_PREFIX = 'teaselbridge/nodes/'
 # Connections that failed this often in a row may be silent for good.
 RECONNECT_AFTER = 2
+# Answers that wait for the watch; it is rarely further behind.
+PROOFS_MOST = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Proof:
+    """What was read of the store's revision.
+
+    :param sent: monotonic milliseconds before the question was sent.
+    """
+
+    revision: int
+    sent: int
 
 
 T = typing.TypeVar('T')
@@ -64,6 +79,10 @@
         self._peers = peers
         self._failures = 0
         self._nodes: dict[str, str] = {}
+        self._revision = 0
+        self._proofs: collections.deque[_Proof] = collections.deque(
+            maxlen=PROOFS_MOST
+        )
 
     async def enter(self) -> None:
         """Tell where this node is, for as long as it runs."""
@@ -104,6 +123,34 @@
             self._loop.post(events.StoreAnswered(True))
             self._take(found, sent, whole=revision is None)
             revision = found.revision
+            self._revision = max(self._revision, revision)
+            self._use_proofs()
+
+    async def confirm(self) -> None:
+        """Ask for the store's revision, which confirms what is known.
+
+        It does so as soon as everything up to that revision has come.
+        """
+        sent = self._loop.now().mono
+        try:
+            found = await self._store.latest(keyvalue.Purpose.CONFIGURATION)
+        except keyvalue.KeyValueError as error:
+            self._loop.post(events.StoreAnswered(False, error.detail))
+            return
+        self._loop.post(events.StoreAnswered(True))
+        self._proofs.append(_Proof(found, sent))
+        self._use_proofs()
+
+    def _use_proofs(self) -> None:
+        proven = [
+            proof for proof in self._proofs if proof.revision <= self._revision
+        ]
+        if not proven:
+            return
+        for proof in proven:
+            self._proofs.remove(proof)
+        sent = max(proof.sent for proof in proven)
+        self._loop.post(events.ConfigurationSeen(found=None, sent=sent))
 
     async def _ask(self, revision: int | None) -> stores.Entries:
         purpose = keyvalue.Purpose.CONFIGURATION
