Listen before the rest of the program is imported

Change: sockets are bound as soon as the settings are read; connections wait in the backlog for the rest of the start, and for the first read of the store, 300 ms at most. The signal to reload is ignored until it is handled: before, it ended a process that was just starting.

--- a/src/teaselbridge/cli/serve.py
+++ b/src/teaselbridge/cli/serve.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import dataclasses
+import signal
+import socket
 import typing
 
 import click
 
 from teaselbridge import errors
+from teaselbridge.runtime import listening
 from teaselbridge.settings import load
 from teaselbridge.telemetry import logs
 
@@ -43,16 +46,18 @@
     def serve(path: str) -> None:
         """Run a node until it is stopped."""
         settings = load.load(path)
-        run = _run_node if settings.site is None else _run_site
         try:
-            asyncio.run(run(settings, path))
+            if settings.site is None:
+                asyncio.run(_run_node(settings))
+            else:
+                _serve_site(settings, settings.site, path)
         except OSError as error:
             raise ListenError(str(error)) from error
 
     return serve
 
 
-async def _run_node(settings: model.Settings, path: str) -> None:
+async def _run_node(settings: model.Settings) -> None:
     # A node imports only what it uses: after a loss of power callers wait
     # for it to start.
     from teaselbridge.runtime import node
@@ -61,8 +66,27 @@
     await node.Node(settings=settings).run()
 
 
-async def _run_site(settings: model.Settings, path: str) -> None:
+def _serve_site(
+    settings: model.Settings, found: model.Site, path: str
+) -> None:
+    # Until the node handles it, the signal would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    listeners = listening.listen_all(
+        (
+            settings.listen.callers,
+            found.ready,
+            found.directory,
+            settings.listen.admin,
+        )
+    )
+    asyncio.run(_run_site(settings, path, listeners))
+
+
+async def _run_site(
+    settings: model.Settings, path: str, listeners: dict[str, socket.socket]
+) -> None:
     from teaselbridge.runtime import site
 
     with logs.lines():
-        await site.Site(settings=settings, path=path).run()
+        node = site.Site(settings=settings, path=path, listeners=listeners)
+        await node.run()
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -6,6 +6,7 @@
 import dataclasses
 import os
 import signal
+import socket
 import typing
 
 from teaselbridge import clock as clocks
@@ -50,6 +51,8 @@
 LEASE = leases.Times(ttl_ms=3_000, renew_ms=700, margin_ms=1_200, look_ms=700)
 # Connections stand within milliseconds; a server that is gone says nothing.
 RUNNER_CONNECT_MS = 400
+# The store answers in milliseconds; where it does not, callers are told.
+FIRST_READ_MS = 300
 # Backend servers close idle connections after some seconds.
 RUNNER_KEEP_ALIVE_MS = 3_000
 
@@ -59,10 +62,18 @@
 
     :param settings: checked settings.
     :param path: file that they came from, read again when it changes.
+    :param listeners: sockets that listen already, by address.
     """
 
-    def __init__(self, *, settings: model.Settings, path: str) -> None:
+    def __init__(
+        self,
+        *,
+        settings: model.Settings,
+        path: str,
+        listeners: dict[str, socket.socket] | None = None,
+    ) -> None:
         assert settings.site is not None
+        self._listeners = listeners or {}
         self._settings = settings
         self._path = path
         self._clock = clocks.Clock()
@@ -161,6 +172,9 @@
         self._tasks.start(self._watching.follow())
         self._tasks.start(self._watching.enter())
         self._tasks.start(self._loop.tick())
+        # Callers who wait already are better served a little later than
+        # refused by a node that knows nothing yet.
+        await self._watching.wait_first(FIRST_READ_MS)
         for listener in (self._callers, *self._entrances):
             await listener.start()
 
@@ -281,6 +295,7 @@
         return web.Web(
             app=app,
             address=address,
+            listener=self._listeners.get(address),
             request_ms=self._settings.limits.request_ms,
             keep_alive_s=KEEP_ALIVE_S,
             graceful_s=1,
--- a/src/teaselbridge/runtime/watching.py
+++ b/src/teaselbridge/runtime/watching.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import functools
 import random
@@ -80,10 +81,17 @@
         self._failures = 0
         self._nodes: dict[str, str] = {}
         self._revision = 0
+        self._first = asyncio.Event()
         self._proofs: collections.deque[_Proof] = collections.deque(
             maxlen=PROOFS_MOST
         )
 
+    async def wait_first(self, span_ms: int) -> None:
+        """Wait until everything was read once, but not for long."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(clock.seconds(span_ms)):
+                await self._first.wait()
+
     async def enter(self) -> None:
         """Tell where this node is, for as long as it runs."""
         lease = 0
@@ -124,6 +132,7 @@
             self._take(found, sent, whole=revision is None)
             revision = found.revision
             self._revision = max(self._revision, revision)
+            self._first.set()
             self._use_proofs()
 
     async def confirm(self) -> None:
--- a/src/teaselbridge/runtime/web.py
+++ b/src/teaselbridge/runtime/web.py
@@ -12,17 +12,15 @@
 from uvicorn.protocols.http import h11_impl
 
 from teaselbridge import clock
-from teaselbridge.settings import load
+from teaselbridge.runtime import listening
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
     from teaselbridge.settings import model
 
-BACKLOG = 1_024
 KEEP_ALIVE_S = 30
 GRACEFUL_S = 2
-USER_TIMEOUT_MS = 20_000
 REQUEST_MS = 30_000
 
 
@@ -88,6 +86,7 @@
 
     :param app: the web application.
     :param address: ``ip:port`` to listen on.
+    :param listener: socket that listens there already, none for a new one.
     :param tls: certificate, none for plain HTTP.
     :param request_ms: longest time that a request may take to arrive.
     :param keep_alive_s: how long a connection may stay idle, in seconds.
@@ -100,6 +99,7 @@
         *,
         app: typing.Any,
         address: str,
+        listener: socket.socket | None = None,
         tls: model.Tls | None = None,
         request_ms: int = REQUEST_MS,
         keep_alive_s: int = KEEP_ALIVE_S,
@@ -123,25 +123,17 @@
                 ssl_keyfile=None if tls is None else tls.key,
             )
         )
-        self._socket: socket.socket | None = None
+        self._socket = listener
         self._task: asyncio.Task[None] | None = None
 
     def bind(self) -> None:
-        """Listen.
+        """Listen, unless that was done before.
 
         :raises OSError: the address is not free.
         """
-        host, port = load.split(self._address)
-        family = socket.AF_INET6 if ':' in host else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        listener.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-        )
-        listener.bind((host, port))
-        listener.listen(BACKLOG)
-        self._socket = listener
+        if self._socket is not None:
+            return
+        self._socket = listening.listen(self._address)
 
     async def start(self) -> None:
         """Serve in the background."""
