Refill rates from a node's start on, and share them meanwhile

And nodes that start together each had all of the rate until they heard each other.

Change: buckets count from the node's start; until nodes had time to meet, those that the store lists share the rate.

--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -146,6 +146,9 @@
         return []
     loads.due = now.mono + TELL_MS
     loads.count += 1
+    listed = [item.address for item in state.servers.entries]
+    others = len({*listed} - {state.options.me.peers})
+    state.rates.begin(now, others)
     for server in state.servers.all:
         _refresh(state, server.host, now)
     message = _message(state, now)
--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -31,6 +31,8 @@
 UNHEARD_MS = 1_000
 # A node that was not heard for so long is gone, or has lost its keys too.
 FORGOTTEN_MS = 10_000
+# Nodes that start together have heard each other by then.
+MEET_MS = 2_000
 # Parts of the platform's tolerance that callers may use.
 EXCESS_PART = 0.8
 SLACK_HELD = 0.1
@@ -111,6 +113,17 @@
         self._tolerance = tolerance
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
+        self._started: int | None = None
+        self._listed = 0
+
+    def begin(self, now: clock.Instant, listed: int) -> None:
+        """Note since when this node lets requests through, and who else may.
+
+        :param listed: other nodes that the store lists.
+        """
+        if self._started is None:
+            self._started = now.mono
+        self._listed = listed
 
     def hear(self, message: messages.Loads, now: clock.Instant) -> None:
         """Take in what another node let through."""
@@ -190,10 +203,11 @@
         return bucket
 
     def _bucket(self, name: str, now: clock.Instant) -> _Bucket:
-        """Give a bucket; one that others took out of first lacks that."""
+        """Give a bucket; it was empty when this node started."""
         bucket = self._buckets.get(name)
         if bucket is None:
-            bucket = self._buckets[name] = _Bucket(0.0, now.mono)
+            started = now.mono if self._started is None else self._started
+            bucket = self._buckets[name] = _Bucket(0.0, started)
         return bucket
 
     def _capacity(self, rate: model.Rate) -> float:
@@ -224,6 +238,8 @@
                 continue
             known += 1
             heard += age < UNHEARD_MS
+        if self._started is not None and now.mono - self._started < MEET_MS:
+            known = max(known, 1 + self._listed)
         return heard / known
 
 
--- a/tests/decisions/test_rates.py
+++ b/tests/decisions/test_rates.py
@@ -110,6 +110,27 @@
             worst = self._worst(through)
             self.assertLess(worst, 9 * per_s * 1.1 + 190_000)
 
+    def test_restarted_node_refills_from_its_start(self) -> None:
+        (found,) = self._make(first_start=False, count=1)
+        found.begin(samples.instant(0), 0)
+        call = samples.relayed(tokens_in=RATE.per_s)
+        self.assertEqual(0, found.take(call, RATE, samples.instant(1_000)))
+        self.assertGreater(found.take(call, RATE, samples.instant(1_000)), 0)
+
+    def test_nodes_that_start_together_share_the_rate(self) -> None:
+        nodes = self._make(first_start=False, count=9)
+        for found in nodes:
+            found.begin(samples.instant(0), 8)
+        spent = 0
+        for number in range(2_000):
+            call = samples.relayed(number, tokens_in=5_000)
+            found = nodes[number % 9]
+            at = samples.instant(number // 2)
+            if not found.take(call, RATE, at):
+                spent += call.tokens_in
+        # A second of the rate, its part of the slack, and one request each.
+        self.assertLess(spent, 1.25 * RATE.per_s + 9 * 5_000)
+
     def test_rate_is_there_in_every_second(self) -> None:
         through = self._play(self._make(), 24)
         # At either edge a request of the largest size may lie just outside.
