Order servers by what prompts ask for, and let orders stand

Cause, from the new line 'servers-wanted': while the least need was above the usual one, orders of on-demand servers changed back and forth at each tick (1, 4, 1, 4), so that those under way were given up; each decision counted the ones before as surplus.

Change: what is there or coming is kept up to the larger need; after 20 s what prompts ask for counts alone, at 0.4 (in comfort) and 0.6 (least) of an engine's time; while none are to be had, none is given back; the first holder of a deployment's first start orders at once, when the servers have entered themselves.

--- a/src/teaselbridge/decisions/leases.py
+++ b/src/teaselbridge/decisions/leases.py
@@ -299,7 +299,9 @@
     state: states.State, lease: Lease, revision: int, now: clock.Instant
 ) -> list[effects.Effect]:
     lease.phase = Phase.HELD
-    lease.orders_from = now.mono + state.options.lease.ttl_ms
+    lease.orders_from = now.mono
+    if not _is_first_holder(state, now):
+        lease.orders_from += state.options.lease.ttl_ms
     lease.fence = revision
     lease.until = lease.sent + _usable_ms(state)
     lease.due = lease.sent + state.options.lease.renew_ms
@@ -312,6 +314,19 @@
     ]
 
 
+def _is_first_holder(state: states.State, now: clock.Instant) -> bool:
+    """Tell whether no holder before can have orders on their way.
+
+    That is so while the deployment starts for the first time: a lease that
+    another node took then has not ended yet.
+    """
+    bounds = state.options.bounds
+    if bounds is None or not bounds.first_start:
+        return False
+    age = now.wall - state.options.me.incarnation
+    return 0 <= age < state.options.lease.ttl_ms
+
+
 def _lose(
     state: states.State, lease: Lease, cause: str, now: clock.Instant
 ) -> list[effects.Effect]:
--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -32,25 +32,34 @@
 UNANSWERED_MS = 1_000
 # After a refusal ends, the next loss of a zone is still borne alone.
 DRY_MS = 3_000
+# Part of a further zone's loss that is prepared for meanwhile.
+COVERED_PART = 1.0
 # A server that did not come this long after it should have is ordered anew.
 LATE_MS = 2_500
 # On-demand servers are kept until others have served for this long.
 RELEASE_MS = 500
+# Reclaimable ones cost a fraction, and new ones take four seconds.
+CHEAP_RELEASE_MS = 4_000
 # Released servers leave room after so long.
 ROOM_MS = 500
 # Reclaimable servers beyond the need, so that the loss of a zone is borne.
 SPARE = 1.6
 # Fewer do not bear the loss of one.
 NEED_LEAST = 4
-# Part of what the operators start with, and times what prompts ask for, that
-# on-demand servers fill up to: they cost many times as much.
-LEAST_PART = 0.55
-LEAST_FACTOR = 1.5
+# Part of what the operators start with that on-demand servers fill up to:
+# they cost many times as much.
+LEAST_FIRST = 0.55
+# What the operators start with counts for so long: caches are cold then, and
+# the load is not known.
+WARM_MS = 20_000
 # How long after the first sight of a pool its servers are counted.
 FIRST_MS = 3_000
-# Part of the time that engines may spend reading prompts: the rest is for
-# bursts, and for the tokens of others meanwhile.
-READING_PART = 0.55
+# Servers that were there before enter themselves within a heartbeat or two.
+COUNT_MS = 2_000
+# Part of the time that engines may spend reading prompts, in comfort and at
+# the least: the rest is for bursts, and for the tokens of others meanwhile.
+USUAL_PART = 0.4
+LEAST_PART = 0.6
 # Each quarter of a second; half of it after twelve seconds.
 ASKED_DECAY = 0.986
 
@@ -167,7 +176,8 @@
         scaling.surplus.clear()
     out: list[effects.Effect] = []
     for pool in state.index.pools:
-        if pool.scaling is not None:
+        since = scaling.since.get(pool.name, now.mono)
+        if pool.scaling is not None and now.mono - since >= COUNT_MS:
             out += _order(state, pool, pool.scaling, lease, now)
     return out
 
@@ -193,22 +203,24 @@
     ]
 
 
-def need(state: states.State, pool: model.Pool) -> Need:
+def need(state: states.State, pool: model.Pool, now: clock.Instant) -> Need:
     """Tell how many servers a pool needs to serve in time.
 
-    The operators start with what serves the usual load in comfort; what
-    prompts ask for may be more.
+    The operators start with what serves the usual load in comfort. Once that
+    load was seen, what prompts ask for tells better.
     """
     scaling = state.scaling
-    first = scaling.first.get(pool.name, 1)
+    first = 0
+    if now.mono - scaling.since.get(pool.name, now.mono) < WARM_MS:
+        first = scaling.first.get(pool.name, 1)
     asked = scaling.asked.get(pool.name, 0.0)
-    reading = asked / (1000 * state.speed.of(pool.name) * READING_PART)
+    busy = asked / (1000 * state.speed.of(pool.name))
     return Need(
-        usual=max(NEED_LEAST, first, math.ceil(reading)),
+        usual=max(NEED_LEAST, first, math.ceil(busy / USUAL_PART)),
         least=max(
             NEED_LEAST,
-            math.ceil(LEAST_PART * first),
-            math.ceil(LEAST_FACTOR * reading),
+            math.ceil(LEAST_FIRST * first),
+            math.ceil(busy / LEAST_PART),
         ),
     )
 
@@ -241,21 +253,29 @@
         place = Place(pool, item.zone, True)
         target[place] = min(scaling.most, max(scaling.least, share))
         largest = max(largest, stock.serving.get(place, 0))
-    fill = wanted.least
     reclaimable = stock.count(reclaimable=True)
-    borne = reclaimable.serving - (largest if dry else 0)
-    missing = fill - borne - reclaimable.coming
     on_demand = stock.count(reclaimable=False)
-    missing -= on_demand.serving + on_demand.coming
-    kept = 0 if borne >= fill else max(0, wanted.usual - borne)
+    held = on_demand.serving + on_demand.coming
+    borne = reclaimable.serving
+    if dry:
+        borne -= math.ceil(COVERED_PART * largest)
+    missing = max(0, wanted.least - borne - reclaimable.coming)
+    # Those that are there stay until others are in comfort without them.
+    kept = 0
+    if borne < wanted.least:
+        kept = max(wanted.usual, wanted.least) - borne
+    left = max(missing, min(held, kept))
     for item in zones:
         place = Place(pool, item.zone, False)
-        have = stock.of(place)
-        room = scaling.most - have - stock.of(Place(pool, item.zone, True))
-        more = max(0, min(missing, room))
-        missing -= more
-        target[place] = min(have, kept) + more
-        kept -= min(have, kept)
+        target[place] = min(stock.of(place), left)
+        left -= target[place]
+    for item in zones:
+        place = Place(pool, item.zone, False)
+        room = scaling.most - target[place]
+        room -= stock.of(Place(pool, item.zone, True))
+        more = max(0, min(left, room))
+        target[place] += more
+        left -= more
     return target
 
 
@@ -273,7 +293,7 @@
         for place, until in scaling.refused.items()
         if until > now.mono and place.pool == pool.name
     }
-    wanted = need(state, pool)
+    wanted = need(state, pool, now)
     dry = any(
         now.mono - until < DRY_MS
         for place, until in scaling.refused.items()
@@ -283,12 +303,15 @@
     out: list[effects.Effect] = []
     for place, count in target.items():
         have = stock.serving.get(place, 0)
-        if not place.reclaimable and count < have:
-            if not _is_settled(scaling, place, now):
-                continue
-            _order_again_soon(scaling, place, limits, now)
-        elif not place.reclaimable:
+        if count >= have:
             scaling.surplus.pop(place, None)
+        elif place.reclaimable and dry:
+            # What is given back now is not to be had again.
+            continue
+        elif not _is_settled(scaling, place, now):
+            continue
+        elif not place.reclaimable:
+            _order_again_soon(scaling, place, limits, now)
         if place in refused or not _is_due(
             scaling.orders.get(place), count, have, limits, now
         ):
@@ -304,9 +327,34 @@
                 until=lease.until,
             )
         )
+    if out:
+        out.insert(0, _tell_need(state, pool, wanted, stock, dry=dry))
     return out
 
 
+def _tell_need(
+    state: states.State,
+    pool: model.Pool,
+    wanted: Need,
+    stock: Stock,
+    *,
+    dry: bool,
+) -> effects.Effect:
+    """Record what orders follow from."""
+    reclaimable = stock.count(reclaimable=True)
+    on_demand = stock.count(reclaimable=False)
+    asked = state.scaling.asked.get(pool.name, 0.0)
+    detail = (
+        f'{wanted.usual} usual, {wanted.least} least;'
+        f' {asked:.0f} tokens/s to read at {state.speed.of(pool.name):.1f}/ms;'
+        f' {reclaimable.serving}+{reclaimable.coming} reclaimable,'
+        f' {on_demand.serving}+{on_demand.coming} on demand, dry {dry}'
+    )
+    return effects.Record(
+        mark=effects.Mark.SERVERS_WANTED, pool=pool.name, detail=detail
+    )
+
+
 def _order_again_soon(
     scaling: Scaling,
     released: Place,
@@ -345,7 +393,8 @@
 def _is_settled(scaling: Scaling, place: Place, now: clock.Instant) -> bool:
     """Tell whether servers have been too many for a while."""
     since = scaling.surplus.setdefault(place, now.mono)
-    return now.mono - since >= RELEASE_MS
+    span = CHEAP_RELEASE_MS if place.reclaimable else RELEASE_MS
+    return now.mono - since >= span
 
 
 def _stock(
--- a/tests/decisions/test_scaling.py
+++ b/tests/decisions/test_scaling.py
@@ -6,10 +6,18 @@
 
 from __future__ import annotations
 
+import typing
+
 import testtools
 
+from teaselbridge.decisions import bounds
+from teaselbridge.decisions import prefill
 from teaselbridge.decisions import scaling
 from teaselbridge.tables import model
+from tests.decisions import samples
+
+if typing.TYPE_CHECKING:
+    from teaselbridge.decisions import state as states
 
 ZONES = ('a', 'b', 'c', 'd')
 LIMITS = model.Scaling(
@@ -79,6 +87,22 @@
         self.assertEqual(4, on_demand(target))
         self.assertEqual(3, target[place('a', reclaimable=True)])
 
+    def test_orders_stand_while_servers_come(self) -> None:
+        need = scaling.Need(usual=5, least=9)
+        there = stock({'a': 1, 'b': 1})
+        first = scaling.plan(need, LIMITS, there, 'p', dry=True)
+        coming = scaling.Stock(
+            serving=there.serving,
+            coming={
+                item: count
+                for item, count in first.items()
+                if not item.reclaimable
+            },
+        )
+        again = scaling.plan(need, LIMITS, coming, 'p', dry=True)
+        self.assertEqual(8, on_demand(first))
+        self.assertEqual(first, again)
+
     def test_both_sorts_share_the_limit_of_a_zone(self) -> None:
         there = stock({'a': 3, 'b': 1})
         target = scaling.plan(
@@ -92,3 +116,40 @@
         target = scaling.plan(WANTED, LIMITS, there, 'p', dry=False)
         self.assertEqual(2, target[place('b', reclaimable=False)])
         self.assertEqual(0, target[place('c', reclaimable=False)])
+
+
+class TestNeed(testtools.TestCase):
+    """Once the load is known, it tells how many servers are needed."""
+
+    POOL = model.Pool(
+        name='p',
+        kind=model.Kind.RELAYED,
+        versions=(),
+        zones=ZONES,
+        scaling=LIMITS,
+    )
+
+    def make(self, asked: float) -> states.State:
+        """Make a node that saw 12 servers at the start."""
+        state = samples.state(bounds.Bounds(duties=(scaling.DUTY,)))
+        state.scaling.since['p'] = 0
+        state.scaling.first['p'] = 12
+        state.scaling.asked['p'] = asked
+        return state
+
+    def need(self, state: states.State, mono: int) -> scaling.Need:
+        """Tell the need at a moment."""
+        return scaling.need(state, self.POOL, samples.instant(mono))
+
+    def test_operators_choice_counts_while_caches_are_cold(self) -> None:
+        need = self.need(self.make(0.0), 1_000)
+        self.assertEqual(scaling.Need(usual=12, least=7), need)
+
+    def test_load_counts_after_that(self) -> None:
+        state = self.make(1_000 * 3 * prefill.READ_PER_MS)
+        need = self.need(state, scaling.WARM_MS)
+        self.assertEqual(scaling.Need(usual=8, least=5), need)
+
+    def test_loss_of_a_server_is_always_borne(self) -> None:
+        need = self.need(self.make(0.0), scaling.WARM_MS)
+        self.assertEqual(scaling.Need(usual=4, least=4), need)
