Copy what another engine has cached of a prompt

Change: a server with a better source of the same version, leaving ones included, is asked to copy from it; the choice weighs the copy against the wait at the home. Needs the engine's sizes in the configuration.

--- a/src/teaselbridge/decisions/prefill.py
+++ b/src/teaselbridge/decisions/prefill.py
@@ -6,11 +6,13 @@
 there before it, by any node. What the engine has read already costs
 nothing, so the nodes agree by rendezvous hashing where a cold head goes and
 tell each other what they sent. A head whose engine has a backlog gets a
-second home as soon as reading it anew is quicker than to wait.
+second home as soon as that is quicker than to wait: the second one copies what
+the first has cached, where the engines can, and else reads it anew.
 """
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 from teaselbridge.decisions import placement
@@ -24,6 +26,10 @@
 # Tokens that an engine reads in a millisecond, until it was measured.
 READ_PER_MS = 40.0
 SMOOTHING = 0.05
+# The first token's own step, and the way there and back.
+FIRST_STEP_MS = 25
+# Shorter prompts tell more of that than of the reading.
+LEARN_TOKENS = 4_000
 READ_LEAST = 5.0
 READ_MOST = 400.0
 # Advantage of each earlier place in the rendezvous order: nodes that do
@@ -31,6 +37,10 @@
 RANK_MS = 12.0
 # Slower first token for each running request, which shares the steps.
 RUNNING_MS = 1.2
+# Fewer cached tokens are read sooner than copied.
+COPY_LEAST = 1_000
+# What a copy takes besides its bytes, and a weight for the network's load.
+COPY_MS = 200.0
 # A first byte that came late says that its server is slow, for a while.
 LAG_SMOOTHING = 0.3
 LAG_HALF_MS = 3_000
@@ -53,26 +63,95 @@
 
     def learn(self, pool: str, tokens: int, span_ms: int) -> None:
         """Take in that tokens were read in a span."""
-        if tokens < 2_000 or span_ms <= 0:
+        if tokens < LEARN_TOKENS:
             return
-        seen = min(READ_MOST, max(READ_LEAST, tokens / span_ms))
+        reading_ms = max(1, span_ms - FIRST_STEP_MS)
+        seen = min(READ_MOST, max(READ_LEAST, tokens / reading_ms))
         known = self.of(pool)
         self._per_ms[pool] = known + SMOOTHING * (seen - known)
 
 
-def unread(
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reading:
+    """How a server comes to know a prompt.
+
+    :param unread: tokens that it reads.
+    :param copied: tokens that it copies from another server.
+    :param source: that other server, none where nothing is copied.
+    """
+
+    unread: int
+    copied: int = 0
+    source: servers.Server | None = None
+
+
+def cached(
     state: states.State,
     server: servers.Server,
     call: calls.Call,
     now: clock.Instant,
 ) -> int:
-    """Count the prompt tokens that a server would have to read."""
-    cached = 0
+    """Count the leading prompt tokens that a server has read already."""
+    tokens = 0
     for part in call.parts:
         if not state.loads.has(server.host, part.id, now):
             break
-        cached += part.tokens
-    return max(0, call.tokens_in - cached)
+        tokens += part.tokens
+    return min(tokens, call.tokens_in)
+
+
+class Plan:
+    """Ways in which servers can come to know one prompt.
+
+    :param state: what the node knows.
+    :param call: the request.
+    :param now: the present moment.
+    """
+
+    def __init__(
+        self, state: states.State, call: calls.Call, now: clock.Instant
+    ) -> None:
+        self._state = state
+        self._call = call
+        self._now = now
+        self._cached: dict[str, int] = {}
+        self._sources: dict[str, servers.Server] = {}
+        pool = state.index.pool(call.route.pool)
+        self._copied_per_ms = 0.0
+        if pool is not None and pool.engine is not None:
+            self._copied_per_ms = pool.engine.copied_per_ms
+        if not self._copied_per_ms:
+            return
+        for server in state.servers.in_pool(call.route.pool):
+            best = self._sources.get(server.row.version)
+            if best is None or self._known(server) > self._known(best):
+                self._sources[server.row.version] = server
+
+    def of(self, server: servers.Server) -> Reading:
+        """Choose the quicker way for a server.
+
+        Another version of the model makes other caches of the same text.
+        """
+        own = self._known(server)
+        unread = self._call.tokens_in - own
+        source = self._sources.get(server.row.version)
+        copied = 0 if source is None else self._known(source) - own
+        if copied < COPY_LEAST:
+            return Reading(unread=unread)
+        return Reading(unread=unread - copied, copied=copied, source=source)
+
+    def copy_ms(self, reading: Reading) -> float:
+        """Predict how long a server takes to copy."""
+        if not reading.copied:
+            return 0.0
+        return COPY_MS + reading.copied / self._copied_per_ms
+
+    def _known(self, server: servers.Server) -> int:
+        known = self._cached.get(server.host)
+        if known is None:
+            known = cached(self._state, server, self._call, self._now)
+            self._cached[server.host] = known
+        return known
 
 
 def lag(server: servers.Server, now: clock.Instant) -> float:
@@ -111,12 +190,15 @@
         ordered = placement.order(candidates, prefix)
         ranks = {server.host: rank for rank, server in enumerate(ordered)}
 
+    plan = Plan(state, call, now)
+
     def cost(server: servers.Server) -> float:
-        tokens = unread(state, server, call, now)
+        reading = plan.of(server)
         waiting = server.prefill + server.others_prefill
         running = server.inflight + server.others
         return (
-            (tokens + waiting) / speed
+            (reading.unread + waiting) / speed
+            + plan.copy_ms(reading)
             + RANK_MS * ranks.get(server.host, 0)
             + RUNNING_MS * running
             + FAILING_MS * server.failing
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -143,8 +143,10 @@
 ) -> list[effects.Effect]:
     """Send a request on to a server."""
     call = request.call
-    unread = prefill.unread(state, server, call, now)
+    reading = prefill.Plan(state, call, now).of(server)
+    unread = reading.unread
     request.unread = unread
+    request.read_alone = not (server.prefill or server.others_prefill)
     server.prefill += unread
     state.loads.count_reading(call.route.pool, unread, now)
     for part in call.parts:
@@ -163,6 +165,10 @@
         f' {load} under way, {backlog} tokens unread, {unread} of it;'
         f' failing {server.failing:.2f}'
     )
+    source = ''
+    if reading.source is not None:
+        source = reading.source.row.address
+        detail += f', {reading.copied} tokens copied from {source}'
     return [
         requests.record(request, effects.Mark.ATTEMPT, detail),
         effects.RelayAttempt(
@@ -174,6 +180,7 @@
             last_event=last,
             urgency=min(9, call.route.priority) if ranked else None,
             fresh=request.is_order,
+            source=source,
         ),
     ]
 
@@ -195,7 +202,8 @@
     """A stream began."""
     silence.heard(state, request, now)
     span = now.mono - request.started
-    state.speed.learn(request.call.route.pool, request.unread, span)
+    if request.read_alone:
+        state.speed.learn(request.call.route.pool, request.unread, span)
     state.pace.first(request.call.route.name, span)
     read_in(state, request)
     _began(state, request, now)
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -68,6 +68,7 @@
         self.runs = 0
         self.refusals = 0
         self.unread = 0
+        self.read_alone = False
         self.silent_ms = 0
         self.expected_ms = 0.0
         self.last_event: int | None = None
--- a/src/teaselbridge/platform/documents.py
+++ b/src/teaselbridge/platform/documents.py
@@ -51,6 +51,9 @@
 class _Engine(msgspec.Struct, frozen=True, rename='kebab'):
     slots: int = 64
     kv_capacity: int = 500_000
+    kv_token_bytes: float = 0
+    # Between two servers, not that of a host.
+    link_mbps: float = 0
 
 
 class _Scaling(msgspec.Struct, frozen=True, rename='kebab'):
@@ -118,6 +121,9 @@
     leaves_ms: float | None = msgspec.field(default=None, name='leaves_ms')
 
 
+# Of one megabit a second.
+BYTES_PER_MS = 125.0
+
 T = typing.TypeVar('T')
 
 
@@ -249,12 +255,21 @@
     )
 
 
+def _copied_per_ms(found: _Engine) -> float:
+    """Give the cached tokens that go to another server in a millisecond."""
+    if found.kv_token_bytes <= 0:
+        return 0.0
+    bytes_per_ms = max(0.0, found.link_mbps) * BYTES_PER_MS
+    return bytes_per_ms / found.kv_token_bytes
+
+
 def _pool(found: _Service) -> model.Pool:
     engine = None
     if found.engine is not None:
         engine = model.Engine(
             slots=max(1, found.engine.slots),
             cache_tokens=max(1, found.engine.kv_capacity),
+            copied_per_ms=_copied_per_ms(found.engine),
         )
     scaling = None
     if found.scaling is not None:
--- a/src/teaselbridge/platform/names.py
+++ b/src/teaselbridge/platform/names.py
@@ -16,19 +16,21 @@
 # A rank among the server's requests, 0 goes first.
 URGENCY = b'teaselbridge-request-urgency'
 CREDENTIAL = b'teaselbridge-credential'
+# Server to copy what it has cached of the prompt from, by ``ip:port``.
+CACHE_SOURCE = b'kv-fetch'
 DUTY_HOLDER = 'Teaselbridge-Duty-Holder'
 FENCE = 'Teaselbridge-Fence-Token'
 
 # Headers that only the system sets; callers' own are not passed on.
 SYSTEM = frozenset(
     {
+        CACHE_SOURCE,
         CREDENTIAL,
         DEADLINE_MS,
         EXPECT_INSTANCE,
         LAST_EVENT_ID,
         URGENCY,
         WORKSPACE,
-        b'kv-fetch',
         b'kv-from',
         b'teaselbridge-expect-version',
         b'teaselbridge-hold',
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -59,6 +59,7 @@
         names.EXPECT_INSTANCE: effect.instance,
         names.WORKSPACE: call.key.workspace,
         names.LAST_EVENT_ID: effect.last_event,
+        names.CACHE_SOURCE: effect.source,
     }
     if effect.urgency is not None:
         added[names.URGENCY] = str(effect.urgency)
--- a/src/teaselbridge/tables/model.py
+++ b/src/teaselbridge/tables/model.py
@@ -103,10 +103,13 @@
 
     :param slots: requests that one runs at a time.
     :param cache_tokens: tokens that the KV cache of one holds.
+    :param copied_per_ms: cached tokens that one gives to another in a
+        millisecond, 0 where none does.
     """
 
     slots: Positive = 64
     cache_tokens: Positive = 500_000
+    copied_per_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/decisions/test_prefill.py
+++ b/tests/decisions/test_prefill.py
@@ -6,14 +6,22 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
+import typing
 
+import msgspec
 import testtools
 
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import prefill
 from teaselbridge.decisions import servers
+from teaselbridge.tables import join
+from teaselbridge.tables import model
 from tests.decisions import samples
 
+if typing.TYPE_CHECKING:
+    from teaselbridge.decisions import state as states
+
 NOW = samples.instant(1_000)
 
 
@@ -31,6 +39,13 @@
     ]
 
 
+def unread(
+    state: states.State, server: servers.Server, call: calls.Call
+) -> int:
+    """Count the tokens that a server would have to read."""
+    return prefill.Plan(state, call, NOW).of(server).unread
+
+
 class TestChoice(testtools.TestCase):
     """Where a prompt goes."""
 
@@ -48,7 +63,7 @@
         for number in range(60):
             call = prompt(f'head-{number}', f'own-{number}')
             server = prefill.choose(state, found, call, NOW)
-            server.prefill += prefill.unread(state, server, call, NOW)
+            server.prefill += unread(state, server, call)
             count[server.host] += 1
         self.assertEqual(6, len(count))
         self.assertLess(max(count.values()), 14)
@@ -61,7 +76,7 @@
         home.inflight = 10
         chosen = prefill.choose(state, found, prompt('x'), NOW)
         self.assertIs(home, chosen)
-        self.assertEqual(3_000, prefill.unread(state, home, prompt('x'), NOW))
+        self.assertEqual(3_000, unread(state, home, prompt('x')))
 
     def test_backlog_gives_a_hot_head_a_second_home(self) -> None:
         state = samples.state()
@@ -77,8 +92,8 @@
         (server,) = engines(1)
         state.loads.give(server.host, 'x', NOW)
         later = samples.instant(200_000)
-        unread = prefill.unread(state, server, prompt('x'), later)
-        self.assertEqual(16_000, unread)
+        plan = prefill.Plan(state, prompt('x'), later)
+        self.assertEqual(16_000, plan.of(server).unread)
 
     def test_failing_server_is_passed_by(self) -> None:
         state = samples.state()
@@ -102,12 +117,93 @@
     def test_speed_follows_what_answers_show(self) -> None:
         speed = prefill.Speed()
         for _ in range(200):
-            speed.learn('p', 20_000, 200)
+            speed.learn('p', 20_000, 200 + prefill.FIRST_STEP_MS)
         self.assertTrue(95 < speed.of('p') <= 100)
         speed.learn('p', 10, 1)
         self.assertTrue(95 < speed.of('p') <= 100)
 
 
+class TestCopies(testtools.TestCase):
+    """A second home copies what the first has cached."""
+
+    POOL = model.Pool(
+        name='p',
+        kind=model.Kind.RELAYED,
+        versions=(),
+        zones=('z',),
+        engine=model.Engine(copied_per_ms=1_000.0),
+    )
+
+    def make(
+        self, versions: tuple[str, ...], pool: model.Pool = POOL
+    ) -> states.State:
+        """Make a node that knows servers with versions."""
+        state = samples.state()
+        tables = model.Tables(pools=(pool,))
+        state.index = join.Index(
+            configuration=model.Configuration(tables=tables)
+        )
+        for number, version in enumerate(versions):
+            row = msgspec.structs.replace(
+                samples.row(f'h{number}'), version=version
+            )
+            state.servers.add(row, version, NOW)
+        return state
+
+    def test_cold_server_copies_a_head(self) -> None:
+        state = self.make(('1', '1'))
+        home, other = state.servers.in_pool('p')
+        state.loads.give(home.host, 'x', NOW)
+        reading = prefill.Plan(state, prompt('x'), NOW).of(other)
+        self.assertEqual(3_000, reading.unread)
+        self.assertEqual(13_000, reading.copied)
+        self.assertIs(home, reading.source)
+
+    def test_home_reads_on(self) -> None:
+        state = self.make(('1', '1'))
+        home, _ = state.servers.in_pool('p')
+        state.loads.give(home.host, 'x', NOW)
+        reading = prefill.Plan(state, prompt('x'), NOW).of(home)
+        self.assertEqual(prefill.Reading(unread=3_000), reading)
+
+    def test_leaving_server_still_gives(self) -> None:
+        state = self.make(('1', '1'))
+        home, other = state.servers.in_pool('p')
+        state.loads.give(home.host, 'x', NOW)
+        home.leaving = True
+        reading = prefill.Plan(state, prompt('x'), NOW).of(other)
+        self.assertIs(home, reading.source)
+
+    def test_caches_of_another_version_are_of_no_use(self) -> None:
+        state = self.make(('1', '2'))
+        home, other = state.servers.in_pool('p')
+        state.loads.give(home.host, 'x', NOW)
+        reading = prefill.Plan(state, prompt('x'), NOW).of(other)
+        self.assertEqual(prefill.Reading(unread=16_000), reading)
+
+    def test_engines_that_cannot_copy(self) -> None:
+        plain = dataclasses.replace(self.POOL, engine=model.Engine())
+        state = self.make(('1', '1'), plain)
+        home, other = state.servers.in_pool('p')
+        state.loads.give(home.host, 'x', NOW)
+        reading = prefill.Plan(state, prompt('x'), NOW).of(other)
+        self.assertEqual(prefill.Reading(unread=16_000), reading)
+
+    def test_hot_head_gets_a_second_home_sooner(self) -> None:
+        chosen = {}
+        for name, pool in (
+            ('copies', self.POOL),
+            ('reads', dataclasses.replace(self.POOL, engine=model.Engine())),
+        ):
+            state = self.make(('1', '1'), pool)
+            home, _ = state.servers.in_pool('p')
+            state.loads.give(home.host, 'x', NOW)
+            home.others_prefill = 11_000
+            found = state.servers.in_pool('p')
+            chosen[name] = prefill.choose(state, found, prompt('x'), NOW).host
+        self.assertEqual({'copies': 'h1', 'reads': 'h0'}, chosen)
+
+
 class TestPlainServices(testtools.TestCase):
     """Where work without a prompt goes."""
 
