--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -39,7 +39,7 @@
 class _Peer:
     heard: int
     servers: dict[str, messages.ServerLoad]
-    reading: dict[str, int]
+    reading: tuple[messages.Reading, ...]
 
 
 class Loads:
@@ -51,7 +51,7 @@
             collections.OrderedDict()
         )
         self._untold: dict[str, dict[str, None]] = {}
-        self._reading: collections.deque[tuple[int, str, int]] = (
+        self._reading: collections.deque[tuple[int, messages.Reading]] = (
             collections.deque()
         )
         self.due = 0
@@ -60,8 +60,7 @@
     def hear(self, message: messages.Loads, now: clock.Instant) -> None:
         """Take in what another node has under way."""
         servers = {item.host: item for item in message.servers}
-        reading = {item.pool: item.tokens for item in message.reading}
-        self._peers[message.node] = _Peer(now.mono, servers, reading)
+        self._peers[message.node] = _Peer(now.mono, servers, message.reading)
         for item in message.cached:
             for part in item.parts:
                 self._keep(item.host, part, now.mono)
@@ -86,27 +85,42 @@
         )
 
     def count_reading(
-        self, pool: str, tokens: int, now: clock.Instant
+        self, pool: str, tokens: int, prompt: int, now: clock.Instant
     ) -> None:
-        """Count prompt tokens that a server has to read for this node."""
-        self._reading.append((now.mono, pool, tokens))
+        """Count a prompt that a server got from this node.
+
+        :param tokens: what it has to read of it.
+        :param prompt: all tokens.
+        """
+        self._reading.append(
+            (
+                now.mono,
+                messages.Reading(pool=pool, tokens=tokens, prompts=prompt),
+            )
+        )
 
-    def own_reading(self, now: clock.Instant) -> dict[str, int]:
+    def own_reading(self, now: clock.Instant) -> tuple[messages.Reading, ...]:
         """Add up what this node gave servers to read, by pool."""
         while self._reading and now.mono - self._reading[0][0] > READING_MS:
             self._reading.popleft()
-        total: collections.Counter[str] = collections.Counter()
-        for _, pool, tokens in self._reading:
-            total[pool] += tokens
-        return dict(total)
+        pools = dict.fromkeys(item.pool for _, item in self._reading)
+        return tuple(
+            _add_up(pool, [item for _, item in self._reading])
+            for pool in pools
+        )
 
-    def reading(self, pool: str, now: clock.Instant) -> float:
+    def reading(self, pool: str, now: clock.Instant) -> messages.Reading:
         """Give the prompt tokens a second that all nodes send a pool."""
-        total = self.own_reading(now).get(pool, 0)
+        found = list(self.own_reading(now))
         for peer in self._peers.values():
             if now.mono - peer.heard < STALE_MS:
-                total += peer.reading.get(pool, 0)
-        return total * 1000 / READING_MS
+                found += peer.reading
+        total = _add_up(pool, found)
+        return messages.Reading(
+            pool=pool,
+            tokens=total.tokens * 1000 // READING_MS,
+            prompts=total.prompts * 1000 // READING_MS,
+        )
 
     def of(self, host: str, now: clock.Instant) -> messages.ServerLoad:
         """Add up what the other nodes have under way at a server."""
@@ -127,6 +141,16 @@
             self._parts.popitem(last=False)
 
 
+def _add_up(pool: str, found: list[messages.Reading]) -> messages.Reading:
+    """Add up what belongs to a pool."""
+    mine = [item for item in found if item.pool == pool]
+    return messages.Reading(
+        pool=pool,
+        tokens=sum(item.tokens for item in mine),
+        prompts=sum(item.prompts for item in mine),
+    )
+
+
 def hear(
     state: states.State, message: messages.Loads, now: clock.Instant
 ) -> list[effects.Effect]:
@@ -179,10 +203,7 @@
         cached=state.loads.take_untold(),
         demand=state.rates.tell(),
         usage=told,
-        reading=tuple(
-            messages.Reading(pool=pool, tokens=tokens)
-            for pool, tokens in state.loads.own_reading(now).items()
-        ),
+        reading=state.loads.own_reading(now),
     )
 
 
--- a/src/teaselbridge/decisions/prefill.py
+++ b/src/teaselbridge/decisions/prefill.py
@@ -40,7 +40,7 @@
 # Fewer cached tokens are read sooner than copied.
 COPY_LEAST = 1_000
 # What a copy takes besides its bytes, and a weight for the network's load.
-COPY_MS = 200.0
+COPY_MS = 120.0
 # A first byte that came late says that its server is slow, for a while.
 LAG_SMOOTHING = 0.3
 LAG_HALF_MS = 3_000
--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from teaselbridge.decisions import placement
@@ -35,8 +36,8 @@
 MEET_MS = 2_000
 # Parts of the platform's tolerance that callers may use.
 EXCESS_PART = 0.8
-SLACK_HELD = 0.1
-SLACK_REFILLED = 0.25
+SLACK_HELD = 0.2
+SLACK_REFILLED = 0.3
 HASH_SPAN = 1 << 63
 MEAN_SMOOTHING = 0.1
 # A request larger than the bucket goes out of a nearly full one.
@@ -45,6 +46,13 @@
 ASKED_MS = 2_000
 # Four messages a second, and the way of one.
 UNHEARD_SPAN_MS = 300
+# A request waits for its turn for an eighth of its goal at most, and not for
+# less than a tick.
+WAIT_GOAL_PARTS = 8
+WAIT_MOST_MS = 150
+WAIT_LEAST_MS = 50
+# To refuse a request that costs so many times less than others helps nobody.
+CHEAP_TIMES = 20
 RETRY_LEAST_MS = 200
 RETRY_MOST_MS = 2_000
 
@@ -98,6 +106,18 @@
     slack: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Verdict:
+    """Whether a request is let through.
+
+    :param delay_ms: how long it waits for its turn, where it is.
+    :param retry_after_ms: when it may come again, 0 where it is.
+    """
+
+    delay_ms: int = 0
+    retry_after_ms: int = 0
+
+
 class Rates:
     """Buckets of all workspaces, and what the other nodes told.
 
@@ -150,11 +170,15 @@
         )
 
     def take(
-        self, call: calls.Call, rate: model.Rate, now: clock.Instant
-    ) -> int:
-        """Let a request through, or tell when it may come again.
-
-        :return: 0 where it is let through, else milliseconds until then.
+        self,
+        call: calls.Call,
+        rate: model.Rate,
+        now: clock.Instant,
+        patience_ms: int = 0,
+    ) -> Verdict:
+        """Let a request through, now or soon, or tell when it may come again.
+
+        :param patience_ms: how long it may wait for its turn.
         """
         bucket = self._refill(call.key.workspace, rate, now)
         cost = cost_of(call, rate)
@@ -166,12 +190,16 @@
         needed = min(bucket.mean, max(1.0, FULL_PART * self._capacity(rate)))
         together = self._together(bucket, now)
         chance = placement.hash_of('rate', call.key.id) / HASH_SPAN
-        if bucket.level >= needed * max(1.0, chance * together):
+        needed *= max(1.0, chance * together)
+        if CHEAP_TIMES * cost <= bucket.mean:
+            needed = -bucket.mean
+        wait = 1000 * max(0.0, needed - bucket.level) / self._per_s(rate)
+        if wait <= patience_ms:
             bucket.level -= cost
             bucket.spent += cost
-            return 0
-        wait = 1000 * (needed - bucket.level) / self._per_s(rate)
-        return round(min(RETRY_MOST_MS, max(RETRY_LEAST_MS, wait)))
+            return Verdict(delay_ms=math.ceil(wait))
+        wait = min(RETRY_MOST_MS, max(RETRY_LEAST_MS, wait))
+        return Verdict(retry_after_ms=round(wait))
 
     def _together(self, bucket: _Bucket, now: clock.Instant) -> float:
         """Guess how many requests the others decide on unheard.
@@ -250,12 +278,18 @@
     return (call.tokens_in + call.max_tokens) or rate.plain_tokens
 
 
-def check(state: states.State, call: calls.Call, now: clock.Instant) -> int:
+def check(
+    state: states.State, call: calls.Call, now: clock.Instant
+) -> Verdict:
     """Let a request through, unless its workspace asks for too much.
 
-    :return: 0 where it may go on, else milliseconds until a retry can help.
+    Requests often come in clusters that the rate covers a moment later; one
+    with time enough waits for that instead of being refused.
     """
     workspace = state.index.workspace(call.key.workspace)
     if workspace is None or workspace.rate is None:
-        return 0
-    return state.rates.take(call, workspace.rate, now)
+        return Verdict()
+    patience = min(WAIT_MOST_MS, call.route.goal_ms // WAIT_GOAL_PARTS)
+    if patience < WAIT_LEAST_MS:
+        patience = 0
+    return state.rates.take(call, workspace.rate, now, patience)
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -72,19 +72,27 @@
 
 
 def check(
-    state: states.State, call: calls.Call, now: clock.Instant
+    state: states.State, request: requests.Request, now: clock.Instant
 ) -> calls.Refusal | None:
-    """Tell why a new request cannot be accepted."""
+    """Tell why a new request cannot be accepted.
+
+    One that its workspace's rate lets through a little later is due then.
+    """
+    call = request.call
     if call.deadline - now.mono < least_ms(call):
         return _refusal(state, calls.Reason.TOO_LATE, 'no time is left')
     if state.poison.is_refused(call.fingerprint, now.wall):
         detail = 'backend servers died running the same body'
         return calls.Refusal(calls.Reason.POISON, calls.Ran.NO, detail)
-    wait = rates.check(state, call, now)
-    if wait:
+    verdict = rates.check(state, call, now)
+    request.due = now.mono + verdict.delay_ms
+    if verdict.retry_after_ms:
         detail = 'the workspace asks for more than its rate'
         return calls.Refusal(
-            calls.Reason.RATE_LIMIT, calls.Ran.NO, detail, wait
+            calls.Reason.RATE_LIMIT,
+            calls.Ran.NO,
+            detail,
+            verdict.retry_after_ms,
         )
     return None
 
@@ -148,7 +156,7 @@
     request.unread = unread
     request.read_alone = not (server.prefill or server.others_prefill)
     server.prefill += unread
-    state.loads.count_reading(call.route.pool, unread, now)
+    state.loads.count_reading(call.route.pool, unread, call.tokens_in, now)
     for part in call.parts:
         state.loads.give(server.host, part.id, now)
     request.expected_ms = silence.expected(state, request, server)
--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -60,6 +60,8 @@
 # the least: the rest is for bursts, and for the tokens of others meanwhile.
 USUAL_PART = 0.4
 LEAST_PART = 0.6
+# The same for all prompts, as if nothing were cached.
+COLD_PART = 1.0
 # Each quarter of a second; half of it after twelve seconds.
 ASKED_DECAY = 0.986
 
@@ -96,6 +98,7 @@
         self.first: dict[str, int] = {}
         self.since: dict[str, int] = {}
         self.asked: dict[str, float] = {}
+        self.prompts: dict[str, float] = {}
         self.surplus: dict[Place, int] = {}
         self.due = 0
         self.fence = 0
@@ -214,13 +217,17 @@
     if now.mono - scaling.since.get(pool.name, now.mono) < WARM_MS:
         first = scaling.first.get(pool.name, 1)
     asked = scaling.asked.get(pool.name, 0.0)
-    busy = asked / (1000 * state.speed.of(pool.name))
+    speed = 1000 * state.speed.of(pool.name)
+    busy = asked / speed
+    # The caches of a lost zone are read anew by those that are left.
+    cold = scaling.prompts.get(pool.name, 0.0) / speed
     return Need(
         usual=max(NEED_LEAST, first, math.ceil(busy / USUAL_PART)),
         least=max(
             NEED_LEAST,
             math.ceil(LEAST_FIRST * first),
             math.ceil(busy / LEAST_PART),
+            math.ceil(cold / COLD_PART),
         ),
     )
 
@@ -344,9 +351,11 @@
     reclaimable = stock.count(reclaimable=True)
     on_demand = stock.count(reclaimable=False)
     asked = state.scaling.asked.get(pool.name, 0.0)
+    prompts = state.scaling.prompts.get(pool.name, 0.0)
     detail = (
         f'{wanted.usual} usual, {wanted.least} least;'
-        f' {asked:.0f} tokens/s to read at {state.speed.of(pool.name):.1f}/ms;'
+        f' {asked:.0f} of {prompts:.0f} tokens/s to read'
+        f' at {state.speed.of(pool.name):.1f}/ms;'
         f' {reclaimable.serving}+{reclaimable.coming} reclaimable,'
         f' {on_demand.serving}+{on_demand.coming} on demand, dry {dry}'
     )
@@ -457,4 +466,6 @@
     scaling = state.scaling
     rate = state.loads.reading(pool.name, now)
     known = scaling.asked.get(pool.name, 0.0) * ASKED_DECAY
-    scaling.asked[pool.name] = max(rate, known)
+    scaling.asked[pool.name] = max(rate.tokens, known)
+    known = scaling.prompts.get(pool.name, 0.0) * ASKED_DECAY
+    scaling.prompts[pool.name] = max(rate.prompts, known)
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -374,10 +374,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Reading:
-    """Prompt tokens that the sender gave a pool to read lately."""
+    """Prompt tokens that the sender gave a pool to read lately.
+
+    :param tokens: those that no cache held.
+    :param prompts: all of them.
+    """
 
     pool: str
     tokens: int
+    prompts: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/decisions/test_scaling.py
+++ b/tests/decisions/test_scaling.py
@@ -150,6 +150,12 @@
         need = self.need(state, scaling.WARM_MS)
         self.assertEqual(scaling.Need(usual=8, least=5), need)
 
+    def test_cold_caches_after_a_loss_are_borne(self) -> None:
+        state = self.make(1_000 * 3 * prefill.READ_PER_MS)
+        state.scaling.prompts['p'] = 1_000 * 7 * prefill.READ_PER_MS
+        need = self.need(state, scaling.WARM_MS)
+        self.assertEqual(scaling.Need(usual=8, least=7), need)
+
     def test_loss_of_a_server_is_always_borne(self) -> None:
         need = self.need(self.make(0.0), scaling.WARM_MS)
         self.assertEqual(scaling.Need(usual=4, least=4), need)
