--- a/src/teaselbridge/cli/serve.py
+++ b/src/teaselbridge/cli/serve.py
@@ -63,6 +63,7 @@
     # for it to start.
     from teaselbridge.runtime import node
 
+    _collect_from_now_on()
     logs.set_up()
     await node.Node(settings=settings).run()
 
@@ -88,9 +89,13 @@
 ) -> None:
     from teaselbridge.runtime import site
 
-    # What was imported stays, so that later collections need not visit it.
-    gc.freeze()
-    gc.enable()
+    _collect_from_now_on()
     with logs.lines():
         node = site.Site(settings=settings, path=path, listeners=listeners)
         await node.run()
+
+
+def _collect_from_now_on() -> None:
+    """Leave what was imported out of all later collections of garbage."""
+    gc.freeze()
+    gc.enable()
