--- a/tests/failures/site.py
+++ b/tests/failures/site.py
@@ -89,7 +89,12 @@
     {
         'name': 'engines',
         'health-path': '/healthz',
-        'engine': {'slots': 64, 'kv-capacity': 500000},
+        'engine': {
+            'slots': 64,
+            'kv-capacity': 500000,
+            'kv-token-bytes': 18432,
+            'link-mbps': 180000.0,
+        },
     },
     {'name': 'shop', 'health-path': '/healthz'},
 )
@@ -217,7 +222,9 @@
     await store.put('op/config', configuration or document(1))
     running = [
         sites.Site(
-            settings=_settings(index, store_host.address, duties_host.address),
+            settings=settings_of(
+                index, store_host.address, duties_host.address
+            ),
             path='unused',
         )
         for index in range(nodes)
@@ -248,7 +255,10 @@
         await store_host.kill()
 
 
-def _settings(index: int, store: str, duties: str) -> settings_model.Settings:
+def settings_of(
+    index: int, store: str, duties: str
+) -> settings_model.Settings:
+    """Make the settings of a node on free ports."""
     ports = [hosting.free_port() for _ in range(5)]
     addresses = [f'127.0.0.1:{port}' for port in ports]
     return settings_model.Settings(
--- a/tests/failures/test_site_requests.py
+++ b/tests/failures/test_site_requests.py
@@ -247,6 +247,30 @@
 
         self.go(run())
 
+    def test_prompt_is_copied_from_a_leaving_server(self) -> None:
+        async def run() -> None:
+            async with site.trial() as trial:
+                prompt = {
+                    'Teaselbridge_Token_Count': '14000,10',
+                    'Teaselbridge_Prompt_Prefix': 'aa:13000,b1:1000',
+                }
+                await trial.call('/stream/1', **prompt)
+                (home,) = [item for item in trial.of('engines') if item.runs]
+                self.assertNotIn('kv-fetch', home.runs[0].headers)
+                await home.register(trial.store, 'draining')
+                state = trial.nodes[0].loop.state
+                await site.until(lambda: state.servers.leaving)
+                prompt['Teaselbridge_Prompt_Prefix'] = 'aa:13000,b2:1000'
+                prompt['Kv_Fetch'] = '127.0.0.1:1'
+                await trial.call('/stream/1', **prompt)
+                (other,) = [
+                    item for item in trial.of('engines') if item is not home
+                ]
+                source = other.runs[0].headers['kv-fetch']
+                self.assertEqual(home.address, source)
+
+        self.go(run())
+
     def test_caller_that_leaves_ends_the_run(self) -> None:
         async def run() -> None:
             async with site.trial() as trial:
