Count rates from the process's start; give demand a module of its own

Change: the time counts from when the sockets listen. What a pool needs is decided in demand.py, what is ordered in scaling.py.

--- a/src/teaselbridge/cli/serve.py
+++ b/src/teaselbridge/cli/serve.py
@@ -11,6 +11,7 @@
 
 import click
 
+from teaselbridge import clock
 from teaselbridge import errors
 from teaselbridge.runtime import listening
 from teaselbridge.settings import load
@@ -71,6 +72,7 @@
 def _serve_site(
     settings: model.Settings, found: model.Site, path: str
 ) -> None:
+    started = clock.Clock().now().mono
     # Until the node handles it, the signal would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     listeners = listening.listen_all(
@@ -81,17 +83,25 @@
             settings.listen.admin,
         )
     )
-    asyncio.run(_run_site(settings, path, listeners))
+    asyncio.run(_run_site(settings, path, listeners, started))
 
 
 async def _run_site(
-    settings: model.Settings, path: str, listeners: dict[str, socket.socket]
+    settings: model.Settings,
+    path: str,
+    listeners: dict[str, socket.socket],
+    started: int,
 ) -> None:
     from teaselbridge.runtime import site
 
     _collect_from_now_on()
     with logs.lines():
-        node = site.Site(settings=settings, path=path, listeners=listeners)
+        node = site.Site(
+            settings=settings,
+            path=path,
+            listeners=listeners,
+            started=started,
+        )
         await node.run()
 
 
--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -124,16 +124,22 @@
     :param first_start: whether no node ran before, which could have let
         anything through.
     :param tolerance: what the platform allows over a rate.
+    :param started: monotonic milliseconds since when this node certainly let
+        nothing through, none for the first look at the clock.
     """
 
     def __init__(
-        self, *, first_start: bool = False, tolerance: Tolerance = Tolerance()
+        self,
+        *,
+        first_start: bool = False,
+        tolerance: Tolerance = Tolerance(),
+        started: int | None = None,
     ) -> None:
         self._first_start = first_start
         self._tolerance = tolerance
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
-        self._started: int | None = None
+        self._started = started
         self._listed = 0
 
     def begin(self, now: clock.Instant, listed: int) -> None:
--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -13,6 +13,7 @@
 import math
 import typing
 
+from teaselbridge.decisions import demand
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge.decisions import leases
@@ -42,28 +43,6 @@
 CHEAP_RELEASE_MS = 4_000
 # Released servers leave room after so long.
 ROOM_MS = 500
-# Reclaimable servers beyond the need, so that the loss of a zone is borne.
-SPARE = 1.6
-# Fewer do not bear the loss of one.
-NEED_LEAST = 4
-# Part of what the operators start with that on-demand servers fill up to:
-# they cost many times as much.
-LEAST_FIRST = 0.55
-# What the operators start with counts for so long: caches are cold then, and
-# the load is not known.
-WARM_MS = 20_000
-# How long after the first sight of a pool its servers are counted.
-FIRST_MS = 3_000
-# Servers that were there before enter themselves within a heartbeat or two.
-COUNT_MS = 2_000
-# Part of the time that engines may spend reading prompts, in comfort and at
-# the least: the rest is for bursts, and for the tokens of others meanwhile.
-USUAL_PART = 0.4
-LEAST_PART = 0.6
-# The same for all prompts, as if nothing were cached.
-COLD_PART = 1.0
-# Each quarter of a second; half of it after twelve seconds.
-ASKED_DECAY = 0.986
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,27 +74,11 @@
     def __init__(self) -> None:
         self.orders: dict[Place, _Order] = {}
         self.refused: dict[Place, int] = {}
-        self.first: dict[str, int] = {}
-        self.since: dict[str, int] = {}
-        self.asked: dict[str, float] = {}
-        self.prompts: dict[str, float] = {}
         self.surplus: dict[Place, int] = {}
         self.due = 0
         self.fence = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Need:
-    """How many servers a pool needs.
-
-    :param usual: to serve in comfort, at the price of reclaimable ones.
-    :param least: to serve in time, at any price.
-    """
-
-    usual: int
-    least: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Count:
     """Servers of one sort.
@@ -167,8 +130,7 @@
         return []
     scaling.due = now.mono + EVERY_MS
     for pool in state.index.pools:
-        _note_first(state, pool, now)
-        _note_asked(state, pool, now)
+        demand.follow(state, pool, now)
     lease = leases.held(state, leases.DUTIES, now)
     if lease is None or lease.orders_from > now.mono:
         return []
@@ -179,8 +141,9 @@
         scaling.surplus.clear()
     out: list[effects.Effect] = []
     for pool in state.index.pools:
-        since = scaling.since.get(pool.name, now.mono)
-        if pool.scaling is not None and now.mono - since >= COUNT_MS:
+        if pool.scaling is not None and state.demands.is_counted(
+            pool.name, now
+        ):
             out += _order(state, pool, pool.scaling, lease, now)
     return out
 
@@ -206,34 +169,8 @@
     ]
 
 
-def need(state: states.State, pool: model.Pool, now: clock.Instant) -> Need:
-    """Tell how many servers a pool needs to serve in time.
-
-    The operators start with what serves the usual load in comfort. Once that
-    load was seen, what prompts ask for tells better.
-    """
-    scaling = state.scaling
-    first = 0
-    if now.mono - scaling.since.get(pool.name, now.mono) < WARM_MS:
-        first = scaling.first.get(pool.name, 1)
-    asked = scaling.asked.get(pool.name, 0.0)
-    speed = 1000 * state.speed.of(pool.name)
-    busy = asked / speed
-    # The caches of a lost zone are read anew by those that are left.
-    cold = scaling.prompts.get(pool.name, 0.0) / speed
-    return Need(
-        usual=max(NEED_LEAST, first, math.ceil(busy / USUAL_PART)),
-        least=max(
-            NEED_LEAST,
-            math.ceil(LEAST_FIRST * first),
-            math.ceil(busy / LEAST_PART),
-            math.ceil(cold / COLD_PART),
-        ),
-    )
-
-
 def plan(
-    wanted: Need,
+    wanted: demand.Need,
     scaling: model.Scaling,
     stock: Stock,
     pool: str,
@@ -253,7 +190,7 @@
         another zone must be borne without new ones then.
     """
     zones = sorted(scaling.prices, key=lambda item: item.price)
-    share = math.ceil(wanted.usual * SPARE / max(1, len(zones)))
+    share = math.ceil(wanted.usual * demand.SPARE / max(1, len(zones)))
     target: dict[Place, int] = {}
     largest = 0
     for item in zones:
@@ -300,7 +237,7 @@
         for place, until in scaling.refused.items()
         if until > now.mono and place.pool == pool.name
     }
-    wanted = need(state, pool, now)
+    wanted = demand.need(state, pool, now)
     dry = any(
         now.mono - until < DRY_MS
         for place, until in scaling.refused.items()
@@ -335,26 +272,26 @@
             )
         )
     if out:
-        out.insert(0, _tell_need(state, pool, wanted, stock, dry=dry))
+        out.insert(0, _tell_need(state, pool, wanted, stock, now, dry=dry))
     return out
 
 
 def _tell_need(
     state: states.State,
     pool: model.Pool,
-    wanted: Need,
+    wanted: demand.Need,
     stock: Stock,
+    now: clock.Instant,
     *,
     dry: bool,
 ) -> effects.Effect:
     """Record what orders follow from."""
     reclaimable = stock.count(reclaimable=True)
     on_demand = stock.count(reclaimable=False)
-    asked = state.scaling.asked.get(pool.name, 0.0)
-    prompts = state.scaling.prompts.get(pool.name, 0.0)
+    load = state.demands.get(pool.name, now)
     detail = (
         f'{wanted.usual} usual, {wanted.least} least;'
-        f' {asked:.0f} of {prompts:.0f} tokens/s to read'
+        f' {load.unread:.0f} of {load.prompts:.0f} tokens/s to read'
         f' at {state.speed.of(pool.name):.1f}/ms;'
         f' {reclaimable.serving}+{reclaimable.coming} reclaimable,'
         f' {on_demand.serving}+{on_demand.coming} on demand, dry {dry}'
@@ -429,43 +366,3 @@
 def _place_of(server: servers.Server) -> Place:
     row = server.row
     return Place(row.pool, row.zone, row.reclaimable)
-
-
-def _note_first(
-    state: states.State, pool: model.Pool, now: clock.Instant
-) -> None:
-    """Remember how many servers the operators started with.
-
-    Where servers were ordered before this node started, those orders had
-    the spare ones in them.
-    """
-    scaling = state.scaling
-    if pool.scaling is None or not state.options.bounds:
-        return
-    known = state.servers.in_pool(pool.name)
-    if not known:
-        return
-    since = scaling.since.setdefault(pool.name, now.mono)
-    if now.mono - since > FIRST_MS:
-        return
-    count = len(known)
-    if any(server.row.reclaimable for server in known):
-        if state.options.bounds.first_start:
-            return
-        count = math.floor(count / SPARE)
-    scaling.first[pool.name] = max(scaling.first.get(pool.name, 1), count)
-
-
-def _note_asked(
-    state: states.State, pool: model.Pool, now: clock.Instant
-) -> None:
-    """Follow how many prompt tokens a second are to be read, by all nodes.
-
-    It rises at once and falls slowly: servers take seconds to come.
-    """
-    scaling = state.scaling
-    rate = state.loads.reading(pool.name, now)
-    known = scaling.asked.get(pool.name, 0.0) * ASKED_DECAY
-    scaling.asked[pool.name] = max(rate.tokens, known)
-    known = scaling.prompts.get(pool.name, 0.0) * ASKED_DECAY
-    scaling.prompts[pool.name] = max(rate.prompts, known)
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -10,6 +10,7 @@
 from teaselbridge.decisions import bounds as bounds_module
 from teaselbridge.decisions import capacity
 from teaselbridge.decisions import changes
+from teaselbridge.decisions import demand
 from teaselbridge.decisions import freshness
 from teaselbridge.decisions import knowledge
 from teaselbridge.decisions import leases
@@ -52,6 +53,8 @@
     :param lease: times of leases.
     :param bounds: what the users' platform demands, none where the node
         runs on the project's own stand-ins.
+    :param started: monotonic milliseconds of the process's start, none for
+        unknown.
     """
 
     me: messages.Member
@@ -63,6 +66,7 @@
     policy: placement.Policy = placement.prefix_aware
     lease: leases.Times = leases.Times()
     bounds: bounds_module.Bounds | None = None
+    started: int | None = None
 
 
 class State:
@@ -100,9 +104,12 @@
         self.speed = prefill.Speed()
         kept = options.bounds or bounds_module.Bounds()
         self.rates = rates.Rates(
-            first_start=kept.first_start, tolerance=kept.tolerance
+            first_start=kept.first_start,
+            tolerance=kept.tolerance,
+            started=options.started,
         )
         self.usage = usage.Usage()
+        self.demands = demand.Demands()
         self.scaling = scaling.Scaling()
         self.rollouts = rollouts.Rollouts()
         self.configured = False
--- a/tests/decisions/test_rates.py
+++ b/tests/decisions/test_rates.py
@@ -125,6 +125,13 @@
         second = found.take(call, RATE, samples.instant(1_000))
         self.assertGreater(second.retry_after_ms, 0)
 
+    def test_time_before_the_first_tick_counts(self) -> None:
+        found = rates.Rates(tolerance=TOLERANCE, started=0)
+        found.begin(samples.instant(900), 0)
+        call = samples.relayed(tokens_in=RATE.per_s)
+        verdict = found.take(call, RATE, samples.instant(1_000))
+        self.assertEqual(rates.Verdict(), verdict)
+
     def test_nodes_that_start_together_share_the_rate(self) -> None:
         nodes = self._make(first_start=False, count=9)
         for found in nodes:
--- a/tests/decisions/test_scaling.py
+++ b/tests/decisions/test_scaling.py
@@ -6,18 +6,11 @@
 
 from __future__ import annotations
 
-import typing
-
 import testtools
 
-from teaselbridge.decisions import bounds
-from teaselbridge.decisions import prefill
+from teaselbridge.decisions import demand
 from teaselbridge.decisions import scaling
 from teaselbridge.tables import model
-from tests.decisions import samples
-
-if typing.TYPE_CHECKING:
-    from teaselbridge.decisions import state as states
 
 ZONES = ('a', 'b', 'c', 'd')
 LIMITS = model.Scaling(
@@ -30,7 +23,7 @@
         for zone, price in zip(ZONES, (1.0, 0.8, 1.25, 0.9), strict=True)
     ),
 )
-WANTED = scaling.Need(usual=6, least=6)
+WANTED = demand.Need(usual=6, least=6)
 
 
 def place(zone: str, *, reclaimable: bool) -> scaling.Place:
@@ -82,13 +75,13 @@
         self.assertEqual(4, on_demand(dry))
 
     def test_on_demand_ones_fill_up_to_the_least(self) -> None:
-        need = scaling.Need(usual=9, least=5)
+        need = demand.Need(usual=9, least=5)
         target = scaling.plan(need, LIMITS, stock({'a': 1}), 'p', dry=False)
         self.assertEqual(4, on_demand(target))
         self.assertEqual(3, target[place('a', reclaimable=True)])
 
     def test_orders_stand_while_servers_come(self) -> None:
-        need = scaling.Need(usual=5, least=9)
+        need = demand.Need(usual=5, least=9)
         there = stock({'a': 1, 'b': 1})
         first = scaling.plan(need, LIMITS, there, 'p', dry=True)
         coming = scaling.Stock(
@@ -106,7 +99,7 @@
     def test_both_sorts_share_the_limit_of_a_zone(self) -> None:
         there = stock({'a': 3, 'b': 1})
         target = scaling.plan(
-            scaling.Need(usual=12, least=12), LIMITS, there, 'p', dry=True
+            demand.Need(usual=12, least=12), LIMITS, there, 'p', dry=True
         )
         self.assertEqual(0, target[place('a', reclaimable=False)])
         self.assertEqual(2, target[place('b', reclaimable=False)])
@@ -116,46 +109,3 @@
         target = scaling.plan(WANTED, LIMITS, there, 'p', dry=False)
         self.assertEqual(2, target[place('b', reclaimable=False)])
         self.assertEqual(0, target[place('c', reclaimable=False)])
-
-
-class TestNeed(testtools.TestCase):
-    """Once the load is known, it tells how many servers are needed."""
-
-    POOL = model.Pool(
-        name='p',
-        kind=model.Kind.RELAYED,
-        versions=(),
-        zones=ZONES,
-        scaling=LIMITS,
-    )
-
-    def make(self, asked: float) -> states.State:
-        """Make a node that saw 12 servers at the start."""
-        state = samples.state(bounds.Bounds(duties=(scaling.DUTY,)))
-        state.scaling.since['p'] = 0
-        state.scaling.first['p'] = 12
-        state.scaling.asked['p'] = asked
-        return state
-
-    def need(self, state: states.State, mono: int) -> scaling.Need:
-        """Tell the need at a moment."""
-        return scaling.need(state, self.POOL, samples.instant(mono))
-
-    def test_operators_choice_counts_while_caches_are_cold(self) -> None:
-        need = self.need(self.make(0.0), 1_000)
-        self.assertEqual(scaling.Need(usual=12, least=7), need)
-
-    def test_load_counts_after_that(self) -> None:
-        state = self.make(1_000 * 3 * prefill.READ_PER_MS)
-        need = self.need(state, scaling.WARM_MS)
-        self.assertEqual(scaling.Need(usual=8, least=5), need)
-
-    def test_cold_caches_after_a_loss_are_borne(self) -> None:
-        state = self.make(1_000 * 3 * prefill.READ_PER_MS)
-        state.scaling.prompts['p'] = 1_000 * 7 * prefill.READ_PER_MS
-        need = self.need(state, scaling.WARM_MS)
-        self.assertEqual(scaling.Need(usual=8, least=7), need)
-
-    def test_loss_of_a_server_is_always_borne(self) -> None:
-        need = self.need(self.make(0.0), scaling.WARM_MS)
-        self.assertEqual(scaling.Need(usual=4, least=4), need)
