Take back the waits by rate, their tolerance and the earlier start

A workspace sends 8 times its usual while all nodes but one are killed twice. With the waits each node may owe an eighth of a second of the rate, all of them at the same moment; the earlier start gives half a second of the rate to nodes that do not hear each other yet.

--- a/src/teaselbridge/cli/serve.py
+++ b/src/teaselbridge/cli/serve.py
@@ -11,7 +11,6 @@
 
 import click
 
-from teaselbridge import clock
 from teaselbridge import errors
 from teaselbridge.runtime import listening
 from teaselbridge.settings import load
@@ -72,7 +71,6 @@
 def _serve_site(
     settings: model.Settings, found: model.Site, path: str
 ) -> None:
-    started = clock.Clock().now().mono
     # Until the node handles it, the signal would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     listeners = listening.listen_all(
@@ -83,25 +81,17 @@
             settings.listen.admin,
         )
     )
-    asyncio.run(_run_site(settings, path, listeners, started))
+    asyncio.run(_run_site(settings, path, listeners))
 
 
 async def _run_site(
-    settings: model.Settings,
-    path: str,
-    listeners: dict[str, socket.socket],
-    started: int,
+    settings: model.Settings, path: str, listeners: dict[str, socket.socket]
 ) -> None:
     from teaselbridge.runtime import site
 
     _collect_from_now_on()
     with logs.lines():
-        node = site.Site(
-            settings=settings,
-            path=path,
-            listeners=listeners,
-            started=started,
-        )
+        node = site.Site(settings=settings, path=path, listeners=listeners)
         await node.run()
 
 
--- a/src/teaselbridge/decisions/arrival.py
+++ b/src/teaselbridge/decisions/arrival.py
@@ -37,7 +37,7 @@
     ]
     if drain.is_closed(state, now) and not call.is_relayed:
         return out + drain.turn_away(state, request)
-    refusal = _check(state, request, now)
+    refusal = _check(state, call, now)
     if refusal is not None:
         return out + requests.refuse(state, request, refusal)
     out += _make_room(state, request, now)
@@ -47,26 +47,16 @@
     state.budgets.earn(call.route)
     if request.has_claim:
         return out + orders.claim(state, request, now)
-    if request.due > now.mono:
-        request.phase = requests.Phase.BACKOFF
-        out.append(
-            requests.record(
-                request,
-                effects.Mark.WAITING,
-                f'its turn is in {request.due - now.mono} ms by its rate',
-            )
-        )
-        return out
     requests.enqueue(state, request)
     return out
 
 
 def _check(
-    state: states.State, request: requests.Request, now: clock.Instant
+    state: states.State, call: calls.Call, now: clock.Instant
 ) -> calls.Refusal | None:
-    if request.call.is_relayed:
-        return relays.check(state, request, now)
-    return requests.check(state, request.call, now)
+    if call.is_relayed:
+        return relays.check(state, call, now)
+    return requests.check(state, call, now)
 
 
 def _find_held(
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -510,7 +510,6 @@
     FAULT = 'request-fault'
     ANSWERED = 'request-answered'
     REFUSED = 'request-refused'
-    WAITING = 'request-waiting'
     CLAIMED = 'request-claimed'
     MOVED = 'request-moved'
     ADOPTED = 'request-adopted'
--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -16,7 +16,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 import typing
 
 from teaselbridge.decisions import placement
@@ -34,10 +33,12 @@
 FORGOTTEN_MS = 10_000
 # Nodes that start together have heard each other by then.
 MEET_MS = 2_000
+# Nodes of which all were lost start within so long of each other.
+TOGETHER_MS = 500
 # Parts of the platform's tolerance that callers may use.
 EXCESS_PART = 0.8
-SLACK_HELD = 0.2
-SLACK_REFILLED = 0.3
+SLACK_HELD = 0.1
+SLACK_REFILLED = 0.25
 HASH_SPAN = 1 << 63
 MEAN_SMOOTHING = 0.1
 # A request larger than the bucket goes out of a nearly full one.
@@ -46,13 +47,6 @@
 ASKED_MS = 2_000
 # Four messages a second, and the way of one.
 UNHEARD_SPAN_MS = 300
-# A request waits for its turn for an eighth of its goal at most, and not for
-# less than a tick.
-WAIT_GOAL_PARTS = 8
-WAIT_MOST_MS = 150
-WAIT_LEAST_MS = 50
-# To refuse a request that costs so many times less than others helps nobody.
-CHEAP_TIMES = 20
 RETRY_LEAST_MS = 200
 RETRY_MOST_MS = 2_000
 
@@ -106,40 +100,22 @@
     slack: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Verdict:
-    """Whether a request is let through.
-
-    :param delay_ms: how long it waits for its turn, where it is.
-    :param retry_after_ms: when it may come again, 0 where it is.
-    """
-
-    delay_ms: int = 0
-    retry_after_ms: int = 0
-
-
 class Rates:
     """Buckets of all workspaces, and what the other nodes told.
 
     :param first_start: whether no node ran before, which could have let
         anything through.
     :param tolerance: what the platform allows over a rate.
-    :param started: monotonic milliseconds since when this node certainly let
-        nothing through, none for the first look at the clock.
     """
 
     def __init__(
-        self,
-        *,
-        first_start: bool = False,
-        tolerance: Tolerance = Tolerance(),
-        started: int | None = None,
+        self, *, first_start: bool = False, tolerance: Tolerance = Tolerance()
     ) -> None:
         self._first_start = first_start
         self._tolerance = tolerance
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
-        self._started = started
+        self._started: int | None = None
         self._listed = 0
 
     def begin(self, now: clock.Instant, listed: int) -> None:
@@ -158,15 +134,25 @@
         before: dict[str, int] = {}
         if known is not None and known.incarnation == message.incarnation:
             before = known.spent
+        # Of an older node it is not known when it let those through.
+        counts = known is not None or self._is_as_young(message, now)
         for name, total in spent.items():
-            # Of a node heard for the first time it is not known when.
-            if known is not None:
+            if counts:
                 bucket = self._bucket(name, now)
                 bucket.level -= max(0, total - before.get(name, 0))
         self._peers[message.node] = _Peer(
             message.incarnation, now.mono, {**before, **spent}
         )
 
+    def _is_as_young(
+        self, message: messages.Loads, now: clock.Instant
+    ) -> bool:
+        """Tell whether a node started no earlier than this one, or nearly."""
+        if self._started is None:
+            return False
+        age = message.wall - message.incarnation
+        return age <= now.mono - self._started + TOGETHER_MS
+
     def tell(self) -> tuple[messages.Demand, ...]:
         """Tell what this node let through, for the others."""
         return tuple(
@@ -176,15 +162,11 @@
         )
 
     def take(
-        self,
-        call: calls.Call,
-        rate: model.Rate,
-        now: clock.Instant,
-        patience_ms: int = 0,
-    ) -> Verdict:
-        """Let a request through, now or soon, or tell when it may come again.
-
-        :param patience_ms: how long it may wait for its turn.
+        self, call: calls.Call, rate: model.Rate, now: clock.Instant
+    ) -> int:
+        """Let a request through, or tell when it may come again.
+
+        :return: 0 where it is let through, else milliseconds until then.
         """
         bucket = self._refill(call.key.workspace, rate, now)
         cost = cost_of(call, rate)
@@ -196,16 +178,12 @@
         needed = min(bucket.mean, max(1.0, FULL_PART * self._capacity(rate)))
         together = self._together(bucket, now)
         chance = placement.hash_of('rate', call.key.id) / HASH_SPAN
-        needed *= max(1.0, chance * together)
-        if CHEAP_TIMES * cost <= bucket.mean:
-            needed = -bucket.mean
-        wait = 1000 * max(0.0, needed - bucket.level) / self._per_s(rate)
-        if wait <= patience_ms:
+        if bucket.level >= needed * max(1.0, chance * together):
             bucket.level -= cost
             bucket.spent += cost
-            return Verdict(delay_ms=math.ceil(wait))
-        wait = min(RETRY_MOST_MS, max(RETRY_LEAST_MS, wait))
-        return Verdict(retry_after_ms=round(wait))
+            return 0
+        wait = 1000 * (needed - bucket.level) / self._per_s(rate)
+        return round(min(RETRY_MOST_MS, max(RETRY_LEAST_MS, wait)))
 
     def _together(self, bucket: _Bucket, now: clock.Instant) -> float:
         """Guess how many requests the others decide on unheard.
@@ -284,18 +262,12 @@
     return (call.tokens_in + call.max_tokens) or rate.plain_tokens
 
 
-def check(
-    state: states.State, call: calls.Call, now: clock.Instant
-) -> Verdict:
+def check(state: states.State, call: calls.Call, now: clock.Instant) -> int:
     """Let a request through, unless its workspace asks for too much.
 
-    Requests often come in clusters that the rate covers a moment later; one
-    with time enough waits for that instead of being refused.
+    :return: 0 where it may go on, else milliseconds until a retry can help.
     """
     workspace = state.index.workspace(call.key.workspace)
     if workspace is None or workspace.rate is None:
-        return Verdict()
-    patience = min(WAIT_MOST_MS, call.route.goal_ms // WAIT_GOAL_PARTS)
-    if patience < WAIT_LEAST_MS:
-        patience = 0
-    return state.rates.take(call, workspace.rate, now, patience)
+        return 0
+    return state.rates.take(call, workspace.rate, now)
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -72,27 +72,19 @@
 
 
 def check(
-    state: states.State, request: requests.Request, now: clock.Instant
+    state: states.State, call: calls.Call, now: clock.Instant
 ) -> calls.Refusal | None:
-    """Tell why a new request cannot be accepted.
-
-    One that its workspace's rate lets through a little later is due then.
-    """
-    call = request.call
+    """Tell why a new request cannot be accepted."""
     if call.deadline - now.mono < least_ms(call):
         return _refusal(state, calls.Reason.TOO_LATE, 'no time is left')
     if state.poison.is_refused(call.fingerprint, now.wall):
         detail = 'backend servers died running the same body'
         return calls.Refusal(calls.Reason.POISON, calls.Ran.NO, detail)
-    verdict = rates.check(state, call, now)
-    request.due = now.mono + verdict.delay_ms
-    if verdict.retry_after_ms:
+    wait = rates.check(state, call, now)
+    if wait:
         detail = 'the workspace asks for more than its rate'
         return calls.Refusal(
-            calls.Reason.RATE_LIMIT,
-            calls.Ran.NO,
-            detail,
-            verdict.retry_after_ms,
+            calls.Reason.RATE_LIMIT, calls.Ran.NO, detail, wait
         )
     return None
 
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -53,8 +53,6 @@
     :param lease: times of leases.
     :param bounds: what the users' platform demands, none where the node
         runs on the project's own stand-ins.
-    :param started: monotonic milliseconds of the process's start, none for
-        unknown.
     """
 
     me: messages.Member
@@ -66,7 +64,6 @@
     policy: placement.Policy = placement.prefix_aware
     lease: leases.Times = leases.Times()
     bounds: bounds_module.Bounds | None = None
-    started: int | None = None
 
 
 class State:
@@ -104,9 +101,7 @@
         self.speed = prefill.Speed()
         kept = options.bounds or bounds_module.Bounds()
         self.rates = rates.Rates(
-            first_start=kept.first_start,
-            tolerance=kept.tolerance,
-            started=options.started,
+            first_start=kept.first_start, tolerance=kept.tolerance
         )
         self.usage = usage.Usage()
         self.demands = demand.Demands()
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -63,8 +63,6 @@
     :param settings: checked settings.
     :param path: file that they came from, read again when it changes.
     :param listeners: sockets that listen already, by address.
-    :param started: monotonic milliseconds of the process's start, none for
-        the present.
     """
 
     def __init__(
@@ -73,7 +71,6 @@
         settings: model.Settings,
         path: str,
         listeners: dict[str, socket.socket] | None = None,
-        started: int | None = None,
     ) -> None:
         assert settings.site is not None
         self._listeners = listeners or {}
@@ -82,9 +79,7 @@
         self._clock = clocks.Clock()
         self._meter = metrics.Meter()
         self._loop = loops.Loop(
-            state=states.State(
-                options=_options(settings, self._clock.now(), started)
-            ),
+            state=states.State(options=_options(settings, self._clock.now())),
             clock=self._clock,
             meter=self._meter,
             timeline=timeline.Timeline(
@@ -325,9 +320,7 @@
     )
 
 
-def _options(
-    settings: model.Settings, now: clocks.Instant, started: int | None
-) -> states.Options:
+def _options(settings: model.Settings, now: clocks.Instant) -> states.Options:
     assert settings.site is not None
     me = messages.Member(
         name=settings.node.name,
@@ -349,5 +342,4 @@
         seed=now.wall,
         lease=LEASE,
         bounds=_bounds(settings.site),
-        started=now.mono if started is None else started,
     )
