Count a pool's servers from their first sight; add up readings once

Found on reading the diff again. The question no longer writes; its test failed before.

Without a change of behaviour: the list of what was read is built once for all pools, not once for each, and the part of a zone's loss that is prepared for, always all of it, is no factor any more.

--- a/src/teaselbridge/decisions/demand.py
+++ b/src/teaselbridge/decisions/demand.py
@@ -74,12 +74,13 @@
         self._by_pool: dict[str, Demand] = {}
 
     def get(self, pool: str, now: clock.Instant) -> Demand:
-        """Give the load of a pool, which begins with the first question."""
+        """Give the load of a pool, known from the first sight of a server."""
         return self._by_pool.setdefault(pool, Demand(since=now.mono))
 
     def is_counted(self, pool: str, now: clock.Instant) -> bool:
         """Tell whether the servers of a pool had time to enter themselves."""
-        return now.mono - self.get(pool, now).since >= COUNT_MS
+        known = self._by_pool.get(pool)
+        return known is not None and now.mono - known.since >= COUNT_MS
 
 
 def follow(state: states.State, pool: model.Pool, now: clock.Instant) -> None:
--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -103,11 +103,9 @@
         """Add up what this node gave servers to read, by pool."""
         while self._reading and now.mono - self._reading[0][0] > READING_MS:
             self._reading.popleft()
-        pools = dict.fromkeys(item.pool for _, item in self._reading)
-        return tuple(
-            _add_up(pool, [item for _, item in self._reading])
-            for pool in pools
-        )
+        found = [item for _, item in self._reading]
+        pools = dict.fromkeys(item.pool for item in found)
+        return tuple(_add_up(pool, found) for pool in pools)
 
     def reading(self, pool: str, now: clock.Instant) -> messages.Reading:
         """Give the prompt tokens a second that all nodes send a pool."""
--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -33,8 +33,6 @@
 UNANSWERED_MS = 1_000
 # After a refusal ends, the next loss of a zone is still borne alone.
 DRY_MS = 3_000
-# Part of a further zone's loss that is prepared for meanwhile.
-COVERED_PART = 1.0
 # A server that did not come this long after it should have is ordered anew.
 LATE_MS = 2_500
 # On-demand servers are kept until others have served for this long.
@@ -200,9 +198,7 @@
     reclaimable = stock.count(reclaimable=True)
     on_demand = stock.count(reclaimable=False)
     held = on_demand.serving + on_demand.coming
-    borne = reclaimable.serving
-    if dry:
-        borne -= math.ceil(COVERED_PART * largest)
+    borne = reclaimable.serving - (largest if dry else 0)
     missing = max(0, wanted.least - borne - reclaimable.coming)
     # Those that are there stay until others are in comfort without them.
     kept = 0
--- a/tests/decisions/test_demand.py
+++ b/tests/decisions/test_demand.py
@@ -45,6 +45,13 @@
         """Tell the need at a moment."""
         return demand.need(state, self.POOL, samples.instant(mono))
 
+    def test_question_before_the_first_server_begins_no_count(self) -> None:
+        state = samples.state(bounds.Bounds(duties=(scaling.DUTY,)))
+        early = state.demands.is_counted('p', samples.instant(0))
+        demand.follow(state, self.POOL, samples.instant(0))
+        late = state.demands.is_counted('p', samples.instant(9_000))
+        self.assertEqual((False, False), (early, late))
+
     def test_operators_choice_counts_while_caches_are_cold(self) -> None:
         need = self.need(self.make(0.0), 1_000)
         self.assertEqual(demand.Need(usual=12, least=7), need)
