List a node's other addresses in one place

Found on reading the diff again: the command that listens before the imports repeated the node's own list, and one address left out of either would have been bound late without a word. Both ask listening.entrances now. The tests of copies share their set-up. No change of behaviour; checks, unit tests and those of requests over sockets passed.

--- a/src/teaselbridge/cli/serve.py
+++ b/src/teaselbridge/cli/serve.py
@@ -74,12 +74,7 @@
     # Until the node handles it, the signal would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     listeners = listening.listen_all(
-        (
-            settings.listen.callers,
-            found.ready,
-            found.directory,
-            settings.listen.admin,
-        )
+        (settings.listen.callers, *listening.entrances(settings, found))
     )
     asyncio.run(_run_site(settings, path, listeners))
 
--- a/src/teaselbridge/runtime/listening.py
+++ b/src/teaselbridge/runtime/listening.py
@@ -14,6 +14,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from teaselbridge.settings import model
+
 BACKLOG = 1_024
 # Unacknowledged data may be on its way for so long.
 USER_TIMEOUT_MS = 20_000
@@ -38,6 +40,12 @@
     return listener
 
 
+def entrances(settings: model.Settings, site: model.Site) -> tuple[str, ...]:
+    """List where others than callers with work come to, each address once."""
+    found = (site.ready, site.directory, settings.listen.admin)
+    return tuple(dict.fromkeys(address for address in found if address))
+
+
 def listen_all(
     addresses: collections.abc.Iterable[str],
 ) -> dict[str, socket.socket]:
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -28,6 +28,7 @@
 from teaselbridge.runtime import attempts as attempts_module
 from teaselbridge.runtime import keys
 from teaselbridge.runtime import links
+from teaselbridge.runtime import listening
 from teaselbridge.runtime import loop as loops
 from teaselbridge.runtime import outlets as outlets_module
 from teaselbridge.runtime import watching
@@ -132,14 +133,7 @@
         )
         self._entrances = [
             self._web(app, address)
-            for address in dict.fromkeys(
-                (
-                    settings.site.ready,
-                    settings.site.directory,
-                    settings.listen.admin,
-                )
-            )
-            if address
+            for address in listening.entrances(settings, settings.site)
             for app in [self._directory()]
         ]
 
--- a/tests/decisions/test_prefill.py
+++ b/tests/decisions/test_prefill.py
@@ -135,9 +135,9 @@
     )
 
     def make(
-        self, versions: tuple[str, ...], pool: model.Pool = POOL
-    ) -> states.State:
-        """Make a node that knows servers with versions."""
+        self, versions: tuple[str, str], pool: model.Pool = POOL
+    ) -> tuple[states.State, servers.Server, servers.Server]:
+        """Make a node that knows two servers; the first has read a head."""
         state = samples.state()
         tables = model.Tables(pools=(pool,))
         state.index = join.Index(
@@ -148,44 +148,36 @@
                 samples.row(f'h{number}'), version=version
             )
             state.servers.add(row, version, NOW)
-        return state
-
-    def test_cold_server_copies_a_head(self) -> None:
-        state = self.make(('1', '1'))
         home, other = state.servers.in_pool('p')
         state.loads.give(home.host, 'x', NOW)
+        return state, home, other
+
+    def test_cold_server_copies_a_head(self) -> None:
+        state, home, other = self.make(('1', '1'))
         reading = prefill.Plan(state, prompt('x'), NOW).of(other)
         self.assertEqual(3_000, reading.unread)
         self.assertEqual(13_000, reading.copied)
         self.assertIs(home, reading.source)
 
     def test_home_reads_on(self) -> None:
-        state = self.make(('1', '1'))
-        home, _ = state.servers.in_pool('p')
-        state.loads.give(home.host, 'x', NOW)
+        state, home, _ = self.make(('1', '1'))
         reading = prefill.Plan(state, prompt('x'), NOW).of(home)
         self.assertEqual(prefill.Reading(unread=3_000), reading)
 
     def test_leaving_server_still_gives(self) -> None:
-        state = self.make(('1', '1'))
-        home, other = state.servers.in_pool('p')
-        state.loads.give(home.host, 'x', NOW)
+        state, home, other = self.make(('1', '1'))
         home.leaving = True
         reading = prefill.Plan(state, prompt('x'), NOW).of(other)
         self.assertIs(home, reading.source)
 
     def test_caches_of_another_version_are_of_no_use(self) -> None:
-        state = self.make(('1', '2'))
-        home, other = state.servers.in_pool('p')
-        state.loads.give(home.host, 'x', NOW)
+        state, home, other = self.make(('1', '2'))
         reading = prefill.Plan(state, prompt('x'), NOW).of(other)
         self.assertEqual(prefill.Reading(unread=16_000), reading)
 
     def test_engines_that_cannot_copy(self) -> None:
         plain = dataclasses.replace(self.POOL, engine=model.Engine())
-        state = self.make(('1', '1'), plain)
-        home, other = state.servers.in_pool('p')
-        state.loads.give(home.host, 'x', NOW)
+        state, _, other = self.make(('1', '1'), plain)
         reading = prefill.Plan(state, prompt('x'), NOW).of(other)
         self.assertEqual(prefill.Reading(unread=16_000), reading)
 
@@ -195,9 +187,7 @@
             ('copies', self.POOL),
             ('reads', dataclasses.replace(self.POOL, engine=model.Engine())),
         ):
-            state = self.make(('1', '1'), pool)
-            home, _ = state.servers.in_pool('p')
-            state.loads.give(home.host, 'x', NOW)
+            state, home, _ = self.make(('1', '1'), pool)
             home.others_prefill = 11_000
             found = state.servers.in_pool('p')
             chosen[name] = prefill.choose(state, found, prompt('x'), NOW).host
