Reserve ports of stand-ins between processes

Ruled out: the system's ephemeral ports (outgoing connections take them), and one lock file a port (thousands of open files in a test process).

Change: each process reserves blocks of 100 ports by a lock on a file, which the system releases with the process; ports are reused only when no block is left.

Before: no test; three processes that take 500 ports each could overlap.

--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -31,7 +31,7 @@
 from teaselbridge.runtime import node as nodes
 from teaselbridge.settings import model as settings_model
 from teaselbridge.standins import fleet as fleets
-from teaselbridge.standins import hosting
+from teaselbridge.standins import ports
 from teaselbridge.tables import check
 from teaselbridge.telemetry import logs
 
@@ -75,7 +75,7 @@
 def _build_settings(
     count: int, addresses: tuple[str, str, str]
 ) -> list[settings_model.Settings]:
-    ports = iter(_find_free_addresses(3 * count))
+    free = iter(_find_free_addresses(3 * count))
     keyvalue, cloud, _ = addresses
     platform = settings_model.Platform(
         keyvalue=f'http://{keyvalue}',
@@ -87,7 +87,7 @@
     seeds: tuple[str, ...] = ()
     for number in range(count):
         listen = settings_model.Listen(
-            callers=next(ports), admin=next(ports), peers=next(ports)
+            callers=next(free), admin=next(free), peers=next(free)
         )
         seeds = seeds or (listen.peers,)
         zone = number % ZONE_COUNT
@@ -109,7 +109,7 @@
 def _find_free_addresses(count: int) -> list[str]:
     free: set[int] = set()
     while len(free) < count:
-        free.add(hosting.find_free_port())
+        free.add(ports.find_free_port())
     return [f'127.0.0.1:{port}' for port in sorted(free)]
 
 
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -24,7 +24,7 @@
 from teaselbridge.admin import models
 from teaselbridge.cli import config
 from teaselbridge.cli import remote
-from teaselbridge.standins import hosting
+from teaselbridge.standins import ports
 from teaselbridge.tables import check
 
 if typing.TYPE_CHECKING:
@@ -77,9 +77,9 @@
         self.nodes = [
             NodeAddresses(
                 name=f'entry-{number}',
-                callers=f'127.0.0.1:{hosting.find_free_port()}',
-                admin=f'127.0.0.1:{hosting.find_free_port()}',
-                peers=f'127.0.0.1:{hosting.find_free_port()}',
+                callers=f'127.0.0.1:{ports.find_free_port()}',
+                admin=f'127.0.0.1:{ports.find_free_port()}',
+                peers=f'127.0.0.1:{ports.find_free_port()}',
             )
             for number in range(1, len(shape.zones) + 1)
         ]
@@ -300,7 +300,7 @@
 
 def _find_free_port_range(count: int) -> int:
     while True:
-        first = hosting.find_free_port()
+        first = ports.find_free_port()
         with contextlib.ExitStack() as stack:
             try:
                 for step in range(count):
--- a/src/teaselbridge/standins/hosting.py
+++ b/src/teaselbridge/standins/hosting.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import random
-import socket
 import typing
 
 from teaselbridge.runtime import web
+from teaselbridge.standins import ports
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -18,13 +17,6 @@
     Send = collections.abc.Callable[[Message], collections.abc.Awaitable[None]]
 
 
-MIN_PORT = 10_000
-PORT_END = 32_000
-
-_PORT_GENERATOR = random.SystemRandom()
-_RESERVED_PORTS: set[int] = set()
-
-
 class SilenceableApp:
     """ASGI wrapper that can silence an application's connections.
 
@@ -110,27 +102,8 @@
         return self._gate.silence()
 
 
-def find_free_port() -> int:
-    """Return a free loopback port that this process has not used yet.
-
-    The port lies below the ephemeral port range, so that no outgoing
-    connection takes it before the caller listens on it.
-    """
-    while True:
-        port = _PORT_GENERATOR.randrange(MIN_PORT, PORT_END)
-        if port in _RESERVED_PORTS:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        _RESERVED_PORTS.add(port)
-        return port
-
-
 def _resolve_address(address: str) -> str:
     host, _, port = address.rpartition(':')
     if port != '0':
         return address
-    return f'{host}:{find_free_port()}'
+    return f'{host}:{ports.find_free_port()}'
--- a/src/teaselbridge/standins/runner.py
+++ b/src/teaselbridge/standins/runner.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from teaselbridge import clock as clocks
-from teaselbridge.standins import hosting
+from teaselbridge.standins import ports
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -72,6 +72,13 @@
     :param pool: service that it belongs to.
     :param zone: availability zone.
     :param reclaimable: whether the cloud may reclaim its host.
+
+    Attributes:
+
+    * ``is_leaving``: whether all its answers say that it is leaving.
+    * ``retry_after``: seconds stated in its refusals of all requests, empty
+      where it refuses none.
+    * ``refused_count``: number of requests that it refused so.
     """
 
     def __init__(
@@ -86,7 +93,7 @@
         self.pool = pool
         self.zone = zone
         self.reclaimable = reclaimable
-        self.address = f'127.0.0.1:{hosting.find_free_port()}'
+        self.address = f'127.0.0.1:{ports.find_free_port()}'
         self.born = 1
         self.version = 'v1'
         self.events = 3
@@ -95,6 +102,9 @@
         self.runs: list[Run] = []
         self.cancelled_count = 0
         self.faults: collections.deque[Fault] = collections.deque()
+        self.is_leaving = False
+        self.retry_after = ''
+        self.refused_count = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -191,6 +201,14 @@
         """
         fault = self.faults.popleft() if self.faults else Fault.NONE
         headers = self._build_headers(run)
+        if self.retry_after:
+            self.refused_count += 1
+            refused = [
+                *headers,
+                ('Teaselbridge-Not-Run', '1'),
+                ('Retry-After', self.retry_after),
+            ]
+            return await _send_response(connection, writer, 503, refused, b'')
         expected = run.headers.get('teaselbridge-expect-instance')
         if expected not in (None, self.instance):
             return await _send_response(connection, writer, 421, headers, b'')
@@ -262,11 +280,14 @@
         return True
 
     def _build_headers(self, run: Run) -> Headers:
-        return [
+        headers = [
             ('Teaselbridge-Attempt-Id', run.attempt),
             ('Teaselbridge-Reply-Stamp', f'{self.instance}.{run.attempt}'),
             ('Teaselbridge-Runner-Load', '1,0,64'),
         ]
+        if self.is_leaving:
+            headers.append(('Server-Leaving', '1'))
+        return headers
 
 
 def event(number: int) -> bytes:
--- a/tests/failures/base.py
+++ b/tests/failures/base.py
@@ -19,7 +19,7 @@
 from teaselbridge.standins import behaviour
 from teaselbridge.standins import engine
 from teaselbridge.standins import fleet as fleets
-from teaselbridge.standins import hosting
+from teaselbridge.standins import ports
 from teaselbridge.tables import model
 from teaselbridge.telemetry import logs
 
@@ -297,7 +297,7 @@
     fleet: fleets.Fleet, count: int, limits: dict[str, typing.Any]
 ) -> list[settings_model.Settings]:
     keyvalue, cloud, _ = fleet.addresses
-    peers = [f'127.0.0.1:{hosting.find_free_port()}' for _ in range(count)]
+    peers = [f'127.0.0.1:{ports.find_free_port()}' for _ in range(count)]
     platform = settings_model.Platform(
         keyvalue=f'http://{keyvalue}',
         hosts=f'http://{cloud}',
@@ -312,8 +312,8 @@
                 region='region',
             ),
             listen=settings_model.Listen(
-                callers=f'127.0.0.1:{hosting.find_free_port()}',
-                admin=f'127.0.0.1:{hosting.find_free_port()}',
+                callers=f'127.0.0.1:{ports.find_free_port()}',
+                admin=f'127.0.0.1:{ports.find_free_port()}',
                 peers=peers[number],
             ),
             platform=platform,
--- a/tests/failures/site.py
+++ b/tests/failures/site.py
@@ -20,6 +20,7 @@
 from teaselbridge.settings import model as settings_model
 from teaselbridge.standins import duties as duties_module
 from teaselbridge.standins import hosting
+from teaselbridge.standins import ports
 from teaselbridge.standins import runner as runners
 from teaselbridge.standins import store as stores
 from teaselbridge.telemetry import logs
@@ -303,8 +304,8 @@
     :param store: address of the key-value store.
     :param duties: address to which duties send their calls.
     """
-    ports = [hosting.find_free_port() for _ in range(5)]
-    addresses = [f'127.0.0.1:{port}' for port in ports]
+    numbers = [ports.find_free_port() for _ in range(5)]
+    addresses = [f'127.0.0.1:{port}' for port in numbers]
     return settings_model.Settings(
         node=settings_model.Node(
             name=f'front-{index}',
--- a/tests/failures/test_links.py
+++ b/tests/failures/test_links.py
@@ -11,7 +11,7 @@
 
 from teaselbridge.peers import messages
 from teaselbridge.peers import transport
-from teaselbridge.standins import hosting
+from teaselbridge.standins import ports
 from teaselbridge.telemetry import metrics
 from tests.failures import base
 
@@ -29,7 +29,7 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._silent_flags: list[asyncio.Event] = []
-        self.port = hosting.find_free_port()
+        self.port = ports.find_free_port()
         self.connections = 0
 
     async def start(self) -> None:
@@ -90,10 +90,10 @@
         """Check that messages arrive again over a second connection."""
 
         async def run() -> None:
-            port = hosting.find_free_port()
+            port = ports.find_free_port()
             relay = Relay(target=port)
             await relay.start()
-            left = self._build_transport('left', hosting.find_free_port())
+            left = self._build_transport('left', ports.find_free_port())
             right = self._build_transport('right', port)
             received_sequences: list[int] = []
 
--- a/tests/runtime/test_listening.py
+++ b/tests/runtime/test_listening.py
@@ -11,7 +11,7 @@
 from teaselbridge.gateway import asgi
 from teaselbridge.runtime import listening
 from teaselbridge.runtime import web
-from teaselbridge.standins import hosting
+from teaselbridge.standins import ports
 
 
 async def respond_ok(
@@ -23,7 +23,7 @@
 
 def get_free_address() -> str:
     """Return an ``ip:port`` that nothing listens on."""
-    return f'127.0.0.1:{hosting.find_free_port()}'
+    return f'127.0.0.1:{ports.find_free_port()}'
 
 
 def address_of(listener: socket.socket) -> str:
