Compare a version's times with the old version's at the same moments

Cause: the usual time of the old version was a mean over some 200 outcomes. A host that slowed down made new and old outcomes slower at once, while the mean rose slowly, and not at all after the shift of traffic.

Ruled out: leaving times out of account while the node's own timer is late; it would also hide a slow version on a busy host.

Change: an outcome is slow beyond 1.6 times the larger of the mean and a mean of the last few outcomes; without recent outcomes of the old version, beyond three times the mean.

Before: 2.75 times slower hosts: a verdict, during and after the shift (tests fail on the code before).

--- a/bench/verdicts.py
+++ b/bench/verdicts.py
@@ -110,13 +110,14 @@
             route = generator.choice(ROUTES)
             failed = generator.random() < version.usual_errors
             node = generator.choice(node_evidence)
-            node.add_old_outcome(route, failed, _draw_time(generator, 1.0))
+            span = _draw_time(generator, 1.0)
+            node.add_old_outcome(route, failed, span, number)
         route = generator.choice(ROUTES)
         errors = version.usual_errors + version.more_errors
         failed = generator.random() < errors
         span = _draw_time(generator, version.slow)
         node = generator.choice(node_evidence)
-        if node.add_new_outcome(route, failed, span) is not None:
+        if node.add_new_outcome(route, failed, span, number) is not None:
             return number
         if number % REPORT_INTERVAL_REQUESTS == 0 and _has_fault(
             node_evidence, pool
--- a/src/teaselbridge/decisions/evidence.py
+++ b/src/teaselbridge/decisions/evidence.py
@@ -3,9 +3,9 @@
 For each route and version a cumulative sum (CUSUM) of log likelihood ratios
 increases with each bad outcome and decreases with each good one, but never
 below zero (Page's test). The expected rate is that of the old version in the
-same period, so that a common cause, such as a lost zone, is not attributed
-to the new version. Because the sum restarts from zero, the test also
-detects faults that appear late.
+same period, so that a common cause, such as a lost zone or a host that slows
+down, is not attributed to the new version. Because the sum restarts from
+zero, the test also detects faults that appear late.
 
 Each node tests the outcomes that it observed itself. It also reports them
 as scores, which add up to one test over all nodes.
@@ -24,8 +24,14 @@
 MIN_ERROR_RATE = 0.02
 MAX_EXPECTED_RATE = 0.5
 ERROR_RATE_INCREASE = 0.18
-# An outcome is slow beyond this multiple of the old version's mean time.
+# An outcome is slow beyond this multiple of the old version's time.
 SLOW_FACTOR = 1.6
+# The same, while the old version has no recent outcomes to compare with:
+# whatever slowed the hosts since then also counts against the new version.
+UNPAIRED_SLOW_FACTOR = 3.0
+RECENT_MS = 3_000
+# Smoothing factor of the old version's recent time, over about five outcomes.
+RECENT_SMOOTHING_FACTOR = 0.2
 MIN_SLOW_RATE = 0.08
 SLOW_RATE_INCREASE = 0.4
 # Smoothing factor of the moving averages.
@@ -200,12 +206,31 @@
 
     :param span: mean milliseconds of a token or answer.
     :param timed: number of outcomes in that mean.
+    :param recent_span: the same mean over the last few outcomes.
+    :param timed_at: monotonic milliseconds of the last of them.
     """
 
     errors: MovingRate = dataclasses.field(default_factory=MovingRate)
     slow: MovingRate = dataclasses.field(default_factory=MovingRate)
     span: float = 0.0
     timed: int = 0
+    recent_span: float = 0.0
+    timed_at: int = 0
+
+    def add_span(self, span: float, mono: int) -> None:
+        """Record the time of an outcome."""
+        self.timed += 1
+        weight = max(SMOOTHING_FACTOR, 1 / self.timed)
+        self.span += weight * (span - self.span)
+        weight = max(RECENT_SMOOTHING_FACTOR, 1 / self.timed)
+        self.recent_span += weight * (span - self.recent_span)
+        self.timed_at = mono
+
+    def is_slow(self, span: float, mono: int) -> bool:
+        """Return whether an outcome of the new version is slow."""
+        if mono - self.timed_at > RECENT_MS:
+            return span > UNPAIRED_SLOW_FACTOR * self.span
+        return span > SLOW_FACTOR * max(self.span, self.recent_span)
 
 
 @dataclasses.dataclass(slots=True)
@@ -248,10 +273,13 @@
             for route, counts in self._tallies.items()
         )
 
-    def add_old_outcome(self, route: str, failed: bool, span: float) -> None:
+    def add_old_outcome(
+        self, route: str, failed: bool, span: float, mono: int
+    ) -> None:
         """Record an outcome of the old version.
 
         :param span: milliseconds a token or answer took, 0 for unknown.
+        :param mono: monotonic milliseconds.
         """
         old = self._baselines.setdefault(route, _Baseline())
         old.errors.add(failed)
@@ -261,21 +289,20 @@
         if not timed:
             return
         old.slow.add(slow)
-        old.timed += 1
-        weight = max(SMOOTHING_FACTOR, 1 / old.timed)
-        old.span += weight * (span - old.span)
+        old.add_span(span, mono)
 
     def add_new_outcome(
-        self, route: str, failed: bool, span: float
+        self, route: str, failed: bool, span: float, mono: int
     ) -> Fault | None:
         """Record an outcome of the new version and test it.
 
         :param span: milliseconds a token or answer took, 0 for unknown.
+        :param mono: monotonic milliseconds.
         :return: the fault, once the evidence suffices.
         """
         old = self._baselines.setdefault(route, _Baseline())
         timed = bool(span) and not failed and old.timed >= MIN_TIMED_COUNT
-        slow = timed and span > SLOW_FACTOR * old.span
+        slow = timed and old.is_slow(span, mono)
         self._tallies_of(route).new.add(failed, timed, slow)
         outcomes = Tally(count=1, failed=failed, timed=timed, slowed=slow)
         fault = _test_outcomes(
--- a/src/teaselbridge/decisions/moves.py
+++ b/src/teaselbridge/decisions/moves.py
@@ -131,6 +131,12 @@
         self._verdicts[key] = verdict
         return True
 
+    def renumber_outcomes(self, pool: str, number: int) -> None:
+        """Keep the outcomes of a pool's move under another number."""
+        seen = self._outcomes.get(pool)
+        if seen is not None:
+            seen.number = number
+
     def get_outcomes(self, pool: str, number: int) -> MoveOutcomes:
         """Return the outcomes of a move and drop those of older moves."""
         seen = self._outcomes.get(pool)
@@ -185,11 +191,11 @@
         return []
     seen = state.moves.get_outcomes(move.pool, move.number)
     if server.version == move.old:
-        seen.own_evidence.add_old_outcome(route, failed, span)
+        seen.own_evidence.add_old_outcome(route, failed, span, now.mono)
         return []
     if server.version != move.new:
         return []
-    fault = seen.own_evidence.add_new_outcome(route, failed, span)
+    fault = seen.own_evidence.add_new_outcome(route, failed, span, now.mono)
     seen.is_urgent = seen.is_urgent or failed
     return [] if fault is None else add_fault(state, move, fault)
 
@@ -239,6 +245,31 @@
     return [_make_record(move)]
 
 
+def renumber(
+    state: states.State, pool: str, number: int
+) -> list[effects.Effect]:
+    """Give a pool's move another number; all else about it stays."""
+    move = state.moves.get(pool)
+    if move is None or move.number >= number:
+        return []
+    verdict = state.moves.verdict(move)
+    state.moves.renumber_outcomes(pool, number)
+    out: list[effects.Effect] = []
+    if verdict is not None:
+        out += merge_verdict(
+            state, dataclasses.replace(verdict, number=number)
+        )
+    renumbered = dataclasses.replace(
+        move,
+        number=number,
+        sequence=move.sequence + 1,
+        wished_by=number,
+        reason=f'continues move {move.number}',
+        node=state.options.me.name,
+    )
+    return out + merge_move(state, renumbered)
+
+
 def target(pool: model.Pool) -> str | None:
     """Return the version that a pool's configuration asks for.
 
--- a/tests/decisions/test_evidence.py
+++ b/tests/decisions/test_evidence.py
@@ -42,7 +42,7 @@
     def _make_evidence(self, failed: int, succeeded: int) -> evidence.Evidence:
         seen = evidence.Evidence()
         for number in range(failed + succeeded):
-            seen.add_new_outcome('r', number < failed, 0.0)
+            seen.add_new_outcome('r', number < failed, 0.0, 0)
         return seen
 
     def test_few_failures_at_many_nodes_add_up(self) -> None:
@@ -60,7 +60,7 @@
         pool = evidence.PoolEvidence()
         seen = self._make_evidence(2, 0)
         early = seen.scores[0]
-        seen.add_new_outcome('r', True, 0.0)
+        seen.add_new_outcome('r', True, 0.0, 0)
         late = seen.scores[0]
         for score in (late, early, late, early, late):
             pool.add('n', 1, score)
@@ -79,3 +79,53 @@
         self.assertIsNotNone(pool.doubt)
         pool.add('m', 1, self._make_evidence(0, 30).scores[0])
         self.assertIsNone(pool.doubt)
+
+
+class TestTimes(testtools.TestCase):
+    """Times are compared with the old version's at the same moments.
+
+    A host that slows down makes both versions slower, and a usual time that
+    follows slowly, or stands still because the old version gets no more
+    requests, would then count against the new version.
+    """
+
+    USUAL_MS = 12.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.seen = evidence.Evidence()
+        self.mono = 0
+        self.add_old(200, self.USUAL_MS)
+
+    def add_old(self, count: int, span: float) -> None:
+        """Add outcomes of the old version, ten a second."""
+        for _ in range(count):
+            self.mono += 100
+            self.seen.add_old_outcome('r', False, span, self.mono)
+
+    def add_new(self, count: int, span: float) -> evidence.Fault | None:
+        """Add outcomes of the new version, and return the last result."""
+        fault = None
+        for _ in range(count):
+            fault = self.seen.add_new_outcome('r', False, span, self.mono)
+        return fault
+
+    def test_host_that_slows_down_is_no_fault(self) -> None:
+        for _ in range(20):
+            self.add_old(11, 2.75 * self.USUAL_MS)
+            self.assertIsNone(self.add_new(1, 2.75 * self.USUAL_MS))
+
+    def test_slower_version_is_found(self) -> None:
+        faults = []
+        for _ in range(8):
+            self.add_old(11, self.USUAL_MS)
+            faults.append(self.add_new(1, 2 * self.USUAL_MS))
+        self.assertIsNotNone(faults[-1])
+
+    def test_host_that_slows_down_after_the_shift_is_no_fault(self) -> None:
+        self.mono += evidence.RECENT_MS + 1
+        self.assertIsNone(self.add_new(200, 2.75 * self.USUAL_MS))
+
+    def test_version_that_turns_slow_after_the_shift_is_found(self) -> None:
+        self.mono += evidence.RECENT_MS + 1
+        self.assertIsNotNone(self.add_new(8, 4 * self.USUAL_MS))
