--- a/tests/decisions/test_evidence.py
+++ b/tests/decisions/test_evidence.py
@@ -111,9 +111,11 @@
         return fault
 
     def test_host_that_slows_down_is_no_fault(self) -> None:
-        for _ in range(20):
-            self.add_old(11, 2.75 * self.USUAL_MS)
-            self.assertIsNone(self.add_new(1, 2.75 * self.USUAL_MS))
+        for old_per_new in (11, 1):
+            for _ in range(40):
+                self.add_old(old_per_new, 2.75 * self.USUAL_MS)
+                self.assertIsNone(self.add_new(1, 2.75 * self.USUAL_MS))
+            self.add_old(1_000, self.USUAL_MS)
 
     def test_slower_version_is_found(self) -> None:
         faults = []
