Go on after an unexpected error in one event

Cause: an exception of the reducer or of an effect's handler left Loop.post and ended the task that had posted the event.

Change: the error ends the work on that event only; it is counted by kind of event, and one a second is logged as `internal-error` with its place.

Ruled out: catching it in the two tasks only; attempts and the store's watch post events as well.

--- a/src/teaselbridge/runtime/loop.py
+++ b/src/teaselbridge/runtime/loop.py
@@ -6,6 +6,8 @@
 import collections
 import dataclasses
 import itertools
+import pathlib
+import traceback
 import typing
 
 from teaselbridge import clock as clocks
@@ -22,6 +24,9 @@
     from teaselbridge.telemetry import metrics
 
 TICK_INTERVAL_MS = 50
+ERROR_LOG_INTERVAL_MS = 1_000
+ERROR_FRAMES = 4
+MAX_ERROR_CHARS = 400
 # Metrics are fetched every few seconds.
 TICKS_PER_GAUGE_UPDATE = 20
 
@@ -54,6 +59,7 @@
         self._hybrid_clock = timelines.HybridClock()
         self._events: collections.deque[events.Event] = collections.deque()
         self._is_processing = False
+        self._next_error_log_at = 0
         self._handlers: dict[type, EffectHandler] = {
             effects.Count: meter.count,
             effects.ObserveLatency: meter.observe,
@@ -91,6 +97,10 @@
         finally:
             self._is_processing = False
 
+    def execute(self, effect: effects.Effect) -> None:
+        """Execute an effect that an executor asks for."""
+        self._handlers[type(effect)](effect)
+
     def now(self) -> clocks.Instant:
         """Return the current time of both clocks."""
         return self._clock.now()
@@ -116,8 +126,36 @@
             await asyncio.sleep(clocks.seconds(TICK_INTERVAL_MS))
 
     def _process(self, event: events.Event) -> None:
-        for effect in reducer.reduce(self._state, event, self.now()):
-            self._handlers[type(effect)](effect)
+        """Pass an event to the reducer and execute the effects.
+
+        An unexpected error ends the work on this event only. The tasks that
+        post events, such as the one that receives messages, go on.
+        """
+        try:
+            for effect in reducer.reduce(self._state, event, self.now()):
+                self._handlers[type(effect)](effect)
+        except Exception as error:
+            self._record_error(event, error)
+
+    def _record_error(self, event: events.Event, error: Exception) -> None:
+        """Count an error, and log at most one in `ERROR_LOG_INTERVAL_MS`."""
+        kind = type(event).__name__
+        self._meter.count(effects.Count(effects.Counter.ERRORS, kind))
+        now = self.now().mono
+        if now < self._next_error_log_at:
+            return
+        self._next_error_log_at = now + ERROR_LOG_INTERVAL_MS
+        frames = traceback.extract_tb(error.__traceback__)[-ERROR_FRAMES:]
+        places = ', '.join(
+            f'{pathlib.PurePath(frame.filename).name}:{frame.lineno}'
+            for frame in frames
+        )
+        detail = f'{kind}: {error!r} at {places}'[:MAX_ERROR_CHARS]
+        self.record(
+            effects.RecordEntry(
+                mark=effects.Mark.INTERNAL_ERROR, detail=detail
+            )
+        )
 
     def _schedule_wake(self, effect: effects.Wake) -> None:
         delay = clocks.seconds(effect.delay_ms)
