--- a/tests/failures/test_site_moves.py
+++ b/tests/failures/test_site_moves.py
@@ -22,6 +22,15 @@
     return '' if value is None else msgspec.json.decode(value)['state']
 
 
+def describe_moves(trial: site.Trial) -> str:
+    """Return why the nodes took the last step, and their verdicts."""
+    return '; '.join(
+        f'{[move.reason for move in state.moves.all]}'
+        f' {[verdict.cause for verdict in state.moves.verdicts]}'
+        for state in (node.loop.state for node in trial.nodes)
+    )
+
+
 async def start_new_servers(
     trial: site.Trial, *faults: runners.Fault
 ) -> list[runners.BackendServer]:
@@ -65,7 +74,11 @@
                 while get_rollout_state(trial) in ('', 'running'):
                     response = await trial.call('/stock/1')
                     self.assertEqual(200, response.status_code)
-                self.assertEqual('complete', get_rollout_state(trial))
+                self.assertEqual(
+                    'complete',
+                    get_rollout_state(trial),
+                    describe_moves(trial),
+                )
                 new = sum(len(server.runs) for server in trial.servers[4:])
                 response = await trial.call('/stock/1')
                 after = sum(len(server.runs) for server in trial.servers[4:])
