Keep the rate limits of a node that takes no callers for a while

Cause, found in reading the change: a node whose keys are not confirmed, as in an outage of the store, is not among the active nodes, so that it left the exchange after three seconds, and began it anew with empty buckets when the store was back; every workspace at its limit would have been refused at once, at all nodes.

Change: only a node that could take callers and is not chosen leaves the exchange. Ruled out: keeping the buckets at each start of taking part, since an idle node does not know what the others admitted.

Before: the new test in test_active.py fails; after: 21 passed. A condition on the store's era is written out in the watch; its behaviour is the same.

--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -265,7 +265,11 @@
 
 
 def _update_participation(state: states.State, now: clock.Instant) -> None:
-    """Determine whether this node takes part."""
+    """Determine whether this node takes part.
+
+    A node that takes no callers for the moment, such as in an outage of the
+    store, stays what it was, so that its rate limits do not start anew.
+    """
     loads = state.loads
     me = state.options.me.name
     names = active.list_names(state)
@@ -279,7 +283,10 @@
         or leases.held(state, leases.DUTIES_LEASE, now) is not None
     ):
         join(state, now)
-    elif now.mono >= loads.participates_until:
+    elif (
+        now.mono >= loads.participates_until
+        and not state.membership.me.draining
+    ):
         loads.is_participant = False
 
 
--- a/src/teaselbridge/runtime/watching.py
+++ b/src/teaselbridge/runtime/watching.py
@@ -247,8 +247,8 @@
         """
         message = effect.message
         era, revision = self._mirror.position
-        told = (message.era, message.revision)
-        if self._must_list or told < max((era, revision), (self._store.era,)):
+        is_older = (message.era, message.revision) < (era, revision)
+        if self._must_list or is_older or message.era < self._store.era:
             return
         self._store.note_era(message.era)
         if message.era != era or message.entries is None:
--- a/tests/decisions/test_active.py
+++ b/tests/decisions/test_active.py
@@ -261,6 +261,24 @@
         self.assertEqual(0, self._admit(state, 60_000))
         self.assertLess(self._admit(state, 61_000), 5)
 
+    def test_outage_of_the_store_does_not_empty_the_buckets(self) -> None:
+        state = build_state(9)
+        loads.tick(state, samples.instant(0))
+        self._admit(state, 1_000)
+        before = self._admit(state, 11_000)
+        self.assertGreater(before, 10)
+        state.membership.me = dataclasses.replace(
+            state.membership.me, draining=True
+        )
+        for now in range(11_000, 21_000, 50):
+            active.tick(state, samples.instant(now))
+            loads.tick(state, samples.instant(now))
+        state.membership.me = member(0)
+        for now in range(21_000, 21_500, 50):
+            active.tick(state, samples.instant(now))
+            loads.tick(state, samples.instant(now))
+        self.assertGreaterEqual(self._admit(state, 21_500), before)
+
     def test_retry_allowance_is_divided_among_the_active(self) -> None:
         state = build_state(300)
         route = samples.relayed().route
