Ignore an era that is too long to be one

Cause: a number of more than 4,300 digits cannot be decoded; the error would have ended the task that follows the store. Change: an era has 15 digits at most, anything else is ignored like a missing header. Before: the new value in test_unusable_era_is_ignored fails with ValueError; after: 8 passed.

--- a/src/teaselbridge/platform/store.py
+++ b/src/teaselbridge/platform/store.py
@@ -27,6 +27,8 @@
 WATCH_TIMEOUT_MARGIN_MS = 700
 LIST_TIMEOUT_MS = 2_000
 MAX_PAGES = 50
+# Longer numbers are no eras; very long ones cannot be decoded.
+MAX_ERA_DIGITS = 15
 # Prefix below which no key is ever written.
 EMPTY_PREFIX = 'teaselbridge/nothing/'
 
@@ -375,6 +377,8 @@
         value = response.headers.get(names.STORE_ERA, '')
         if not (value.isascii() and value.isdigit()):
             return
+        if len(value) > MAX_ERA_DIGITS:
+            return
         era = int(value)
         if self._era is not None and era < self._era:
             detail = f'answer from era {era}, the store is in {self._era}'
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -75,7 +75,7 @@
         self.assertTrue(error.in_doubt)
 
     def test_unusable_era_is_ignored(self) -> None:
-        for era in ('', 'x', '-1', '1.5', '0x1'):
+        for era in ('', 'x', '-1', '1.5', '0x1', '9' * 5_000):
             self._answer(era)
             self._get()
         self.assertEqual([], self.seen)
