Let idle nodes hold a reserve of the rates instead of taking part

Cause: a node that was not active took part in the exchange of loads for three seconds after each request.

Change: only active nodes and candidates for the duties take part. The others share a twentieth of each rate, which the active ones leave, and report new usage counts to the candidates once a second. Where all nodes are active, as in fleets of up to 64, nothing changes. Rate limits never start anew any more.

--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -6,9 +6,10 @@
 that servers were sent to read, the rate-limited demand of workspaces, and
 the usage counts.
 
-Only participants take part: the active nodes, those that may hold the duties,
-and any other node while it has requests. A node that takes part is told by
-its first update, and then gets those of the others.
+Only participants take part: the active nodes, and those that may hold the
+duties. The other nodes get a request now and then; they hold a small reserve
+of each rate limit, and report their usage counts to those that may hold the
+duties.
 """
 
 from __future__ import annotations
@@ -39,8 +40,10 @@
 # With more participants, each sends less often, so that the messages that a
 # node gets grow with the number of participants and not with its square.
 MAX_UPDATES_PER_SECOND = 128
-# A node without requests takes part for this long.
-PARTICIPATION_MS = 3_000
+# Interval of the reports of a node that does not take part.
+IDLE_REPORT_INTERVAL_MS = 1_000
+# Fraction of each rate limit that the nodes that are not active share.
+IDLE_RATE_FRACTION = 0.05
 # Maximum number of nodes that get one update, chosen at random.
 MAX_UPDATE_PEERS = 96
 # Window over which prompt tokens are summed.
@@ -58,11 +61,13 @@
     :param received_at: monotonic milliseconds at which it arrived.
     :param servers: its requests in flight, by host.
     :param reading: prompt tokens that it sent recently, by pool.
+    :param is_participant: whether it gets the updates of others.
     """
 
     received_at: int
     servers: dict[str, messages.ServerLoad]
     reading: tuple[messages.Reading, ...]
+    is_participant: bool
 
 
 class Loads:
@@ -79,8 +84,8 @@
         ] = collections.deque()
         self.next_update_at = 0
         self.count = 0
-        self.participates_until = 0
         self.is_participant = False
+        self.reported_usage: tuple[messages.Usage, ...] = ()
         self.duty_candidates: frozenset[str] = frozenset()
 
     def merge_update(
@@ -89,18 +94,19 @@
         """Merge the load update of another node."""
         servers = {item.host: item for item in message.servers}
         self._peers[message.node] = _PeerLoad(
-            now.mono, servers, message.reading
+            now.mono, servers, message.reading, message.takes_part
         )
         for item in message.cached:
             for part in item.parts:
                 self._remember_part(item.host, part, now.mono)
 
-    def list_senders(self, now: clock.Instant) -> list[str]:
-        """Return the nodes whose updates came recently."""
+    def list_participants(self, now: clock.Instant) -> list[str]:
+        """Return the participants whose updates came recently."""
         return [
             name
             for name, peer in self._peers.items()
-            if now.mono - peer.received_at < UPDATE_STALE_TIMEOUT_MS
+            if peer.is_participant
+            and now.mono - peer.received_at < UPDATE_STALE_TIMEOUT_MS
         ]
 
     def forget_stale(self, now: clock.Instant) -> None:
@@ -223,21 +229,6 @@
     return state.options.bounds is None or state.loads.is_participant
 
 
-def join(state: states.State, now: clock.Instant) -> None:
-    """Take part from now on, because this node has a request.
-
-    What other nodes admitted before is not known here, so the rate limits
-    start anew.
-    """
-    loads = state.loads
-    loads.participates_until = now.mono + PARTICIPATION_MS
-    if loads.is_participant:
-        return
-    loads.is_participant = True
-    loads.next_update_at = now.mono
-    state.rates.restart(now)
-
-
 def tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
     """Send a load update to the other participants if it is due."""
     loads = state.loads
@@ -253,7 +244,7 @@
     loads.next_update_at = now.mono + interval_ms
     state.rates.record_start(now, _estimate_others(state, len(receivers)))
     if not loads.is_participant:
-        return []
+        return _report_usage(state, now)
     loads.count += 1
     for server in state.servers.all:
         _refresh_others_load(state, server.host, now)
@@ -265,10 +256,10 @@
 
 
 def _update_participation(state: states.State, now: clock.Instant) -> None:
-    """Determine whether this node takes part.
+    """Determine whether this node takes part, and its share of the rates.
 
     A node that takes no callers for the moment, such as in an outage of the
-    store, stays what it was, so that its rate limits do not start anew.
+    store, stays what it was.
     """
     loads = state.loads
     me = state.options.me.name
@@ -276,18 +267,45 @@
     loads.duty_candidates = frozenset(
         leases.list_candidates(state, leases.DUTIES_LEASE)
     )
-    if (
-        state.requests
-        or me in names
-        or me in loads.duty_candidates
-        or leases.held(state, leases.DUTIES_LEASE, now) is not None
-    ):
-        join(state, now)
-    elif (
-        now.mono >= loads.participates_until
-        and not state.membership.me.draining
-    ):
-        loads.is_participant = False
+    if not state.membership.me.draining or me in names:
+        loads.is_participant = (
+            me in names
+            or me in loads.duty_candidates
+            or leases.held(state, leases.DUTIES_LEASE, now) is not None
+        )
+    idle = 1 + len(state.membership.alive) - len(names | {me})
+    if idle <= 0:
+        state.rates.set_share(1.0)
+    elif me in names:
+        state.rates.set_share(1 - IDLE_RATE_FRACTION)
+    else:
+        state.rates.set_share(IDLE_RATE_FRACTION / idle)
+
+
+def _report_usage(
+    state: states.State, now: clock.Instant
+) -> list[effects.Effect]:
+    """Report new usage counts of a node that does not take part."""
+    loads = state.loads
+    loads.next_update_at = now.mono + IDLE_REPORT_INTERVAL_MS
+    window = usage.get_window(state, now)
+    counts = state.usage.list_counts(usage.get_source(state), window)
+    if not counts or counts == loads.reported_usage:
+        return []
+    loads.reported_usage = counts
+    message = messages.Loads(
+        node=state.options.me.name,
+        incarnation=state.options.me.incarnation,
+        wall=now.wall,
+        servers=(),
+        usage=counts,
+        takes_part=False,
+    )
+    return [
+        effects.SendPeer(member.peers, message)
+        for member in state.membership.alive
+        if member.name in loads.duty_candidates
+    ]
 
 
 def _estimate_others(state: states.State, receivers: int) -> int:
@@ -308,7 +326,7 @@
     names = {
         *active.list_names(state),
         *state.loads.duty_candidates,
-        *state.loads.list_senders(now),
+        *state.loads.list_participants(now),
     }
     return [
         member for member in state.membership.alive if member.name in names
--- a/src/teaselbridge/decisions/rates.py
+++ b/src/teaselbridge/decisions/rates.py
@@ -36,8 +36,6 @@
 PEER_FORGET_TIMEOUT_MS = 10_000
 # Nodes that start together have got reports from each other by then.
 STARTUP_GRACE_MS = 2_000
-# At its first start the deployment gets its first requests after this long.
-FIRST_START_MS = 10_000
 # After a failure of all nodes, they restart within this span of each other.
 START_TOLERANCE_MS = 500
 # Fractions of the platform's tolerance that callers may use: of the excess,
@@ -131,6 +129,7 @@
         self._peers: dict[str, _Peer] = {}
         self._started: int | None = None
         self._listed_peers = 0
+        self._share = 1.0
 
     def record_start(self, now: clock.Instant, listed_peers: int) -> None:
         """Record the start of this node, and how many other nodes there are.
@@ -141,24 +140,12 @@
             self._started = now.mono
         self._listed_peers = listed_peers
 
-    def restart(self, now: clock.Instant) -> None:
-        """Start with empty buckets, as other nodes may have used them up.
+    def set_share(self, share: float) -> None:
+        """Set this node's share of each limit, apart from what others spent.
 
-        A node that has just started did so with empty buckets anyway. At the
-        first start of the deployment no node has admitted anything yet, so
-        that full buckets stay full.
+        :param share: 1 where all nodes admit requests together.
         """
-        if self._started is None:
-            return
-        startup_ms = FIRST_START_MS if self._first_start else STARTUP_GRACE_MS
-        if now.mono - self._started < startup_ms:
-            return
-        self._first_start = False
-        self._started = now.mono
-        self._peers.clear()
-        for bucket in self._buckets.values():
-            bucket.level = min(0.0, bucket.level)
-            bucket.updated = now.mono
+        self._share = share
 
     def merge_report(
         self, message: messages.Loads, now: clock.Instant
@@ -258,7 +245,7 @@
                 bucket.level += self._capacity(rate)
         span = now.mono - bucket.updated
         bucket.recent_requests *= max(0.0, 1 - span / REQUEST_WINDOW_MS)
-        fraction = self._reachable_fraction(now)
+        fraction = self._share * self._reachable_fraction(now)
         refill = self._refill_per_s(rate) * fraction * span / 1000
         most = max(1.0, self._capacity(rate) * fraction)
         bucket.level = min(most, bucket.level + refill)
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -15,7 +15,6 @@
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge.decisions import freshness
-from teaselbridge.decisions import loads
 from teaselbridge.decisions import moves
 from teaselbridge.decisions import notices
 from teaselbridge.decisions import placement
@@ -98,7 +97,6 @@
         return calls.Refusal(
             calls.Reason.POISON, calls.RunStatus.NOT_RUN, detail
         )
-    loads.join(state, now)
     wait = rates.check(state, call, now)
     if wait:
         detail = 'the workspace exceeds its request rate'
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -430,6 +430,7 @@
     :param usage: counts of the latest usage windows, empty in messages that
         carry none.
     :param reading: recent prompt tokens by pool.
+    :param takes_part: whether the sender gets the updates of others.
     """
 
     node: str
@@ -440,6 +441,7 @@
     demand: tuple[Demand, ...] = ()
     usage: tuple[Usage, ...] = ()
     reading: tuple[Reading, ...] = ()
+    takes_part: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
