Accept a success only with the id of its request

An answer with another request's id was refused, one without an id was taken for the request's own.

Ruled out: waiting for late bytes before a connection is used again (the answer came after the next request was sent), and requiring the id of refusals too (the platform's examples of 503 and 421 have none).

Change: a success without the id of its request counts as invalid, like one with another's; what was sent may have run.

Before: test_success_without_an_id fails; the deployment test with unnamed second answers passes, since such bytes reach an idle connection there. After: 10 passed in test_runners.py. Not covered: a late refusal without an id.

--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -92,7 +92,10 @@
     call = effect.call
     headers = response.headers.raw
     answered_id = names.first(headers, names.ATTEMPT_ID)
-    if call.key.id and answered_id and answered_id != call.key.id:
+    # A refusal may come without the id. A success always has it: without, it
+    # is a late second answer to an earlier request on this connection.
+    must_match = bool(answered_id) or response.is_success
+    if call.key.id and must_match and answered_id != call.key.id:
         raise InvalidAnswerError(f'answer of another request, {answered_id}')
     load = names.first(headers, names.LOAD)
     if load:
--- a/src/teaselbridge/standins/runner.py
+++ b/src/teaselbridge/standins/runner.py
@@ -34,7 +34,7 @@
     ``NOT_RUN`` refuses the request before it runs. All others take effect
     after the run is recorded: ``LOST`` closes the connection, ``SILENT``
     sends nothing, ``CUT`` and ``CUT_IN_EVENT`` break the response off, and
-    ``EXTRA`` sends a second response.
+    ``EXTRA`` sends a second response, ``EXTRA_UNNAMED`` one without an id.
     """
 
     NONE = 'none'
@@ -45,6 +45,7 @@
     LOST = 'lost'
     SILENT = 'silent'
     EXTRA = 'extra'
+    EXTRA_UNNAMED = 'extra-unnamed'
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -240,11 +241,11 @@
             await writer.drain()
             return False
         sent = await _send_response(connection, writer, 200, headers, body)
-        if fault is Fault.EXTRA:
-            writer.write(
-                b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n'
-                b'Teaselbridge-Attempt-Id: other\r\n\r\nextra'
-            )
+        if fault in (Fault.EXTRA, Fault.EXTRA_UNNAMED):
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n')
+            if fault is Fault.EXTRA:
+                writer.write(b'Teaselbridge-Attempt-Id: other\r\n')
+            writer.write(b'\r\nextra')
             await writer.drain()
         return sent
 
--- a/tests/failures/test_site_requests.py
+++ b/tests/failures/test_site_requests.py
@@ -210,9 +210,9 @@
         async def run() -> None:
             async with site.run_deployment() as trial:
                 trial.list_servers('shop')[0].faults.extend(
-                    [runners.Fault.EXTRA] * 8
+                    [runners.Fault.EXTRA, runners.Fault.EXTRA_UNNAMED] * 8
                 )
-                for _ in range(12):
+                for _ in range(24):
                     response = await trial.call('/stock/1')
                     self.assertEqual(200, response.status_code)
                     attempt = site.get_attempt_id(response)
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -8,6 +8,7 @@
 import httpx
 import testtools
 
+from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge.platform import runners
@@ -26,6 +27,9 @@
 )
 
 
+ID = ('Teaselbridge-Attempt-Id', EFFECT.call.key.id)
+
+
 async def _stream_nothing() -> collections.abc.AsyncIterator[bytes]:
     yield b''
 
@@ -48,13 +52,48 @@
     return found
 
 
+class TestIds(testtools.TestCase):
+    """An answer counts only if it belongs to the request.
+
+    A server may send a second answer late, when the connection is already in
+    use for the next request.
+    """
+
+    OTHER_ID = ('Teaselbridge-Attempt-Id', 'other')
+
+    def _get_fault(self, *found: events.Event) -> calls.FaultKind | None:
+        (event,) = found
+        if isinstance(event, events.AttemptFailed):
+            return event.fault.kind
+        assert isinstance(event, events.AnswerReceived)
+        return None
+
+    def test_own_answer(self) -> None:
+        for status in (200, 404, 500):
+            self.assertIsNone(self._get_fault(*run_attempt(status, ID)))
+
+    def test_answer_of_another_request(self) -> None:
+        for status in (200, 404, 500, 503):
+            fault = self._get_fault(*run_attempt(status, self.OTHER_ID))
+            self.assertIs(calls.FaultKind.INVALID, fault)
+
+    def test_success_without_an_id(self) -> None:
+        for status in (200, 201, 204):
+            fault = self._get_fault(*run_attempt(status))
+            self.assertIs(calls.FaultKind.INVALID, fault)
+
+    def test_failure_without_an_id(self) -> None:
+        for status in (404, 500, 503):
+            self.assertIsNone(self._get_fault(*run_attempt(status)))
+
+
 class TestNotices(testtools.TestCase):
     """Notices come before the outcome of the attempt that had them."""
 
     def _get_notice(
         self, status: int, *headers: tuple[str, str]
     ) -> events.ServerNoticed:
-        notice, outcome = run_attempt(status, *headers)
+        notice, outcome = run_attempt(status, ID, *headers)
         assert isinstance(notice, events.ServerNoticed)
         self.assertNotIsInstance(outcome, events.ServerNoticed)
         return notice
@@ -68,7 +107,7 @@
     def test_other_values_say_nothing(self) -> None:
         for value in ('0', '', 'yes'):
             self.assertEqual(
-                1, len(run_attempt(200, ('Server-Leaving', value)))
+                1, len(run_attempt(200, ID, ('Server-Leaving', value)))
             )
 
     def test_retry_after_of_refusals_only(self) -> None:
@@ -76,7 +115,7 @@
         refused = self._get_notice(503, header, ('Teaselbridge-Not-Run', '1'))
         self.assertEqual(1_250, refused.backoff_ms)
         self.assertEqual(1_250, self._get_notice(503, header).backoff_ms)
-        self.assertEqual(1, len(run_attempt(200, header)))
+        self.assertEqual(1, len(run_attempt(200, ID, header)))
 
     def test_invalid_times_are_described(self) -> None:
         for value in ('-1', 'nan', 'inf', 'soon', ''):
