--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -18,7 +18,6 @@
 import dataclasses
 import typing
 
-from teaselbridge import clock as clock_module
 from teaselbridge.decisions import active
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import leases
@@ -37,15 +36,14 @@
 USAGE_UPDATE_INTERVAL = 4
 # Load of a node that sent no update for this long is ignored.
 UPDATE_STALE_TIMEOUT_MS = 1_500
-# With more participants, each sends less often, so that the messages that a
-# node gets grow with the number of participants and not with its square.
-MAX_UPDATES_PER_SECOND = 128
 # Interval of the reports of a node that does not take part.
 IDLE_REPORT_INTERVAL_MS = 1_000
 # Fraction of each rate limit that the nodes that are not active share.
 IDLE_RATE_FRACTION = 0.05
-# Maximum number of nodes that get one update, chosen at random.
-MAX_UPDATE_PEERS = 96
+# Maximum number of nodes that get one update, chosen at random. An update has
+# some kilobytes, and small hosts have links of a few megabits per second, on
+# which more of them at once hold up the answers of callers.
+MAX_UPDATE_PEERS = 24
 # Window over which prompt tokens are summed.
 READING_WINDOW_MS = 3_000
 # Maximum number of pairs of server and prompt part that are remembered.
@@ -237,11 +235,7 @@
     _update_participation(state, now)
     loads.forget_stale(now)
     receivers = _list_receivers(state, now)
-    interval_ms = max(
-        UPDATE_INTERVAL_MS,
-        clock_module.SECOND_MS * len(receivers) // MAX_UPDATES_PER_SECOND,
-    )
-    loads.next_update_at = now.mono + interval_ms
+    loads.next_update_at = now.mono + UPDATE_INTERVAL_MS
     state.rates.record_start(now, _estimate_others(state, len(receivers)))
     if not loads.is_participant:
         return _report_usage(state, now)
