Correct the docstring of the active nodes

It still said that the other nodes take part in the exchange while they have callers, which was replaced by a reserve of the rate limits. Found in reading the whole change once more.

--- a/src/teaselbridge/decisions/active.py
+++ b/src/teaselbridge/decisions/active.py
@@ -9,7 +9,7 @@
 it changes only with the membership.
 
 The other nodes are ready as well: they serve callers that still use an
-earlier list, and take part in the exchange while they do.
+earlier list, from a small reserve of the rate limits (see `loads`).
 """
 
 from __future__ import annotations
