Name the version in the line of an attempt

A rollout's share could not be read from the log: the line of an attempt names the server, not its version. With it, a new version that gets more than its share (the old one unknown, or without a usable server) shows in the lines of the hosts. No logic is changed.

--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -204,8 +204,8 @@
     load = server.inflight + server.other_requests
     backlog = server.prefill + server.other_prefill_tokens
     detail = (
-        f'attempt {request.attempt} at {server.row.instance},'
-        f' {load} in flight, {backlog} tokens to prefill, {unread} of it;'
+        f'attempt {request.attempt} at {server.row.instance}'
+        f' {server.version}, {load} in flight, {backlog} tokens to prefill, {unread} of it;'
         f' failure rate {server.failure_ratio:.2f}'
     )
     source = ''
