Take every version but the new one as the old one of a rollout

Cause: the name of the old version was derived once, at the moment the order is read. At a start the order is read before the list of servers, so that the name was empty for good; 'move N from to v2' in the log of each restarted host. The class: a fact derived from knowledge that may not be there yet, and kept.

The old version has no name now: every version counts that is neither the new one nor one that was taken back before (moves.is_old). That is evaluated at each use: choice of servers, outcomes to compare with, capacity. Versions taken back are remembered, and a reported rollback names one at a start.

Ruled out: to post the servers before the order; a list read in part, a pool with half of its servers lost or as many new servers as old ones still name the wrong version.

--- a/src/teaselbridge/decisions/moves.py
+++ b/src/teaselbridge/decisions/moves.py
@@ -78,6 +78,7 @@
         self._verdicts: dict[tuple[str, int], messages.Verdict] = {}
         self._outcomes: dict[str, MoveOutcomes] = {}
         self._controls: dict[str, StepControl] = {}
+        self._rejected: dict[str, set[str]] = {}
 
     @property
     def all(self) -> tuple[messages.Move, ...]:
@@ -118,8 +119,26 @@
         if known is not None and known.order >= move.order:
             return False
         self._by_pool[move.pool] = move
+        if move.stage is Stage.UNDONE:
+            self.reject(move.pool, move.new)
+        else:
+            self._rejected.get(move.pool, set()).discard(move.new)
         return True
 
+    def reject(self, pool: str, version: str) -> None:
+        """Record that a version was taken back and must not be used."""
+        self._rejected.setdefault(pool, set()).add(version)
+
+    def is_old(self, move: messages.Move, version: str) -> bool:
+        """Return whether servers of a version serve beside a move's new one.
+
+        The name of the old version may be unknown when an order is read, so
+        every version counts but the new one and those taken back before.
+        """
+        return version != move.new and version not in self._rejected.get(
+            move.pool, ()
+        )
+
     def add_verdict(self, verdict: messages.Verdict) -> bool:
         """Store a rollback decision if the move has none yet.
 
@@ -190,7 +209,7 @@
     if move is None or not is_tested(move, now):
         return []
     seen = state.moves.get_outcomes(move.pool, move.number)
-    if server.version == move.old:
+    if state.moves.is_old(move, server.version):
         seen.own_evidence.add_old_outcome(route, failed, span, now.mono)
         return []
     if server.version != move.new:
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -205,8 +205,8 @@
     backlog = server.prefill + server.other_prefill_tokens
     detail = (
         f'attempt {request.attempt} at {server.row.instance}'
-        f' {server.version}, {load} in flight, {backlog} tokens to prefill, {unread} of it;'
-        f' failure rate {server.failure_ratio:.2f}'
+        f' {server.version}, {load} in flight, {backlog} tokens to prefill,'
+        f' {unread} of it; failure rate {server.failure_ratio:.2f}'
     )
     source = ''
     if reading.source is not None:
--- a/src/teaselbridge/decisions/rollouts.py
+++ b/src/teaselbridge/decisions/rollouts.py
@@ -113,6 +113,8 @@
     rollout = state.rollouts.by_pool.get(event.pool)
     move = state.moves.get(event.pool)
     if rollout is None or move is None or move.new != event.version:
+        if not event.done:
+            state.moves.reject(event.pool, event.version)
         return []
     rollout.reported = effects.MoveStatus.UNDONE
     stage = messages.Stage.UNDONE
@@ -279,9 +281,11 @@
 
     Half as many servers as the old version has are enough.
     """
-    counts = collections.Counter(
+    staying = [
         server.version
         for server in state.servers.in_pool(move.pool)
         if not server.leaving
-    )
-    return counts[move.new] > 0 and 2 * counts[move.new] >= counts[move.old]
+    ]
+    new = staying.count(move.new)
+    old = sum(state.moves.is_old(move, version) for version in staying)
+    return new > 0 and 2 * new >= old
--- a/src/teaselbridge/decisions/versions.py
+++ b/src/teaselbridge/decisions/versions.py
@@ -16,7 +16,6 @@
     from teaselbridge.decisions import state as states
 
 HASH_SPAN = 1 << 63
-WEIGHT_SCALE = 10_000
 CANARY_SHARE_THRESHOLD = 0.2
 CANARY_NODES = 2
 MAX_CANARY_NODE_SHARE = 0.5
@@ -29,34 +28,77 @@
 ) -> list[servers.Server]:
     """Return the servers of the version that is chosen for a request.
 
-    The share of a version without a usable server goes to the others. A
-    version with weight 0 gets none of it: one that was rolled back, or a
-    canary version on a node that does not try it. A request that failed on
-    a canary version is retried on the old one.
+    The share of a version without a usable server goes to the other one. A
+    version that was rolled back gets none of it. A request that failed on
+    one version is retried on the other.
 
     :param usable: servers that may get new work.
-    :return: servers of one version.
+    :return: servers of one version, or of all versions but the new one.
     """
     pool = state.index.pool(request.call.route.pool)
     if pool is None:
         return usable
-    running = collections.Counter(
-        server.version for server in usable if server.version
-    )
-    shares = [
-        item
-        for item in _weighted_versions(state, pool, running)
-        if item.name in running
+    if sum(item.weight > 0 for item in pool.versions) > 1:
+        return _filter_by_weight(pool, request, usable)
+    move = state.moves.get(pool.name)
+    if move is None:
+        return _filter_most_common(usable)
+    new = [server for server in usable if server.version == move.new]
+    if move.old == move.new:
+        return new
+    old = [
+        server for server in usable if state.moves.is_old(move, server.version)
     ]
+    share = _local_share(state, move)
+    if move.stage is messages.Stage.DONE and not new:
+        return old
+    if not share or (share < 1 and request.failed_version == move.new):
+        return old
+    if share >= 1:
+        return new
+    if not old or request.failed_version and new:
+        return new
+    is_chosen = _hash_request(request.call.key.id) >= 1 - share
+    return new if is_chosen and new else old
+
+
+def _filter_by_weight(
+    pool: model.Pool,
+    request: requests.Request,
+    usable: list[servers.Server],
+) -> list[servers.Server]:
+    """Return the servers of a version chosen by the weights of the pool.
+
+    A request that failed on a version is retried on another one.
+    """
+    running = {server.version for server in usable}
+    shares = [item for item in pool.versions if item.name in running]
     untried = [item for item in shares if item.name != request.failed_version]
     version = choose_version(untried, request.call.key.id)
     if version is None:
         version = choose_version(shares, request.call.key.id)
-    if version is None:
-        return []
     return [server for server in usable if server.version == version]
 
 
+def _filter_most_common(
+    usable: list[servers.Server],
+) -> list[servers.Server]:
+    """Return the servers of the version that most servers run.
+
+    That is the old version during the early steps of a move that this node
+    does not know yet, when the choice matters.
+    """
+    running = collections.Counter(
+        server.version for server in usable if server.version
+    )
+    return [
+        server
+        for name, _ in running.most_common(1)
+        for server in usable
+        if server.version == name
+    ]
+
+
 def choose_version(shares: list[model.Version], request: str) -> str | None:
     """Choose a version by weighted hashing of the request's id.
 
@@ -69,7 +111,7 @@
     total = sum(item.weight for item in shares)
     if not total:
         return None
-    point = placement.hash_text('version', request) / HASH_SPAN * total
+    point = _hash_request(request) * total
     for item in shares:
         point -= item.weight
         if point < 0:
@@ -77,34 +119,12 @@
     return shares[-1].name
 
 
-def _weighted_versions(
-    state: states.State,
-    pool: model.Pool,
-    running: collections.Counter[str],
-) -> list[model.Version]:
-    """Return the current weight of each version.
+def _hash_request(request: str) -> float:
+    """Return a number from 0 to 1 that is the same for each attempt.
 
-    A node that does not know the state of a move yet uses the version that
-    most servers run. That is the old version during the early steps, when
-    the choice matters.
+    :param request: id of the request.
     """
-    if sum(item.weight > 0 for item in pool.versions) > 1:
-        return list(pool.versions)
-    move = state.moves.get(pool.name)
-    if move is None:
-        return [
-            model.Version(name=name, weight=1)
-            for name, _ in running.most_common(1)
-        ]
-    if move.old == move.new:
-        return [model.Version(name=move.new, weight=1)]
-    if move.stage is messages.Stage.DONE and move.new not in running:
-        return [model.Version(name=move.old, weight=1)]
-    new = round(WEIGHT_SCALE * _local_share(state, move))
-    return [
-        model.Version(name=move.old, weight=WEIGHT_SCALE - new),
-        model.Version(name=move.new, weight=new),
-    ]
+    return placement.hash_text('version', request) / HASH_SPAN
 
 
 def _local_share(state: states.State, move: messages.Move) -> float:
