Never give a version under test what the old one cannot take

What callers saw: a bad version could get every request for as long as no old server was usable at a node (leaving, ejected, pausing), and every retry of a request that had failed on the old version, whatever the rollout's share.

Cause: the share of a version without usable servers went to the other one in both directions. The class: a limit that is given up whenever what it divides is not there. The share is now an upper bound: what the old version can't take waits for it. In the other direction nothing changes: the new version's share goes to the old one where the new one has no usable server.

A first retry on the other version was meant for failures of the new one; a failure of the old one now keeps to the share, by the same hash of the request.

--- a/src/teaselbridge/decisions/versions.py
+++ b/src/teaselbridge/decisions/versions.py
@@ -28,9 +28,10 @@
 ) -> list[servers.Server]:
     """Return the servers of the version that is chosen for a request.
 
-    The share of a version without a usable server goes to the other one. A
-    version that was rolled back gets none of it. A request that failed on
-    one version is retried on the other.
+    A version under test never gets more than its share: a request that the
+    old version cannot take waits for it. The share of a new version without
+    a usable server goes to the old one, as does the retry of a request that
+    failed on the new one.
 
     :param usable: servers that may get new work.
     :return: servers of one version, or of all versions but the new one.
@@ -52,14 +53,12 @@
     share = _local_share(state, move)
     if move.stage is messages.Stage.DONE and not new:
         return old
-    if not share or (share < 1 and request.failed_version == move.new):
-        return old
     if share >= 1:
         return new
-    if not old or request.failed_version and new:
-        return new
-    is_chosen = _hash_request(request.call.key.id) >= 1 - share
-    return new if is_chosen and new else old
+    has_failed = request.failed_version == move.new
+    if has_failed or _hash_request(request.call.key.id) < 1 - share:
+        return old
+    return new or old
 
 
 def _filter_by_weight(
