Send a request to the old version where the new one has no free slot

What callers saw: a new version that answers several times slower fills its few slots, and a request whose hash chose it then stood at the head of the pool's queue, so that all requests of that pool waited although the old version had free servers.

Cause: the version was chosen among usable servers, and free slots were looked at only after that. A share under test is an upper bound, so that the old version takes what the new one has no room for; a request of the old version still waits. Permanent splits by weight stay as they are.

--- a/src/teaselbridge/decisions/versions.py
+++ b/src/teaselbridge/decisions/versions.py
@@ -29,9 +29,9 @@
     """Return the servers of the version that is chosen for a request.
 
     A version under test never gets more than its share: a request that the
-    old version cannot take waits for it. The share of a new version without
-    a usable server goes to the old one, as does the retry of a request that
-    failed on the new one.
+    old version cannot take waits for it. What the new version has no free
+    slot for goes to the old one, as does the retry of a request that failed
+    on the new one.
 
     :param usable: servers that may get new work.
     :return: servers of one version, or of all versions but the new one.
@@ -58,7 +58,8 @@
     has_failed = request.failed_version == move.new
     if has_failed or _hash_request(request.call.key.id) < 1 - share:
         return old
-    return new or old
+    nodes = active.count_nodes(state)
+    return [server for server in new if server.has_free_slot(nodes)] or old
 
 
 def _filter_by_weight(
