Serve a completed version on after a verdict if no old server is left

What callers would see: nobody serves a pool once its rollout is complete and its servers fail for another reason (a lost zone, a restart of all hosts, a request that crashes servers): the test goes on for a minute after the end, its verdict set the share to 0, and the platform stops the old servers at 'complete'.

Found by looking for the same cause elsewhere: a decision against a version that assumes that another one is there. After the end of a rollout a verdict now prefers the old version, and falls back to the new one where no old server is usable. During a rollout nothing changes.

--- a/src/teaselbridge/decisions/versions.py
+++ b/src/teaselbridge/decisions/versions.py
@@ -51,8 +51,8 @@
         server for server in usable if state.moves.is_old(move, server.version)
     ]
     share = _local_share(state, move)
-    if move.stage is messages.Stage.DONE and not new:
-        return old
+    if move.stage is messages.Stage.DONE:
+        return (new or old) if share else (old or new)
     if share >= 1:
         return new
     has_failed = request.failed_version == move.new
