Use one version only at a node that does not know a rollout's order

What callers would see: a node that lists new servers without the order (an order missing in a restored store, undecodable, or not there yet) spread its requests over all versions of a relayed pool, and took the new one for the common one while many old servers were not usable.

The version that most listed servers run now serves relayed pools too; servers that are not usable count, and of two equally common versions the one with the older server is chosen.

--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -76,9 +76,7 @@
     call = request.call
     nodes = active.count_nodes(state)
     usable = state.servers.usable(call.route.pool, now)
-    wanted = usable
-    if not call.is_relayed or state.moves.get(call.route.pool) is not None:
-        wanted = versions.filter_by_version(state, request, usable)
+    wanted = versions.filter_by_version(state, request, usable)
     candidates = [server for server in wanted if server.has_free_slot(nodes)]
     if state.poison.is_suspect(call.fingerprint):
         candidates = [item for item in candidates if not item.suspect_requests]
--- a/src/teaselbridge/decisions/versions.py
+++ b/src/teaselbridge/decisions/versions.py
@@ -43,7 +43,7 @@
         return _filter_by_weight(pool, request, usable)
     move = state.moves.get(pool.name)
     if move is None:
-        return _filter_most_common(usable)
+        return _filter_most_common(state, pool.name, usable)
     new = [server for server in usable if server.version == move.new]
     if move.old == move.new:
         return new
@@ -81,22 +81,25 @@
 
 
 def _filter_most_common(
-    usable: list[servers.Server],
+    state: states.State, pool: str, usable: list[servers.Server]
 ) -> list[servers.Server]:
     """Return the servers of the version that most servers run.
 
     That is the old version during the early steps of a move that this node
-    does not know yet, when the choice matters.
+    does not know yet, when the choice matters. Servers that are not usable
+    count as well; of two equally common versions the older one is chosen.
     """
-    running = collections.Counter(
-        server.version for server in usable if server.version
-    )
-    return [
+    staying = [
         server
-        for name, _ in running.most_common(1)
-        for server in usable
-        if server.version == name
+        for server in state.servers.in_pool(pool)
+        if server.version and not server.leaving
     ]
+    staying.sort(key=lambda server: server.row.born)
+    running = collections.Counter(server.version for server in staying)
+    if len(running) < 2:
+        return usable
+    ((common, _),) = running.most_common(1)
+    return [server for server in usable if server.version == common]
 
 
 def choose_version(shares: list[model.Version], request: str) -> str | None:
