Refuse at once what no server may serve any more

A waiting request is now refused, with a time to return after, as soon as no server that stays runs a version that may serve it; and the rule for servers that all asked for no requests looks at those servers only, not at the ones of a version that gets nothing. Ejected, full and pausing servers are waited for, and so is a pool without any server, which may be starting.

--- a/src/teaselbridge/decisions/notices.py
+++ b/src/teaselbridge/decisions/notices.py
@@ -53,18 +53,12 @@
     ]
 
 
-def get_pool_backoff_ms(
-    state: states.State, pool: str, now: clock.Instant
+def get_min_backoff_ms(
+    staying: list[servers.Server], now: clock.Instant
 ) -> int:
-    """Return the time until the first server of a pool takes requests again.
+    """Return the time until the first of some servers takes requests again.
 
-    :return: milliseconds, 0 unless all servers that are not leaving have
-        asked for no requests.
+    :return: milliseconds, 0 unless all of them have asked for no requests.
     """
-    staying = [
-        server for server in state.servers.in_pool(pool) if not server.leaving
-    ]
-    if not staying:
-        return 0
-    earliest = min(server.backoff_until for server in staying)
+    earliest = min((server.backoff_until for server in staying), default=0)
     return max(0, earliest - now.mono)
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -25,6 +25,7 @@
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import silence
 from teaselbridge.decisions import usage
+from teaselbridge.decisions import versions
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
@@ -121,7 +122,16 @@
             calls.Reason.CANNOT_FINISH_IN_TIME,
             'no server had a free slot',
         )
-    backoff_ms = notices.get_pool_backoff_ms(state, call.route.pool, now)
+    staying = state.servers.staying(call.route.pool)
+    allowed = versions.filter_by_version(state, request, staying)
+    if staying and not allowed and not request.streaming:
+        return _build_waiting_refusal(
+            state,
+            request,
+            calls.Reason.NO_SERVER,
+            'no server runs a version that may serve the request',
+        )
+    backoff_ms = notices.get_min_backoff_ms(allowed, now)
     max_wait_ms = call.route.goal_ms // MAX_BACKOFF_WAIT_GOAL_DIVISOR
     if backoff_ms > max_wait_ms and not request.streaming:
         return _build_waiting_refusal(
--- a/src/teaselbridge/decisions/rollouts.py
+++ b/src/teaselbridge/decisions/rollouts.py
@@ -281,11 +281,7 @@
 
     Half as many servers as the old version has are enough.
     """
-    staying = [
-        server.version
-        for server in state.servers.in_pool(move.pool)
-        if not server.leaving
-    ]
-    new = staying.count(move.new)
-    old = sum(state.moves.is_old(move, version) for version in staying)
+    running = [server.version for server in state.servers.staying(move.pool)]
+    new = running.count(move.new)
+    old = sum(state.moves.is_old(move, version) for version in running)
     return new > 0 and 2 * new >= old
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -146,13 +146,16 @@
         """Return the servers of a pool."""
         return self._by_pool.get(pool, [])
 
+    def staying(self, pool: str) -> list[Server]:
+        """Return the servers of a pool that are not leaving."""
+        return [server for server in self.in_pool(pool) if not server.leaving]
+
     def usable(self, pool: str, now: clock.Instant) -> list[Server]:
         """Return the servers of a pool that may get new work."""
         return [
             server
-            for server in self.in_pool(pool)
-            if not server.leaving
-            and server.version
+            for server in self.staying(pool)
+            if server.version
             and server.ejected_until <= now.mono
             and server.full_until <= now.mono
             and server.backoff_until <= now.mono
--- a/src/teaselbridge/decisions/versions.py
+++ b/src/teaselbridge/decisions/versions.py
@@ -89,13 +89,12 @@
     does not know yet, when the choice matters. Servers that are not usable
     count as well; of two equally common versions the older one is chosen.
     """
-    staying = [
-        server
-        for server in state.servers.in_pool(pool)
-        if server.version and not server.leaving
-    ]
-    staying.sort(key=lambda server: server.row.born)
-    running = collections.Counter(server.version for server in staying)
+    staying = sorted(
+        state.servers.staying(pool), key=lambda server: server.row.born
+    )
+    running = collections.Counter(
+        server.version for server in staying if server.version
+    )
     if len(running) < 2:
         return usable
     ((common, _),) = running.most_common(1)
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -5,10 +5,12 @@
 import testtools
 
 from teaselbridge.decisions import bounds
+from teaselbridge.decisions import calls
 from teaselbridge.decisions import dispatch
 from teaselbridge.decisions import events
 from teaselbridge.decisions import evidence
 from teaselbridge.decisions import moves
+from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import rollouts
 from teaselbridge.decisions import servers
@@ -184,6 +186,56 @@
         self.assertEqual(CALLS, self.count('v'))
 
 
+class TestHopelessRequest(VersionTestCase):
+    """No server is left that may ever serve a waiting request."""
+
+    def check(self, number: int = 1) -> calls.Refusal | None:
+        """Check a waiting request."""
+        now = samples.instant(500)
+        request = requests.Request(call=samples.relayed(number), now=now)
+        return relays.check_waiting_request(self.state, request, now)
+
+    # Guards against requests that are held to their deadline though only a
+    # version that was taken back is left.
+    def test_request_is_refused_at_once_without_an_old_server(self) -> None:
+        old = self.add('v', 4)
+        self.add('v2', 4)
+        self.order()
+        self.reject()
+        self.assertIsNone(self.check())
+        for server in old:
+            server.leaving = True
+        refusal = self.check()
+        assert refusal is not None
+        self.assertIs(calls.Reason.NO_SERVER, refusal.reason)
+        self.assertIs(calls.RunStatus.NOT_RUN, refusal.ran)
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    def test_request_waits_for_an_old_server_that_is_ejected(self) -> None:
+        for server in self.add('v', 4):
+            server.ejected_until = 10_000
+        self.add('v2', 4)
+        self.order()
+        self.reject()
+        self.assertIsNone(self.check())
+
+    # Guards against waits for an old version that asked for no requests,
+    # beside a new one that takes some.
+    def test_back_off_of_the_old_version_is_enough(self) -> None:
+        for server in self.add('v', 4):
+            server.backoff_until = 5_000
+        self.add('v2', 4)
+        self.order()
+        self.reject()
+        refusal = self.check()
+        assert refusal is not None
+        self.assertGreaterEqual(refusal.retry_after_ms, 4_000)
+
+    def test_empty_pool_is_waited_for(self) -> None:
+        self.order()
+        self.assertIsNone(self.check())
+
+
 class TestEndedRollout(VersionTestCase):
     """Rollouts that have ended, and pools without an order."""
 
