--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -15,6 +15,7 @@
     from teaselbridge.decisions import state as states
 
 MIN_RETRY_AFTER_MS = 1_000
+MAX_LOGGED_PARTS = 8
 
 
 class Phase(enum.Enum):
@@ -193,8 +194,15 @@
 
 
 def report_fault(request: Request, fault: calls.Fault) -> list[effects.Effect]:
-    """Count a failed attempt and add it to the timeline."""
+    """Count a failed attempt and add it to the timeline.
+
+    The parts of a prompt are named, so that those that several failed
+    requests share can be found.
+    """
     detail = f'{fault.kind.value}, ran {fault.ran.value}: {fault.detail}'
+    if request.call.parts:
+        ids = [part.id for part in request.call.parts[:MAX_LOGGED_PARTS]]
+        detail += f'; prompt parts {",".join(ids)}'
     return [
         effects.Count(effects.Counter.FAULTS, fault.kind.value),
         build_record(request, effects.Mark.FAULT, detail),
