--- a/src/teaselbridge/standins/runner.py
+++ b/src/teaselbridge/standins/runner.py
@@ -80,6 +80,9 @@
     * ``retry_after``: seconds stated in its refusals of all requests, empty
       where it refuses none.
     * ``refused_count``: number of requests that it refused so.
+    * ``crashing_part``: id of a prompt part; the server crashes as it begins
+      a stream whose prompt has it. Empty for none.
+    * ``has_crashed``: whether it did.
     """
 
     def __init__(
@@ -106,6 +109,8 @@
         self.is_leaving = False
         self.retry_after = ''
         self.refused_count = 0
+        self.crashing_part = ''
+        self.has_crashed = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -154,6 +159,14 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _crash(self) -> None:
+        """Stop listening and reset all connections, as a dead process does."""
+        self.has_crashed = True
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
     def count(self, attempt: str) -> int:
         """Return how often this server ran an attempt."""
         return sum(run.attempt == attempt for run in self.runs)
@@ -264,6 +277,11 @@
             headers=[*headers, ('Content-Type', 'text/event-stream')],
         )
         writer.write(connection.send(head) or b'')
+        if self.crashing_part and self.crashing_part in _list_parts(run):
+            await writer.drain()
+            await asyncio.sleep(self.event_ms / clocks.SECOND_MS)
+            self._crash()
+            return False
         for number in range(first, self.events + 1):
             data = event(number)
             if fault is Fault.CUT_IN_EVENT and number == first + 1:
@@ -299,6 +317,12 @@
     return f'id: {number}\ndata: piece {number}\n\n'.encode()
 
 
+def _list_parts(run: Run) -> list[str]:
+    """Return the ids of the parts of a request's prompt."""
+    entries = run.headers.get('teaselbridge-prompt-prefix', '').split(',')
+    return [entry.partition(':')[0] for entry in entries]
+
+
 async def _read_request(
     connection: h11.Connection, reader: asyncio.StreamReader
 ) -> Run | None:
