Let a request that free servers may not serve wait without holding up others

What callers saw: during a rollout all requests of a pool waited behind one whose version was full, although the other version had free servers.

Cause: the queue of a pool is served in order, and it stopped at the first request without a server. A request is now set aside for the event when a server is free that it may not use, at most 16 of them; a full pool stops as before. The same holds for requests that wait because they are suspected of crashing servers.

--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -21,6 +21,8 @@
     from teaselbridge.decisions import servers
     from teaselbridge.decisions import state as states
 
+# Bounds the work of one event.
+MAX_SET_ASIDE = 16
 FIRST_TOKEN_TIMEOUT_FACTOR = 10
 MIN_FIRST_TOKEN_TIMEOUT_MS = 2_000
 MAX_FIRST_TOKEN_TIMEOUT_MS = 15_000
@@ -43,29 +45,63 @@
 def dispatch_waiting_requests(
     state: states.State, now: clock.Instant
 ) -> list[effects.Effect]:
-    """Dispatch as many waiting requests as servers have free slots."""
+    """Dispatch as many waiting requests as servers have free slots.
+
+    A request that the free servers may not serve is set aside meanwhile, so
+    that it does not hold up those behind it.
+    """
     out: list[effects.Effect] = []
     for pool in state.queue.pools():
-        while True:
+        set_aside: list[calls.Call] = []
+        while len(set_aside) < MAX_SET_ASIDE:
             call = state.queue.peek(pool)
             if call is None:
                 break
             request = state.requests[call.handle]
-            if call.is_relayed:
-                refusal = relays.check_waiting_request(state, request, now)
-                if refusal is not None:
-                    out += requests.refuse(state, request, refusal)
-                    continue
-            elif _cannot_finish_in_time(state, request, now):
-                out += _refuse_too_late(state, request, now)
+            refused = _refuse_waiting(state, request, now)
+            if refused:
+                out += refused
                 continue
             server = choose_server(state, request, now)
-            if server is None:
+            if server is not None:
+                out += _start_attempt(state, request, server, now)
+                continue
+            if not _has_free_server(state, pool, now):
                 break
-            out += _start_attempt(state, request, server, now)
+            state.queue.remove(call.handle)
+            set_aside.append(call)
+        for call in set_aside:
+            state.queue.push(call)
     return out
 
 
+def _refuse_waiting(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Refuse a waiting request that must not be sent any more.
+
+    :return: no effects where it may be sent.
+    """
+    if request.call.is_relayed:
+        refusal = relays.check_waiting_request(state, request, now)
+        if refusal is None:
+            return []
+        return requests.refuse(state, request, refusal)
+    if _cannot_finish_in_time(state, request, now):
+        return _refuse_too_late(state, request, now)
+    return []
+
+
+def _has_free_server(
+    state: states.State, pool: str, now: clock.Instant
+) -> bool:
+    nodes = active.count_nodes(state)
+    return any(
+        server.has_free_slot(nodes)
+        for server in state.servers.usable(pool, now)
+    )
+
+
 def choose_server(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> servers.Server | None:
