Refuse prompt parts that crash engines, whatever else their requests hold

Cause: suspicion was kept for the hash of a whole body, and no two of these requests are alike. The class: suspicion kept for an identity that does not recur. Two more things hid the evidence: a crash counted only when the engine's entry had gone, some three seconds later, and not at all where three hosts of a zone had failed within two seconds.

Suspicion is kept for each part of a prompt but the last (decisions/suspects). A crash accuses the parts of the prompts whose answers had just begun there; the others had no part in it. Any sound answer clears all parts of its prompt. A part accused of two crashes that no other part explains as well is refused at all nodes; until then each node tries one request with it at a time, away from other suspects. Accusations and withdrawals are sets that only grow, gossiped at once. A broken-off answer now has its server checked by a connection: a refused one confirms the crash within milliseconds, a garbled answer or a reset does not.

Weighed: sound answers of the past as proof (a part may turn bad: only the last five seconds count); one trial at a time over all nodes (needs agreement; only parts that are refused after two or three crashes are tried further, by one node).

--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -150,7 +150,7 @@
                 state, request, event, now
             )
         case events.RelayEnded():
-            return relays.handle_stream_ended(state, request, now)
+            return relays.handle_stream_ended(state, request, event, now)
 
 
 def tick(
--- a/src/teaselbridge/decisions/calls.py
+++ b/src/teaselbridge/decisions/calls.py
@@ -231,8 +231,11 @@
     :param kind: kind of failure.
     :param ran: NO only where the server provably did not start the request.
     :param detail: human-readable explanation.
+    :param answered_ms: how long before the failure the answer began, none
+        where none did.
     """
 
     kind: FaultKind
     ran: RunStatus
     detail: str
+    answered_ms: int | None = None
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -13,6 +13,7 @@
 from teaselbridge.decisions import prompts
 from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
+from teaselbridge.decisions import suspects
 from teaselbridge.decisions import versions
 from teaselbridge.tables import model
 
@@ -116,6 +117,7 @@
     candidates = [server for server in wanted if server.has_free_slot(nodes)]
     if state.poison.is_suspect(call.fingerprint):
         candidates = [item for item in candidates if not item.suspect_requests]
+    candidates = suspects.filter_for_trial(state, request, candidates)
     untried = [
         server for server in candidates if server.host not in request.tried
     ]
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -89,6 +89,13 @@
     attempt: int
 
 
+class CheckServer(msgspec.Struct, frozen=True):
+    """Command to check whether a backend server accepts connections."""
+
+    host: str
+    address: str
+
+
 class DropConnections(msgspec.Struct, frozen=True):
     """Command to close all pooled connections to a backend server.
 
@@ -564,6 +571,7 @@
     MOVED = 'request-moved'
     ADOPTED = 'request-adopted'
     POISON = 'request-poison'
+    PART_ACCUSED = 'part-accused'
     KEYVALUE_DOWN = 'keyvalue-down'
     KEYVALUE_UP = 'keyvalue-up'
     LEASE_TAKEN = 'lease-taken'
@@ -620,6 +628,7 @@
     | ReportUsage
     | ReportMove
     | CancelAttempt
+    | CheckServer
     | DropConnections
     | SendToken
     | SendEnd
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -98,10 +98,26 @@
 
 
 class RelayEnded(msgspec.Struct, frozen=True):
-    """Regular end of a relayed stream."""
+    """Regular end of a relayed stream.
+
+    :param is_framed: whether the answer stated its end. Otherwise it ended
+        with its connection, as it does when the server crashes.
+    """
 
     handle: int
     attempt: int
+    is_framed: bool = True
+
+
+class ServerChecked(msgspec.Struct, frozen=True):
+    """Result of a check whether a backend server accepts connections.
+
+    :param is_gone: whether its port refuses connections. A server that does
+        not answer is not known to be gone.
+    """
+
+    host: str
+    is_gone: bool
 
 
 class AnswerLoadReceived(msgspec.Struct, frozen=True):
@@ -510,6 +526,7 @@
     | HeadReceived
     | StreamEventsReceived
     | RelayEnded
+    | ServerChecked
     | AnswerLoadReceived
     | ServerNoticed
     | ServersListed
--- a/src/teaselbridge/decisions/gossip.py
+++ b/src/teaselbridge/decisions/gossip.py
@@ -15,6 +15,7 @@
 from teaselbridge.decisions import moves
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import servers
+from teaselbridge.decisions import suspects
 from teaselbridge.peers import messages
 
 if typing.TYPE_CHECKING:
@@ -23,8 +24,6 @@
 
 T = typing.TypeVar('T')
 
-MAX_BROADCAST_PEERS = 24
-
 
 def merge_updates(
     state: states.State,
@@ -44,6 +43,8 @@
     for crashes in gossip.crashes:
         if state.poison.merge(crashes):
             state.membership.updates.add_crashes(crashes.fingerprint)
+    for record in gossip.parts:
+        out += suspects.merge_record(state, record, now)
     for move in gossip.moves:
         out += moves.merge_move(state, move)
     for verdict in gossip.verdicts:
@@ -69,6 +70,7 @@
     if target is not None and target.status is messages.Status.SUSPECT:
         updated.append(target)
     crashes = {item.fingerprint: item for item in state.poison.crashes}
+    parts = {item.part: item for item in state.parts.records}
     verdicts = {
         f'{item.pool}/{item.number}': item for item in state.moves.verdicts
     }
@@ -82,32 +84,13 @@
             for host in queue.take_keys(members.Topic.LEAVING)
         ),
         crashes=_select(crashes, queue.take_keys(members.Topic.CRASHES)),
+        parts=_select(parts, queue.take_keys(members.Topic.PART)),
         moves=tuple(move for move in pending_moves if move is not None),
         verdicts=_select(verdicts, queue.take_keys(members.Topic.VERDICT)),
         generation=state.index.generation,
     )
 
 
-def broadcast(
-    state: states.State, update: messages.Gossip
-) -> list[effects.Effect]:
-    """Send updates to peers at once instead of with the next probes.
-
-    In a large cluster only some of the peers receive the message directly;
-    they gossip it to the rest.
-    """
-    membership = state.membership
-    membership.sequence += 1
-    ping = messages.Ping(
-        sequence=membership.sequence,
-        reply_to=membership.me.peers,
-        gossip=update,
-    )
-    alive = membership.alive
-    chosen = state.random.sample(alive, min(MAX_BROADCAST_PEERS, len(alive)))
-    return [effects.SendPeer(member.peers, ping) for member in chosen]
-
-
 def build_full_state(state: states.State) -> messages.Gossip:
     """Collect the full gossiped state for a sync."""
     membership = state.membership
@@ -118,6 +101,7 @@
             for host in sorted(state.servers.leaving)
         ),
         crashes=state.poison.crashes,
+        parts=state.parts.records,
         moves=state.moves.all,
         verdicts=state.moves.verdicts,
         generation=state.index.generation,
@@ -241,10 +225,15 @@
     crashes = [
         f'{item.fingerprint} {item.hosts}' for item in state.poison.crashes
     ]
+    accused = [
+        f'{item.part} {item.hosts} {item.cleared}'
+        for item in state.parts.records
+    ]
     parts = (
         alive,
         list(state.servers.leaving),
         crashes,
+        accused,
         moves_known,
         verdicts,
     )
--- a/src/teaselbridge/decisions/members.py
+++ b/src/teaselbridge/decisions/members.py
@@ -17,6 +17,7 @@
     MEMBER = 'member'
     LEAVING = 'leaving'
     CRASHES = 'crashes'
+    PART = 'part'
     MOVE = 'move'
     VERDICT = 'verdict'
 
@@ -53,6 +54,10 @@
         """Queue a request body that crashed a backend server."""
         self._add(Topic.CRASHES, fingerprint)
 
+    def add_part(self, part: str) -> None:
+        """Queue the record of a prompt part that is accused of crashes."""
+        self._add(Topic.PART, part)
+
     def add_move(self, pool: str) -> None:
         """Queue a step of a pool's move to another version."""
         self._add(Topic.MOVE, pool)
--- a/src/teaselbridge/decisions/membership.py
+++ b/src/teaselbridge/decisions/membership.py
@@ -13,6 +13,7 @@
 import dataclasses
 import typing
 
+from teaselbridge.decisions import broadcasts
 from teaselbridge.decisions import configuration
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import freshness
@@ -121,7 +122,7 @@
     update = messages.Gossip(
         members=(membership.me,), generation=state.index.generation
     )
-    return gossip.broadcast(state, update)
+    return broadcasts.broadcast(state, update)
 
 
 def _check_probes(
--- a/src/teaselbridge/decisions/poison.py
+++ b/src/teaselbridge/decisions/poison.py
@@ -11,13 +11,15 @@
 import collections
 import typing
 
+from teaselbridge.decisions import broadcasts
 from teaselbridge.decisions import effects
-from teaselbridge.decisions import gossip
+from teaselbridge.decisions import suspects
 from teaselbridge.peers import messages
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
     from teaselbridge.decisions import calls
+    from teaselbridge.decisions import events
     from teaselbridge.decisions import servers
     from teaselbridge.decisions import state as states
 
@@ -32,6 +34,10 @@
 # How long an interrupted request can be attributed to a crash. It covers the
 # three missed heartbeats after which the entry of a crashed server expires.
 CRASH_CONFIRM_TIMEOUT_MS = 6_000
+# A server that broke off a request is checked no more often than this.
+CHECK_INTERVAL_MS = 500
+# Hosts that are remembered as crashed.
+MAX_CRASHED = 1_000
 
 
 class CrashRecords:
@@ -45,6 +51,10 @@
         self._interrupted: collections.deque[_InterruptedCall] = (
             collections.deque()
         )
+        self._checked_at: dict[str, int] = {}
+        self._crashed: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     @property
     def crashes(self) -> tuple[messages.Crashes, ...]:
@@ -89,19 +99,48 @@
         return True
 
     def record_interrupted(
-        self, host: str, call: calls.Call, mono: int
+        self, host: str, call: calls.Call, mono: int, *, has_begun: bool
     ) -> None:
-        """Record that a server broke off a request and may have crashed."""
-        self._interrupted.append(_InterruptedCall(host, mono, call))
+        """Record that a server broke off a request and may have crashed.
 
-    def list_interrupted(self, host: str, mono: int) -> list[calls.Call]:
-        """Return the requests that a server broke off recently."""
-        while (
-            self._interrupted
-            and mono - self._interrupted[0].mono > CRASH_CONFIRM_TIMEOUT_MS
-        ):
-            self._interrupted.popleft()
-        return [item.call for item in self._interrupted if item.host == host]
+        :param has_begun: whether its answer had just begun.
+        """
+        self._interrupted.append(_InterruptedCall(host, mono, call, has_begun))
+
+    def take_interrupted(self, host: str, mono: int) -> list[_InterruptedCall]:
+        """Return and forget the requests that a server broke off recently."""
+        recent = [
+            item
+            for item in self._interrupted
+            if mono - item.mono <= CRASH_CONFIRM_TIMEOUT_MS
+        ]
+        self._interrupted = collections.deque(
+            item for item in recent if item.host != host
+        )
+        return [item for item in recent if item.host == host]
+
+    def is_check_due(self, host: str, mono: int) -> bool:
+        """Return whether a server may be checked, and record that it is."""
+        checked_at = self._checked_at.get(host)
+        if checked_at is not None and mono - checked_at < CHECK_INTERVAL_MS:
+            return False
+        self._checked_at = {
+            known: at
+            for known, at in self._checked_at.items()
+            if mono - at < CHECK_INTERVAL_MS
+        }
+        self._checked_at[host] = mono
+        return True
+
+    def record_crashed(self, host: str) -> None:
+        """Record that a server is known to have crashed."""
+        self._crashed[host] = None
+        if len(self._crashed) > MAX_CRASHED:
+            self._crashed.popitem(last=False)
+
+    def has_crashed(self, host: str) -> bool:
+        """Return whether a server is known to have crashed."""
+        return host in self._crashed
 
     def expire(self, wall: int) -> None:
         """Remove expired crashes.
@@ -141,33 +180,80 @@
     host: str
     mono: int
     call: calls.Call
+    has_begun: bool
 
 
 def suspect(
     state: states.State,
     call: calls.Call,
     server: servers.Server,
+    fault: calls.Fault,
     now: clock.Instant,
-) -> None:
+) -> list[effects.Effect]:
     """Record that a server broke off a relayed request.
 
     This has many possible causes. It counts as a crash only if the server
-    turns out to be gone.
+    turns out to be gone, which is checked at once.
     """
-    if call.fingerprint and not server.leaving:
-        state.poison.record_interrupted(server.host, call, now.mono)
+    if server.leaving:
+        return []
+    has_begun = (
+        fault.answered_ms is not None
+        and fault.answered_ms <= suspects.CRASH_DELAY_MS
+    )
+    if state.poison.has_crashed(server.host):
+        if has_begun:
+            return _blame(state, call, server, now)
+        return []
+    state.poison.record_interrupted(
+        server.host, call, now.mono, has_begun=has_begun
+    )
+    if not state.poison.is_check_due(server.host, now.mono):
+        return []
+    return [effects.CheckServer(server.host, server.row.address)]
+
+
+def handle_server_checked(
+    state: states.State, event: events.ServerChecked, now: clock.Instant
+) -> list[effects.Effect]:
+    """Handle the result of a check of a server that broke off a request."""
+    server = state.servers.get(event.host)
+    if server is None or not event.is_gone:
+        return []
+    return confirm_crashes(state, server, now)
 
 
 def confirm_crashes(
     state: states.State, server: servers.Server, now: clock.Instant
 ) -> list[effects.Effect]:
-    """Count what a gone server broke off just before as crashes."""
+    """Blame what a gone server broke off just before for its crash.
+
+    Requests whose answer had just begun are blamed, or all of them where
+    none had.
+    """
+    state.poison.record_crashed(server.host)
+    broken_off = state.poison.take_interrupted(server.host, now.mono)
+    begun = [item for item in broken_off if item.has_begun]
     out: list[effects.Effect] = []
-    for call in state.poison.list_interrupted(server.host, now.mono):
-        out += record_crash(state, call, server, now)
+    for item in begun:
+        out += _blame(state, item.call, server, now)
+    if not begun:
+        for item in broken_off:
+            out += record_crash(state, item.call, server, now)
     return out
 
 
+def _blame(
+    state: states.State,
+    call: calls.Call,
+    server: servers.Server,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Blame a request whose answer had just begun for a crash."""
+    out = record_crash(state, call, server, now)
+    return out + suspects.accuse(state, call, server.host, now)
+
+
 def record_crash(
     state: states.State,
     call: calls.Call,
@@ -196,7 +282,7 @@
     update = messages.Gossip(
         crashes=(known,), generation=state.index.generation
     )
-    out = gossip.broadcast(state, update)
+    out = broadcasts.broadcast(state, update)
     if not state.poison.is_refused(call.fingerprint, now.wall):
         return out
     return [
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -21,6 +21,7 @@
 from teaselbridge.decisions import membership
 from teaselbridge.decisions import notices
 from teaselbridge.decisions import orders
+from teaselbridge.decisions import poison
 from teaselbridge.decisions import prompts
 from teaselbridge.decisions import relays
 from teaselbridge.decisions import reports
@@ -158,6 +159,8 @@
     match event:
         case events.AnswerLoadReceived():
             return relays.handle_answer_load_received(state, event, now)
+        case events.ServerChecked():
+            return poison.handle_server_checked(state, event, now)
         case events.ServerNoticed():
             return notices.handle_server_noticed(state, event, now)
         case events.ConfigurationRead():
@@ -195,6 +198,7 @@
     else:
         out += _tick_platform(state, now)
     state.poison.expire(now.wall)
+    state.parts.expire(now.wall)
     for request in list(state.requests.values()):
         out += attempts.tick(state, request, now)
         if request.handle in state.requests:
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -24,6 +24,7 @@
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import silence
+from teaselbridge.decisions import suspects
 from teaselbridge.decisions import usage
 from teaselbridge.decisions import versions
 
@@ -44,6 +45,9 @@
 # Linear backoff per refusal by a full server: a slot of a plain service
 # becomes free after about 15 ms.
 REFUSED_BACKOFF_MS = 15
+# Time to learn whether a server that broke off an answer has crashed, before
+# the request is sent to another one.
+CRASH_CHECK_MS = 60
 # Retries of refused callers are spread over half a second, the minimum time
 # until all nodes know of a lost server.
 MIN_RETRY_AFTER_MS = 150
@@ -98,6 +102,9 @@
         return calls.Refusal(
             calls.Reason.POISON, calls.RunStatus.NOT_RUN, detail
         )
+    refusal = suspects.check(state, call, now)
+    if refusal is not None:
+        return refusal
     wait = rates.check(state, call, now)
     if wait:
         detail = 'the workspace exceeds its request rate'
@@ -122,6 +129,15 @@
             calls.Reason.CANNOT_FINISH_IN_TIME,
             'no server had a free slot',
         )
+    refusal = suspects.check(state, call, now)
+    if refusal is not None:
+        return _build_waiting_refusal(
+            state,
+            request,
+            refusal.reason,
+            refusal.detail,
+            refusal.retry_after_ms,
+        )
     staying = state.servers.staying(call.route.pool)
     allowed = versions.filter_by_version(state, request, staying)
     if staying and not allowed and not request.streaming:
@@ -264,6 +280,7 @@
     finish_prefill(state, request)
     _count_started(state, request, now)
     request.progressed_at = now.mono
+    request.first_token_at = now.mono
     request.first = False
     if request.streaming:
         return []
@@ -291,19 +308,27 @@
                 calls.RunStatus.UNKNOWN,
                 f'event {event.last} after {known}',
             )
-            out = requests.cancel_attempt(state, request)
-            return out + handle_attempt_failed(
-                state, request, fault, None, now
-            )
+            return [
+                *requests.cancel_attempt(state, request),
+                *handle_attempt_failed(state, request, fault, None, now),
+            ]
         request.last_event = event.last
+    out: list[effects.Effect] = []
+    answered_ms = now.mono - request.first_token_at
+    if state.parts.has_accused and answered_ms > suspects.CRASH_DELAY_MS:
+        out += suspects.record_sound_answer(state, request.call, now)
     return [
+        *out,
         effects.Count(effects.Counter.EVENTS, request.call.route.name),
         effects.SendEvents(request.caller_handle, event.data),
     ]
 
 
 def handle_stream_ended(
-    state: states.State, request: requests.Request, now: clock.Instant
+    state: states.State,
+    request: requests.Request,
+    event: events.RelayEnded,
+    now: clock.Instant,
 ) -> list[effects.Effect]:
     """Handle the regular end of a stream."""
     span = now.mono - request.started_at
@@ -311,6 +336,8 @@
         state, request, now, failed=False, span=span
     )
     out += _record_server_success(state, request)
+    if event.is_framed:
+        out += suspects.record_sound_answer(state, request.call, now)
     out += _report_answered(state, request, 'stream', now)
     out.append(effects.SendFinish(request.caller_handle, True))
     return out + requests.remove_request(state, request)
@@ -338,6 +365,7 @@
         state, request, now, failed=False, span=span
     )
     out += _record_server_success(state, request)
+    out += suspects.record_sound_answer(state, request.call, now)
     return out + _deliver_answer(state, request, received, now)
 
 
@@ -474,6 +502,8 @@
         return False
     if state.poison.is_refused(call.fingerprint, now.wall):
         return False
+    if suspects.check(state, call, now) is not None:
+        return False
     if fault.ran is calls.RunStatus.NOT_RUN:
         if request.refused_attempts >= MAX_REFUSED_ATTEMPTS:
             return False
@@ -500,6 +530,8 @@
     wait = 0
     if fault.kind is calls.FaultKind.BUSY:
         wait = REFUSED_BACKOFF_MS * request.refused_attempts
+    elif fault.answered_ms is not None and request.call.parts:
+        wait = CRASH_CHECK_MS
     request.due_at = now.mono + wait
     if not wait:
         requests.enqueue(state, request)
@@ -531,7 +563,7 @@
     if fault.kind is calls.FaultKind.SILENT:
         out.append(effects.DropConnections(server.row.address))
     if fault.kind in (calls.FaultKind.RESET, calls.FaultKind.CUT):
-        poison.suspect(state, request.call, server, now)
+        out += poison.suspect(state, request.call, server, fault, now)
     if fault.kind is calls.FaultKind.ERROR:
         return out
     return out + servers.record_failure(server, fault.kind.value, now)
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -28,6 +28,7 @@
 from teaselbridge.decisions import rollouts
 from teaselbridge.decisions import scaling
 from teaselbridge.decisions import servers
+from teaselbridge.decisions import suspects
 from teaselbridge.decisions import usage
 from teaselbridge.tables import join
 from teaselbridge.tables import model
@@ -101,6 +102,7 @@
         self.prompts = prompts.SentPrompts()
         self.budgets = retry.RetryBudgets(bounds=options.bounds)
         self.poison = poison.CrashRecords()
+        self.parts = suspects.PartRecords()
         self.ledger = ledger.Ledger()
         self.membership = members.Membership(me=options.me)
         self.changes = changes.PendingChanges()
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -74,6 +74,28 @@
     until: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PartCrashes:
+    """Record of a prompt part that is accused of crashes.
+
+    :param part: id of the part.
+    :param hosts: hosts whose servers crashed as they began an answer to a
+        prompt with it.
+    :param cleared: those of them whose accusation was withdrawn.
+    :param until: wall-clock milliseconds when the record expires.
+    """
+
+    part: str
+    hosts: tuple[str, ...]
+    cleared: tuple[str, ...] = ()
+    until: int
+
+    @property
+    def accused(self) -> frozenset[str]:
+        """Hosts whose crashes the part is accused of."""
+        return frozenset(self.hosts) - frozenset(self.cleared)
+
+
 class Stage(enum.Enum):
     """Stage of a rollout."""
 
@@ -151,6 +173,7 @@
     :param members: membership records of nodes.
     :param leaving: backend servers that accept no new work.
     :param crashes: request bodies that crash backend servers.
+    :param parts: prompt parts that are accused of crashes.
     :param moves: states of rollouts.
     :param verdicts: decisions that new versions are bad.
     :param generation: newest configuration generation of the sender.
@@ -159,6 +182,7 @@
     members: tuple[Member, ...] = ()
     leaving: tuple[Leaving, ...] = ()
     crashes: tuple[Crashes, ...] = ()
+    parts: tuple[PartCrashes, ...] = ()
     moves: tuple[Move, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
     generation: int = 0
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 import typing
 
@@ -28,6 +29,33 @@
 Post: typing.TypeAlias = 'collections.abc.Callable[[events.Event], None]'
 
 
+_CLOCK = clock.Clock()
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """Progress of an answer.
+
+    :param has_head: whether its head has come.
+    :param first_byte_at: monotonic milliseconds of the first byte of a
+        stream, none before it.
+    """
+
+    has_head: bool = False
+    first_byte_at: int | None = None
+
+    @property
+    def answered_ms(self) -> int | None:
+        """Time since the answer began, none where it did not.
+
+        A head without a byte of the stream counts as just begun, as it may
+        have come long before.
+        """
+        if self.first_byte_at is not None:
+            return _CLOCK.now().mono - self.first_byte_at
+        return 0 if self.has_head else None
+
+
 class InvalidAnswerError(Exception):
     """Malformed response, or one that belongs to another request."""
 
@@ -42,14 +70,18 @@
     :param post: function that passes an event to the reducer.
     """
     handle = effect.call.handle
+    progress = _Progress()
     try:
         response = await client.send(_build_request(effect), stream=True)
+        progress.has_head = True
         try:
-            await _process_response(response, effect, post)
+            await _process_response(response, effect, progress, post)
         finally:
             await response.aclose()
     except (httpx.HTTPError, InvalidAnswerError) as error:
-        fault = _build_fault(error)
+        fault = dataclasses.replace(
+            _build_fault(error), answered_ms=progress.answered_ms
+        )
         post(events.AttemptFailed(handle, effect.attempt, fault))
 
 
@@ -87,7 +119,10 @@
 
 
 async def _process_response(
-    response: httpx.Response, effect: effects.RelayAttempt, post: Post
+    response: httpx.Response,
+    effect: effects.RelayAttempt,
+    progress: _Progress,
+    post: Post,
 ) -> None:
     call = effect.call
     headers = response.headers.raw
@@ -112,7 +147,7 @@
         post(events.AttemptFailed(call.handle, effect.attempt, fault))
         return
     if call.stream and response.is_success:
-        await _relay_stream(response, effect, post)
+        await _relay_stream(response, effect, progress, post)
         return
     body = await _read_body(response)
     answer = calls.Answer(
@@ -127,7 +162,10 @@
 
 
 async def _relay_stream(
-    response: httpx.Response, effect: effects.RelayAttempt, post: Post
+    response: httpx.Response,
+    effect: effects.RelayAttempt,
+    progress: _Progress,
+    post: Post,
 ) -> None:
     """Post the events of a stream, each only once it is complete.
 
@@ -142,6 +180,7 @@
     async for chunk in response.aiter_raw():
         if not began:
             began = True
+            progress.first_byte_at = _CLOCK.now().mono
             post(events.HeadReceived(handle, effect.attempt, head))
         buffer += chunk
         end = buffer.rfind(EVENT_SEPARATOR)
@@ -162,7 +201,11 @@
         raise InvalidAnswerError('broken off in the middle of an event')
     if not began:
         post(events.HeadReceived(handle, effect.attempt, head))
-    post(events.RelayEnded(handle, effect.attempt))
+    is_framed = (
+        'content-length' in response.headers
+        or 'transfer-encoding' in response.headers
+    )
+    post(events.RelayEnded(handle, effect.attempt, is_framed))
 
 
 def _parse_event_id(event: bytes) -> int | None:
--- a/src/teaselbridge/runtime/attempts.py
+++ b/src/teaselbridge/runtime/attempts.py
@@ -25,6 +25,7 @@
 
 CONNECT_TIMEOUT_MS = 1_000
 LOAD_TIMEOUT_MS = 400
+CHECK_TIMEOUT_MS = 500
 MAX_CONNECTIONS = 256
 KEEP_ALIVE_TIMEOUT_MS = 20_000
 CLOSE_DELAY_MS = 30_000
@@ -133,6 +134,7 @@
         loop.handle(effects.StartAttempt, self._start_attempt)
         loop.handle(effects.RelayAttempt, self._relay_attempt)
         loop.handle(effects.CancelAttempt, self._cancel_attempt)
+        loop.handle(effects.CheckServer, self._start_check)
         loop.handle(effects.DropConnections, self._drop_connections)
         loop.handle(effects.QueryLoad, self._query_load)
 
@@ -191,6 +193,13 @@
         if task is not None:
             task.cancel()
 
+    def _start_check(self, effect: effects.CheckServer) -> None:
+        self._tasks.start(self._check_server(effect))
+
+    async def _check_server(self, effect: effects.CheckServer) -> None:
+        is_gone = await _refuses_connections(effect.address)
+        self._loop.post(events.ServerChecked(effect.host, is_gone))
+
     def _drop_connections(self, effect: effects.DropConnections) -> None:
         client = self._clients.pop(effect.address)
         if client is not None:
@@ -233,6 +242,23 @@
         )
 
 
+async def _refuses_connections(address: str) -> bool:
+    """Return whether a port refuses connections.
+
+    One that does not answer in time may belong to a server that is cut off.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        async with asyncio.timeout(clock.seconds(CHECK_TIMEOUT_MS)):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    writer.close()
+    return False
+
+
 async def _close_after_delay(client: httpx.AsyncClient) -> None:
     """Close a client after a delay in which its attempts can end."""
     await asyncio.sleep(clock.seconds(CLOSE_DELAY_MS))
--- /dev/null
+++ b/tests/decisions/test_suspects.py
@@ -0,0 +1,347 @@
+"""Tests of prompt parts that crash the engines that answer them.
+
+No two requests are alike: what recurs is the part.
+"""
+
+from __future__ import annotations
+
+import itertools
+import typing
+
+import testtools
+
+from teaselbridge.decisions import bounds
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import gossip
+from teaselbridge.decisions import poison
+from teaselbridge.decisions import reducer
+from teaselbridge.decisions import relays
+from teaselbridge.decisions import requests
+from teaselbridge.decisions import suspects
+from teaselbridge.peers import messages
+from tests.decisions import samples
+
+if typing.TYPE_CHECKING:
+    from teaselbridge.decisions import servers
+    from teaselbridge.decisions import state as states
+
+CLEAR = suspects.Standing.CLEAR
+SUSPECT = suspects.Standing.SUSPECT
+REFUSED = suspects.Standing.REFUSED
+CUT = calls.Fault(
+    calls.FaultKind.CUT, calls.RunStatus.UNKNOWN, 'closed', answered_ms=40
+)
+
+
+class SuspectsTestCase(testtools.TestCase):
+    """A node with engines that crash."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = samples.state(bounds.Bounds())
+        self.handles = itertools.count(1)
+        self.names = itertools.count(1)
+        self.now = samples.instant(10_000)
+
+    def prompt(self, *parts: str) -> calls.Call:
+        """Return a request whose last part is like no other one's."""
+        handle = next(self.handles)
+        return samples.relayed(
+            handle,
+            parts=tuple(
+                calls.PromptPart(part, 100)
+                for part in (*parts, f'own{handle}')
+            ),
+            deadline=10**9,
+            streaming=True,
+            idempotent=True,
+            attempts=2,
+        )
+
+    def add_server(self) -> servers.Server:
+        """Add an engine."""
+        row = samples.row(f'h{next(self.names)}')
+        return self.state.servers.add(row, 'v', self.now)
+
+    def crash(
+        self, *broken: calls.Call, waiting: tuple[calls.Call, ...] = ()
+    ) -> str:
+        """Crash an engine and return its name.
+
+        :param broken: requests whose answers had just begun there.
+        :param waiting: other requests there.
+        """
+        server = self.add_server()
+        idle = calls.Fault(CUT.kind, CUT.ran, CUT.detail)
+        for call in broken:
+            poison.suspect(self.state, call, server, CUT, self.now)
+        for call in waiting:
+            poison.suspect(self.state, call, server, idle, self.now)
+        event = events.ServerChecked(server.host, is_gone=True)
+        reducer.reduce(self.state, event, self.now)
+        return server.host
+
+    def answer(self, *parts: str) -> None:
+        """Answer a prompt soundly."""
+        call = self.prompt(*parts)
+        suspects.record_sound_answer(self.state, call, self.now)
+
+    def standing(self, part: str) -> suspects.Standing:
+        """Return the standing of a part."""
+        return self.state.parts.get_standing(part)
+
+    def is_refused(self, *parts: str) -> bool:
+        """Return whether a new prompt is refused."""
+        refusal = relays.check(self.state, self.prompt(*parts), self.now)
+        return refusal is not None
+
+
+class TestAccusations(SuspectsTestCase):
+    """Which part is blamed for crashes."""
+
+    # Guards against a part that fells one engine after the other, since no
+    # two of the requests that hold it are alike.
+    def test_part_is_refused_after_two_crashes(self) -> None:
+        self.answer('head', 'subject')
+        self.crash(self.prompt('head', 'bad'))
+        self.assertIs(SUSPECT, self.standing('bad'))
+        self.crash(self.prompt('head', 'bad'))
+        self.assertIs(REFUSED, self.standing('bad'))
+        self.assertFalse(self.is_refused('head', 'subject'))
+
+    # Guards against a part of most prompts that is blamed for its company.
+    def test_shared_part_is_cleared_by_sound_answers(self) -> None:
+        for _ in range(3):
+            self.crash(self.prompt('head', 'bad'))
+        self.answer('head')
+        self.assertIs(CLEAR, self.standing('head'))
+        self.assertIs(REFUSED, self.standing('bad'))
+        self.assertFalse(self.is_refused('head', 'subject'))
+
+    def test_bad_part_may_be_the_first(self) -> None:
+        self.crash(self.prompt('bad', 'subject'))
+        self.answer('head', 'subject')
+        self.crash(self.prompt('bad', 'other'))
+        self.assertIs(REFUSED, self.standing('bad'))
+        self.assertFalse(self.is_refused('head', 'subject'))
+
+    def test_two_bad_parts_are_both_refused(self) -> None:
+        self.answer('head')
+        for part in ('bad', 'worse', 'bad', 'worse'):
+            self.crash(self.prompt('head', part))
+        self.assertIs(REFUSED, self.standing('bad'))
+        self.assertIs(REFUSED, self.standing('worse'))
+
+    # Guards against a search without an end where nothing tells two parts
+    # apart.
+    def test_parts_that_are_always_together_are_refused_in_the_end(
+        self,
+    ) -> None:
+        for _ in range(suspects.MAX_TRIED_CRASHES - 1):
+            self.crash(self.prompt('bad', 'company'))
+            self.assertIs(SUSPECT, self.standing('bad'))
+        self.crash(self.prompt('bad', 'company'))
+        self.assertIs(REFUSED, self.standing('bad'))
+
+    # Guards against sound requests that are refused because they began on
+    # engines that another request crashed.
+    def test_bystander_is_explained_by_the_bad_part(self) -> None:
+        self.answer('head')
+        bystander = ('head', 'rare')
+        self.crash(self.prompt('head', 'bad'), self.prompt(*bystander))
+        self.crash(self.prompt('head', 'bad'), self.prompt(*bystander))
+        self.crash(self.prompt('head', 'bad'))
+        self.assertIs(REFUSED, self.standing('bad'))
+        self.assertIs(SUSPECT, self.standing('rare'))
+
+    def test_request_without_an_answer_is_not_blamed(self) -> None:
+        for _ in range(3):
+            self.crash(
+                self.prompt('head', 'bad'),
+                waiting=(self.prompt('head', 'rare'),),
+            )
+        self.assertIs(CLEAR, self.standing('rare'))
+
+    def test_last_part_is_not_blamed(self) -> None:
+        call = self.prompt('bad')
+        self.crash(call)
+        self.assertIs(CLEAR, self.standing(call.parts[-1].id))
+
+    # Guards against garbled or reset answers that count as crashes.
+    def test_server_that_still_listens_did_not_crash(self) -> None:
+        for _ in range(3):
+            server = self.add_server()
+            effects_out = poison.suspect(
+                self.state, self.prompt('head', 'bad'), server, CUT, self.now
+            )
+            (check,) = effects_out
+            assert isinstance(check, effects.CheckServer)
+            event = events.ServerChecked(server.host, is_gone=False)
+            reducer.reduce(self.state, event, self.now)
+        self.assertIs(CLEAR, self.standing('bad'))
+
+    def test_fault_that_comes_after_the_check_counts(self) -> None:
+        server = self.add_server()
+        poison.suspect(self.state, self.prompt('x'), server, CUT, self.now)
+        event = events.ServerChecked(server.host, is_gone=True)
+        reducer.reduce(self.state, event, self.now)
+        poison.suspect(self.state, self.prompt('bad'), server, CUT, self.now)
+        self.assertIs(SUSPECT, self.standing('bad'))
+
+    def test_leaving_server_is_not_a_crash(self) -> None:
+        server = self.add_server()
+        server.leaving = True
+        found = poison.suspect(
+            self.state, self.prompt('bad'), server, CUT, self.now
+        )
+        self.assertEqual([], found)
+
+    def test_records_are_bounded(self) -> None:
+        for number in range(suspects.MAX_RECORDS + 10):
+            self.crash(self.prompt(f'part{number}'))
+        self.assertLessEqual(
+            len(self.state.parts.records), suspects.MAX_RECORDS
+        )
+
+
+class TestRefusal(SuspectsTestCase):
+    """What becomes of requests with an accused part."""
+
+    def convict(self, crashes: int = 4) -> None:
+        """Crash engines by the bad part until it is refused."""
+        self.answer('head')
+        for _ in range(crashes):
+            self.crash(self.prompt('head', 'bad'))
+
+    def test_new_request_is_refused_truthfully(self) -> None:
+        self.convict()
+        refusal = relays.check(
+            self.state, self.prompt('head', 'bad'), self.now
+        )
+        assert refusal is not None
+        self.assertIs(calls.Reason.POISON, refusal.reason)
+        self.assertIs(calls.RunStatus.NOT_RUN, refusal.ran)
+        self.assertGreater(refusal.retry_after_ms, 10_000)
+
+    def test_waiting_request_is_refused(self) -> None:
+        call = self.prompt('head', 'bad')
+        request = requests.Request(call=call, now=self.now)
+        self.convict()
+        refusal = relays.check_waiting_request(self.state, request, self.now)
+        assert refusal is not None
+        self.assertIs(calls.RunStatus.NOT_RUN, refusal.ran)
+
+    def test_retry_is_refused_and_may_have_run(self) -> None:
+        call = self.prompt('head', 'bad')
+        request = requests.Request(call=call, now=self.now)
+        request.may_have_run = True
+        self.convict()
+        refusal = relays.check_waiting_request(self.state, request, self.now)
+        assert refusal is not None
+        self.assertIs(calls.RunStatus.UNKNOWN, refusal.ran)
+
+    # Guards against a refusal that ends while such requests still come.
+    def test_part_stays_refused_while_requests_come(self) -> None:
+        self.convict()
+        step = suspects.RECORD_TTL_MS * 2 // 3
+        for _ in range(3):
+            self.now = self.now.plus(step)
+            reducer.reduce(self.state, events.Ticked(), self.now)
+            self.assertTrue(self.is_refused('head', 'bad'))
+        self.now = self.now.plus(suspects.RECORD_TTL_MS + 1)
+        reducer.reduce(self.state, events.Ticked(), self.now)
+        self.assertFalse(self.is_refused('head', 'bad'))
+
+    def test_one_request_is_tried_at_a_time(self) -> None:
+        self.answer('head')
+        self.crash(self.prompt('head', 'bad'))
+        free = [self.add_server(), self.add_server()]
+        first = self.start('head', 'bad', server=free[0])
+        self.assertEqual([], self.filter(free, 'head', 'bad'))
+        self.assertEqual(free, self.filter(free, 'head', 'subject'))
+        del self.state.requests[first.handle]
+        self.assertEqual(free, self.filter(free, 'head', 'bad'))
+
+    def test_two_suspects_are_tried_on_different_servers(self) -> None:
+        self.answer('head')
+        self.crash(self.prompt('head', 'bad'), self.prompt('head', 'rare'))
+        free = [self.add_server(), self.add_server()]
+        self.start('head', 'bad', server=free[0])
+        self.assertEqual(free[1:], self.filter(free, 'head', 'rare'))
+
+    def start(self, *parts: str, server: servers.Server) -> requests.Request:
+        """Run a request on a server."""
+        call = self.prompt(*parts)
+        request = requests.Request(call=call, now=self.now)
+        request.phase = requests.Phase.RUNNING
+        request.host = server.host
+        self.state.requests[call.handle] = request
+        return request
+
+    def filter(
+        self, free: list[servers.Server], *parts: str
+    ) -> list[servers.Server]:
+        """Return the servers on which a new request may be tried."""
+        request = requests.Request(call=self.prompt(*parts), now=self.now)
+        return suspects.filter_for_trial(self.state, request, free)
+
+
+class TestGossip(SuspectsTestCase):
+    """What the nodes tell each other."""
+
+    def tell(self, other: states.State) -> None:
+        """Send all that this node knows to another one."""
+        told = gossip.build_full_state(self.state)
+        gossip.merge_updates(other, told, '', self.now)
+
+    # Guards against a node that starts and does not know which part is
+    # refused.
+    def test_node_that_starts_learns_refused_parts(self) -> None:
+        self.answer('head')
+        for _ in range(4):
+            self.crash(self.prompt('head', 'bad'))
+        started = samples.state(bounds.Bounds())
+        self.tell(started)
+        self.assertEqual(['bad'], started.parts.refused)
+
+    def test_crashes_at_different_nodes_add_up(self) -> None:
+        other = samples.state(bounds.Bounds())
+        self.answer('head')
+        self.crash(self.prompt('head', 'bad'))
+        record = messages.PartCrashes(
+            part='bad', hosts=('elsewhere',), until=self.now.wall + 60_000
+        )
+        update = messages.Gossip(parts=(record,))
+        gossip.merge_updates(other, update, '', self.now)
+        self.assertIs(SUSPECT, other.parts.get_standing('bad'))
+        self.tell(other)
+        self.assertIs(REFUSED, other.parts.get_standing('bad'))
+
+    # Guards against a part that is blamed by a node that knows no sound
+    # answers to it yet.
+    def test_node_with_sound_answers_clears_the_part(self) -> None:
+        for _ in range(4):
+            self.crash(self.prompt('head', 'bad'))
+        self.assertIs(REFUSED, self.standing('head'))
+        other = samples.state(bounds.Bounds())
+        call = self.prompt('head', 'subject')
+        suspects.record_sound_answer(other, call, self.now)
+        self.tell(other)
+        self.assertIs(CLEAR, other.parts.get_standing('head'))
+        told = gossip.build_full_state(other)
+        gossip.merge_updates(self.state, told, '', self.now)
+        self.assertIs(CLEAR, self.standing('head'))
+        self.assertIs(REFUSED, self.standing('bad'))
+
+    def test_record_merges_in_any_order(self) -> None:
+        host = self.crash(self.prompt('rare'))
+        accusation = self.state.parts.get('rare')
+        self.answer('rare')
+        withdrawal = self.state.parts.get('rare')
+        for order in ((accusation, withdrawal), (withdrawal, accusation)):
+            other = samples.state(bounds.Bounds())
+            for record in order:
+                other.parts.merge(record)
+            self.assertIs(CLEAR, other.parts.get_standing('rare'), host)
