Keep refused prompt parts in the store; tell those that crash together apart

A part that is refused was known by the nodes only: after the loss of all of them it could end as many engines again. Its record is now written to the store by two nodes, under a lease, and read with everything else before a node serves. An operator lifts a refusal by a value with 'lifted' under that key.

Records are bounded: those of the lowest standing go first, and withdrawn accusations beyond 64 hosts are left out.

--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -346,6 +346,16 @@
     state: MoveStatus
 
 
+class StorePart(msgspec.Struct, frozen=True):
+    """Command to keep the record of a prompt part in the store.
+
+    :param keep_ms: how long it is kept.
+    """
+
+    record: messages.PartCrashes
+    keep_ms: int
+
+
 class ReadPrices(msgspec.Struct, frozen=True):
     """Command to read the cloud's prices."""
 
@@ -627,6 +637,7 @@
     | OrderServers
     | ReportUsage
     | ReportMove
+    | StorePart
     | CancelAttempt
     | CheckServer
     | DropConnections
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -109,6 +109,16 @@
     is_framed: bool = True
 
 
+class PartRead(msgspec.Struct, frozen=True):
+    """Record of a prompt part that was read from the store.
+
+    :param is_lifted: whether an operator ended the refusal of the part.
+    """
+
+    record: messages.PartCrashes
+    is_lifted: bool = False
+
+
 class ServerChecked(msgspec.Struct, frozen=True):
     """Result of a check whether a backend server accepts connections.
 
@@ -527,6 +537,7 @@
     | StreamEventsReceived
     | RelayEnded
     | ServerChecked
+    | PartRead
     | AnswerLoadReceived
     | ServerNoticed
     | ServersListed
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -31,6 +31,7 @@
 from teaselbridge.decisions import scaling
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import steps
+from teaselbridge.decisions import suspects
 from teaselbridge.decisions import tickets
 from teaselbridge.decisions import usage
 from teaselbridge.peers import messages
@@ -159,6 +160,8 @@
     match event:
         case events.AnswerLoadReceived():
             return relays.handle_answer_load_received(state, event, now)
+        case events.PartRead():
+            return suspects.handle_part_read(state, event)
         case events.ServerChecked():
             return poison.handle_server_checked(state, event, now)
         case events.ServerNoticed():
@@ -198,7 +201,6 @@
     else:
         out += _tick_platform(state, now)
     state.poison.expire(now.wall)
-    state.parts.expire(now.wall)
     for request in list(state.requests.values()):
         out += attempts.tick(state, request, now)
         if request.handle in state.requests:
@@ -222,6 +224,7 @@
     out += scaling.tick(state, now)
     out += rollouts.tick(state, now)
     out += reports.tick(state, now)
+    out += suspects.tick(state, now)
     return out
 
 
--- a/src/teaselbridge/decisions/suspects.py
+++ b/src/teaselbridge/decisions/suspects.py
@@ -11,7 +11,8 @@
 explains as well. Until then each node tries one request with it at a time,
 away from other suspects, so that the next crash leaves fewer of them.
 Accusations and their withdrawals only grow and are gossiped, so that they may
-arrive late, repeatedly or in any order.
+arrive late, repeatedly or in any order. Records of refused parts are also kept
+in the store, for the case that all nodes are lost.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 import collections
 import dataclasses
 import enum
+import itertools
 import typing
 
 from teaselbridge.decisions import active
@@ -31,12 +33,12 @@
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
+    from teaselbridge.decisions import events
     from teaselbridge.decisions import servers
     from teaselbridge.decisions import state as states
 
 MIN_CRASHES = 2
-# A part with so many crashes is refused although another one was always with
-# it, and is not tried any more.
+# Parts with so many crashes are not tried any more.
 MAX_TRIED_CRASHES = 4
 # An engine crashes within a few steps of the first token, so an answer that
 # lasts longer is sound, and one that began earlier is not the cause.
@@ -45,12 +47,12 @@
 SOUND_MS = 5_000
 # How long a part is refused after the last request with it.
 RECORD_TTL_MS = 600_000
-# How long a withdrawal outlasts the accusations that are still gossiped.
-CLEARED_TTL_MS = 60_000
 # Callers make up parts, so both are bounded.
 MAX_RECORDS = 500
 MAX_SOUND_PARTS = 20_000
 REFUSED_RETRY_AFTER_MS = 30_000
+# Nodes that write a record, so that one of them is there.
+WRITERS = 2
 
 
 class Standing(enum.IntEnum):
@@ -72,6 +74,7 @@
         self._sound_at: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        self._unsaved: set[str] = set()
 
     @property
     def records(self) -> tuple[messages.PartCrashes, ...]:
@@ -121,22 +124,42 @@
         :return: whether any was not known before.
         """
         known = self._records.get(record.part)
-        merged = record
-        if known is not None:
-            merged = messages.PartCrashes(
-                part=record.part,
-                hosts=_merge_hosts(known.hosts, record.hosts),
-                cleared=_merge_hosts(known.cleared, record.cleared),
-                until=max(known.until, record.until),
-            )
+        merged = record if known is None else known.merge(record)
         if merged == known:
             return False
+        was_kept = self._is_kept(record.part)
         self._records[record.part] = merged
-        if len(self._records) > MAX_RECORDS:
-            self._records.popitem(last=False)
         self._update_standings()
+        if len(self._records) > MAX_RECORDS:
+            self._drop_least()
+        if was_kept or self._is_kept(record.part):
+            self._unsaved.add(record.part)
         return True
 
+    def take_unsaved(self) -> list[messages.PartCrashes]:
+        """Return and forget the records to keep in the store."""
+        unsaved = [
+            self._records[part]
+            for part in sorted(self._unsaved)
+            if part in self._records
+        ]
+        self._unsaved.clear()
+        return unsaved
+
+    def _is_kept(self, part: str) -> bool:
+        """Return whether the record of a part is kept in the store."""
+        record = self._records.get(part)
+        return record is not None and (
+            self.get_standing(part) is Standing.REFUSED
+            or len(record.accused) >= MAX_TRIED_CRASHES
+        )
+
+    def _drop_least(self) -> None:
+        """Drop the oldest record of the lowest standing."""
+        least = min(self._records, key=self.get_standing)
+        del self._records[least]
+        self._update_standings()
+
     def expire(self, wall: int) -> None:
         """Remove expired records.
 
@@ -163,31 +186,24 @@
         }
 
 
-def _merge_hosts(
-    known: tuple[str, ...], more: tuple[str, ...]
-) -> tuple[str, ...]:
-    return tuple(sorted({*known, *more}))
-
-
 def _compute_standing(
     part: str, accused: dict[str, frozenset[str]]
 ) -> Standing:
     """Return the standing of an accused part.
 
-    A crash is explained by another part that is accused of more crashes, and
-    at first also by one that is accused of as many.
+    A crash is explained by another part that is accused of as many crashes
+    or more.
 
     :param accused: hosts whose crashes each part is accused of.
     """
     hosts = accused[part]
     if len(hosts) < MIN_CRASHES:
         return Standing.SUSPECT
-    min_other = len(hosts) + (len(hosts) >= MAX_TRIED_CRASHES)
     explained = frozenset[str]().union(
         *(
             others
             for other, others in accused.items()
-            if other != part and len(others) >= min_other
+            if other != part and len(others) >= len(hosts)
         )
     )
     return Standing.SUSPECT if hosts <= explained else Standing.REFUSED
@@ -224,7 +240,7 @@
     for part in list_shared_parts(call):
         state.parts.add_sound(part, now.mono)
         if state.parts.get_standing(part) is not Standing.CLEAR:
-            out += _clear(state, part, f'sound answer to {call.key.id}', now)
+            out += _clear(state, part, f'sound answer to {call.key.id}')
     return out
 
 
@@ -239,7 +255,31 @@
     if state.parts.is_sound(
         record.part, now.mono
     ) and state.parts.get_standing(record.part):
-        out += _clear(state, record.part, 'recent sound answers', now)
+        out += _clear(state, record.part, 'recent sound answers')
+    return out
+
+
+def handle_part_read(
+    state: states.State, event: events.PartRead
+) -> list[effects.Effect]:
+    """Handle a record that was read from the store."""
+    if not event.is_lifted:
+        return _merge(state, event.record, 'store')
+    if state.parts.get_standing(event.record.part) is Standing.CLEAR:
+        return []
+    return _clear(state, event.record.part, 'lifted by an operator')
+
+
+def tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
+    """Forget expired records, and keep new ones of refused parts."""
+    state.parts.expire(now.wall)
+    out: list[effects.Effect] = []
+    for record in state.parts.take_unsaved():
+        names = active.list_names(state)
+        writers = placement.first(names, WRITERS, 'record', record.part)
+        keep_ms = min(RECORD_TTL_MS, record.until - now.wall)
+        if state.options.me.name in writers and keep_ms > 0:
+            out.append(effects.StorePart(record, keep_ms))
     return out
 
 
@@ -252,22 +292,19 @@
     """
     if not state.parts.has_accused:
         return None
-    for part in list_shared_parts(call):
-        if not _is_refused_here(state, part):
-            continue
-        record = state.parts.get(part)
-        if record.until - now.wall < RECORD_TTL_MS // 2:
-            until = now.wall + RECORD_TTL_MS
-            renewed = dataclasses.replace(record, until=until)
-            state.parts.merge(renewed)
-            state.membership.updates.add_part(part)
-        return calls.Refusal(
-            calls.Reason.POISON,
-            calls.RunStatus.NOT_RUN,
-            f'servers crashed as they answered prompts with part {part}',
-            REFUSED_RETRY_AFTER_MS,
-        )
-    return None
+    accused = sorted(_list_accused(state, call))
+    refused = [part for part in accused if _is_refused_here(state, part)]
+    refused = refused or _find_refused_pair(state, accused)
+    if not refused:
+        return None
+    for part in refused:
+        _renew(state, part, now)
+    return calls.Refusal(
+        calls.Reason.POISON,
+        calls.RunStatus.NOT_RUN,
+        f'servers crashed as they answered prompts with {", ".join(refused)}',
+        REFUSED_RETRY_AFTER_MS,
+    )
 
 
 def filter_for_trial(
@@ -323,13 +360,36 @@
     )
 
 
-def _clear(
-    state: states.State, part: str, cause: str, now: clock.Instant
-) -> list[effects.Effect]:
+def _find_refused_pair(state: states.State, parts: list[str]) -> list[str]:
+    """Return two parts that were together in many crashes.
+
+    Nothing may tell which of them is the cause. A prompt with both shows
+    nothing more, whereas one with only one of them is tried.
+
+    :param parts: accused parts of a prompt.
+    :return: no parts where there are no such two.
+    """
+    for first, second in itertools.combinations(parts, 2):
+        shared = (
+            state.parts.get(first).accused & state.parts.get(second).accused
+        )
+        if len(shared) >= MAX_TRIED_CRASHES:
+            return [first, second]
+    return []
+
+
+def _renew(state: states.State, part: str, now: clock.Instant) -> None:
+    """Keep the record of a part while requests with it still come."""
     record = state.parts.get(part)
-    cleared = dataclasses.replace(
-        record, cleared=record.hosts, until=now.wall + CLEARED_TTL_MS
-    )
+    if record.until - now.wall < RECORD_TTL_MS // 2:
+        until = now.wall + RECORD_TTL_MS
+        state.parts.merge(dataclasses.replace(record, until=until))
+        state.membership.updates.add_part(part)
+
+
+def _clear(state: states.State, part: str, cause: str) -> list[effects.Effect]:
+    record = state.parts.get(part)
+    cleared = dataclasses.replace(record, cleared=record.hosts)
     return _merge_and_broadcast(state, cleared, cause)
 
 
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -12,6 +12,9 @@
 from teaselbridge.tables import model
 
 
+MAX_PART_HOSTS = 64
+
+
 class Status(enum.IntEnum):
     """Status of a member; a higher value overrides a lower one."""
 
@@ -95,6 +98,22 @@
         """Hosts whose crashes the part is accused of."""
         return frozenset(self.hosts) - frozenset(self.cleared)
 
+    def merge(self, other: PartCrashes) -> PartCrashes:
+        """Return a record with the content of both.
+
+        Some withdrawn accusations are left out if there are many.
+        """
+        hosts = {*self.hosts, *other.hosts}
+        cleared = {*self.cleared, *other.cleared}
+        surplus = max(0, len(hosts) - MAX_PART_HOSTS)
+        dropped = set(sorted(hosts & cleared)[:surplus])
+        return PartCrashes(
+            part=self.part,
+            hosts=tuple(sorted(hosts - dropped)),
+            cleared=tuple(sorted(cleared - dropped)),
+            until=max(self.until, other.until),
+        )
+
 
 class Stage(enum.Enum):
     """Stage of a rollout."""
--- a/src/teaselbridge/platform/documents.py
+++ b/src/teaselbridge/platform/documents.py
@@ -12,16 +12,19 @@
 import typing
 
 import msgspec
+import xxhash
 
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge import errors
+from teaselbridge.peers import messages
 from teaselbridge.tables import model
 
 CONFIGURATION_KEY = 'op/config'
 SERVERS_PREFIX = 'servers/'
 ROLLOUT_PREFIX = 'op/rollout/'
 ROLLOUT_STATUS_PREFIX = 'status/rollout/'
+PARTS_PREFIX = 'teaselbridge/parts/'
 ROUTE_KINDS = frozenset({'idempotent', 'non_idempotent', 'streaming'})
 HOST_STATES = {
     'ready': events.HostState.LIVE,
@@ -354,6 +357,39 @@
     return msgspec.json.encode(node)
 
 
+class _Part(msgspec.Struct, frozen=True):
+    part: str
+    hosts: tuple[str, ...] = ()
+    cleared: tuple[str, ...] = ()
+    until: int = 0
+    lifted: bool = False
+
+
+def build_part_key(part: str) -> str:
+    """Build the key of a prompt part's record, whatever its id is."""
+    return f'{PARTS_PREFIX}{xxhash.xxh3_64_hexdigest(part.encode())}'
+
+
+def encode_part(record: messages.PartCrashes) -> bytes:
+    """Encode the record of a prompt part."""
+    return msgspec.json.encode(record)
+
+
+def decode_part(data: bytes) -> events.PartRead:
+    """Decode the record of a prompt part.
+
+    :raises errors.DocumentError: the entry cannot be decoded.
+    """
+    document = _decode(data, _Part)
+    record = messages.PartCrashes(
+        part=document.part,
+        hosts=document.hosts,
+        cleared=document.cleared,
+        until=document.until,
+    )
+    return events.PartRead(record, document.lifted)
+
+
 def node(data: bytes) -> NodeEntry:
     """Decode the entry of a node.
 
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -31,6 +31,7 @@
 from teaselbridge.runtime import listening
 from teaselbridge.runtime import loop as loops
 from teaselbridge.runtime import outlets as outlets_module
+from teaselbridge.runtime import parts
 from teaselbridge.runtime import watching
 from teaselbridge.runtime import web
 from teaselbridge.settings import load
@@ -139,6 +140,7 @@
         self._loop.handle(effects.ReportUsage, self._start_usage_report)
         self._loop.handle(effects.OrderServers, self._start_server_order)
         self._loop.handle(effects.ReportMove, self._start_move_report)
+        self._loop.handle(effects.StorePart, self._start_part_write)
         self._caller_listener = self._build_listener(
             relay.IngressApplication(
                 loop=self._loop,
@@ -315,6 +317,19 @@
             )
         )
 
+    def _start_part_write(self, effect: effects.StorePart) -> None:
+        self._tasks.start(self._write_part(effect))
+
+    async def _write_part(self, effect: effects.StorePart) -> None:
+        failure = await parts.write(self._store, effect)
+        if failure:
+            detail = f'part {effect.record.part} is not stored: {failure}'
+            self._loop.record(
+                effects.RecordEntry(
+                    mark=effects.Mark.PART_ACCUSED, detail=detail
+                )
+            )
+
     def _build_directory_app(self) -> typing.Any:
         return directory.NodeEndpoints(loop=self._loop, meter=self._meter)
 
--- a/src/teaselbridge/runtime/watching.py
+++ b/src/teaselbridge/runtime/watching.py
@@ -358,6 +358,10 @@
             elif entry.key.startswith(NODES_PREFIX):
                 node = self._decode(entry, documents.node)
                 nodes[entry.key] = '' if node is None else node.peers
+            elif entry.key.startswith(documents.PARTS_PREFIX):
+                record = self._decode(entry, documents.decode_part)
+                if record is not None:
+                    self._loop.post(record)
         self._post_rollouts(found)
         if whole:
             known = {key: row for key, row in rows.items() if row is not None}
--- a/tests/failures/test_site_crashes.py
+++ b/tests/failures/test_site_crashes.py
@@ -7,6 +7,8 @@
 
 import httpx
 
+from teaselbridge.platform import documents
+from teaselbridge.runtime import site as sites
 from teaselbridge.standins import runner as runners
 from tests.failures import base
 from tests.failures import site
@@ -89,3 +91,29 @@
                     self.assertEqual(200, sound.status_code)
 
         self.run_coroutine(run())
+
+    # Guards against a part that crashes engines anew after the loss of all
+    # nodes.
+    def test_refusal_outlasts_all_nodes(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(NODES) as trial:
+                await add_engines(trial)
+                key = documents.build_part_key(BAD_PART)
+                for number in range(4):
+                    await ask(trial, number, 'head', BAD_PART)
+                    await ask(trial, number, 'head', 'subject')
+                await site.until(lambda: trial.store.value(key))
+                for node in trial.nodes:
+                    await node.abort()
+                started = sites.SiteNode(
+                    settings=site.build_settings(
+                        0, trial.store_host.address, 'unused'
+                    ),
+                    path='unused',
+                )
+                trial.nodes = [started]
+                await started.start()
+                await site.until(lambda: started.loop.state.parts.refused)
+                self.assertEqual([BAD_PART], started.loop.state.parts.refused)
+
+        self.run_coroutine(run())
