Compare the streams of two versions by the time between their events

Cause: the time compared was that of the whole stream, from sending to the last event. Under load most of it is the wait at the engine and the prefill, which depend on the queue and on what the cache holds, not on the version. The class: a measure of a cause that is mostly made of something else.

The mean time between events is compared now, from three gaps on; a stream with fewer says nothing about speed, and only its outcome counts. The line of an answer tells that time.

--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -48,6 +48,8 @@
 # Time to learn whether a server that broke off an answer has crashed, before
 # the request is sent to another one.
 CRASH_CHECK_MS = 60
+# With fewer gaps between events the mean says little.
+MIN_EVENT_GAPS = 3
 # Retries of refused callers are spread over half a second, the minimum time
 # until all nodes know of a lost server.
 MIN_RETRY_AFTER_MS = 150
@@ -281,6 +283,7 @@
     _count_started(state, request, now)
     request.progressed_at = now.mono
     request.first_token_at = now.mono
+    request.event_count = 0
     request.first = False
     if request.streaming:
         return []
@@ -300,6 +303,7 @@
     """Forward complete events of a stream in their order."""
     silence.record_data(state, request, now)
     request.progressed_at = now.mono
+    request.event_count += 1
     if event.last is not None:
         known = request.last_event
         if known is not None and event.last <= known:
@@ -330,10 +334,13 @@
     event: events.RelayEnded,
     now: clock.Instant,
 ) -> list[effects.Effect]:
-    """Handle the regular end of a stream."""
-    span = now.mono - request.started_at
+    """Handle the regular end of a stream.
+
+    Versions are compared by the time between events: that to the first one
+    depends on the queue and the cache of the server.
+    """
     out = moves.record_request_outcome(
-        state, request, now, failed=False, span=span
+        state, request, now, failed=False, span=_mean_event_gap_ms(request)
     )
     out += _record_server_success(state, request)
     if event.is_framed:
@@ -609,6 +616,17 @@
     return out + requests.remove_request(state, request)
 
 
+def _mean_event_gap_ms(request: requests.Request) -> float:
+    """Return the mean milliseconds between events of the last attempt.
+
+    :return: 0 where too few events came.
+    """
+    gaps = request.event_count - 1
+    if gaps < MIN_EVENT_GAPS:
+        return 0.0
+    return (request.progressed_at - request.first_token_at) / gaps
+
+
 def _report_answered(
     state: states.State,
     request: requests.Request,
@@ -617,6 +635,9 @@
 ) -> list[effects.Effect]:
     route = request.call.route.name
     span = now.mono - request.arrived
+    gap_ms = _mean_event_gap_ms(request)
+    if gap_ms:
+        detail += f', {gap_ms:.1f} ms between events'
     return [
         effects.Count(effects.Counter.ANSWERED, route),
         _observe_latency(request, effects.Span.WHOLE, now),
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -45,6 +45,7 @@
     :ivar progressed_at: monotonic milliseconds of its last progress.
     :ivar first: whether its first token or first byte is still awaited.
     :ivar first_token_at: monotonic milliseconds of its first token.
+    :ivar event_count: number of stream events that it received.
     :ivar base: number of tokens received before it started.
     :ivar tried: hosts that the request was sent to.
     :ivar failed_version: version of the server that failed it last.
@@ -78,6 +79,7 @@
         self.progressed_at = 0
         self.first = True
         self.first_token_at = 0
+        self.event_count = 0
         self.base = 0
         self.tokens = list(call.resumed)
         self.tried: list[str] = []
