Leave the steps of a rollout to the nodes that get the others' reports

Cause: each node took the steps by its own clock, while the outcomes of all nodes are summed, and doubt held, only at those that may hold the pool's lease. A node with one slow answer of its own stepped, and its step held for all. The class: a decision taken where the evidence against it is not known.

Steps are now taken by the candidates of the lease, which get the reports, or by every node while there is none; a rollback is still any node's.

Ruled out: to send all outcomes to all nodes (nodes squared).

Tests: TestManyNodes, both failed before.

--- a/src/teaselbridge/decisions/rollouts.py
+++ b/src/teaselbridge/decisions/rollouts.py
@@ -6,10 +6,10 @@
 traffic is shifted, requests that still run on the old version finish, and
 only then the rollout is reported as done.
 
-Each node takes the steps by its own clock, and a rollback decision of any
-node stops the new version at all nodes, so that none of this needs the
-store. Only the reports to the operators are left to one node, the holder of
-the duties lease.
+The few nodes that the others report their outcomes to take the steps by
+their own clocks, and a rollback decision of any node stops the new version
+at all nodes, so that none of this needs the store. Only the reports to the
+operators are left to one node, the holder of the duties lease.
 """
 
 from __future__ import annotations
@@ -177,7 +177,7 @@
         )
     if state.moves.get_outcomes(move.pool, move.number).pool.doubt is not None:
         return []
-    if not _has_capacity(state, move):
+    if not _gets_reports(state, move) or not _has_capacity(state, move):
         return []
     if elapsed >= ALL_TRAFFIC_FRACTION and move.share < 1:
         return _apply_step(
@@ -198,6 +198,12 @@
     return []
 
 
+def _gets_reports(state: states.State, move: messages.Move) -> bool:
+    """Return whether the other nodes report their outcomes to this node."""
+    candidates = leases.list_candidates(state, move.pool)
+    return not candidates or state.options.me.name in candidates
+
+
 def _report_state(
     state: states.State,
     move: messages.Move,
--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -9,14 +9,18 @@
 from teaselbridge.decisions import bounds
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions import evidence
 from teaselbridge.decisions import leases
 from teaselbridge.decisions import moves
+from teaselbridge.decisions import reports
 from teaselbridge.decisions import rollouts
+from teaselbridge.decisions import state as states
 from teaselbridge.decisions import versions
 from teaselbridge.peers import messages
 from teaselbridge.tables import join
 from teaselbridge.tables import model
 from tests.decisions import samples
+from tests.decisions import test_active
 
 DURATION_MS = 12_000
 BOUNDS = bounds.Bounds(duties=('usage',))
@@ -146,6 +150,54 @@
         self.assertEqual([], again)
 
 
+class TestManyNodes(testtools.TestCase):
+    """Only nodes that get the reports of the others take steps."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.states = [test_active.build_state(5, me) for me in range(5)]
+        for state in self.states:
+            for version in ('v', 'v2'):
+                for number in range(4):
+                    row = samples.row(f'{version}-{number}')
+                    state.servers.add(row, version, samples.instant(0))
+            rollouts.handle_rollout_ordered(state, ORDER, samples.instant(0))
+
+    def step(self, state: states.State) -> float:
+        """Return the share at a node after half of the time."""
+        now = samples.instant(round(DURATION_MS * 0.55))
+        rollouts.tick(state, now)
+        move = state.moves.get('p')
+        assert move is not None
+        return move.share
+
+    def report(self, state: states.State, slow: int) -> None:
+        """Report slow answers of the new version to a node."""
+        score = evidence.Score(
+            route='r',
+            old=evidence.Tally(count=50, timed=50),
+            new=evidence.Tally(count=slow, timed=slow, slowed=slow),
+        )
+        message = messages.Scores(
+            pool='p', number=40, node='canary', incarnation=1, scores=(score,)
+        )
+        reports.handle_scores(state, message, samples.instant(10))
+
+    # Guards against a step by a node that does not know what other nodes have
+    # against the new version.
+    def test_doubt_of_other_nodes_holds_the_step(self) -> None:
+        candidates = leases.list_candidates(self.states[0], 'p')
+        for state in self.states:
+            if state.options.me.name in candidates:
+                self.report(state, 4)
+            self.assertLess(self.step(state), 0.1, state.options.me.name)
+
+    def test_candidates_step_where_there_is_no_doubt(self) -> None:
+        shares = [self.step(state) for state in self.states]
+        candidates = leases.list_candidates(self.states[0], 'p')
+        self.assertEqual(len(candidates), shares.count(0.5))
+
+
 class _Request:
     """Request fields that the choice of a version reads."""
 
