Bound the plain answers that are held in memory

A test of ten such floods (noise, one long header, endless headers, interim answers, body, surplus after a body, chunk size, chunk extension, trailers, an event) against plain answers and streams: all were given up and served by the other server within 1 to 2 s, except that a plain body without end was kept in memory, 55 to 65 MB until the silence of the server ended it, more on a faster link. A plain answer is now bounded at 8 MiB.

Open: interim answers without end are read until the route's silence timeout or the request's deadline; memory stays small, processor time does not.

--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -11,7 +11,6 @@
 from teaselbridge.tables import delta
 from teaselbridge.tables import model
 
-
 MAX_PART_HOSTS = 64
 
 
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -23,6 +23,8 @@
 UNAVAILABLE_STATUS = 503
 # Bounds what a server can add to a log line.
 MAX_DETAIL_CHARS = 200
+# Plain answers are held in memory as a whole.
+MAX_ANSWER_BYTES = 8 << 20
 # Events are small, so that a stream with a larger one is malformed.
 MAX_EVENT_BYTES = 1 << 20
 
@@ -138,7 +140,7 @@
     _post_notice(response, effect.host, post)
     not_run = names.first(headers, names.NOT_RUN)
     if not_run or response.status_code == MISDIRECTED_STATUS:
-        await response.aread()
+        await _read_body(response)
         kind = calls.FaultKind.BUSY
         if response.status_code == MISDIRECTED_STATUS:
             kind = calls.FaultKind.MISDIRECTED
@@ -157,7 +159,17 @@
 
 
 async def _read_body(response: httpx.Response) -> bytes:
-    chunks = [chunk async for chunk in response.aiter_raw()]
+    """Read a whole body.
+
+    :raises InvalidAnswerError: it has more than `MAX_ANSWER_BYTES`.
+    """
+    chunks = []
+    size = 0
+    async for chunk in response.aiter_raw():
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            raise InvalidAnswerError(f'more than {MAX_ANSWER_BYTES} bytes')
+        chunks.append(chunk)
     return b''.join(chunks)
 
 
--- a/src/teaselbridge/standins/runner.py
+++ b/src/teaselbridge/standins/runner.py
@@ -35,6 +35,9 @@
     after the run is recorded: ``LOST`` closes the connection, ``SILENT``
     sends nothing, ``CUT`` and ``CUT_IN_EVENT`` break the response off, and
     ``EXTRA`` sends a second response, ``EXTRA_UNNAMED`` one without an id.
+    Those of `ENDLESS_BYTES` send bytes without end. ``UNFRAMED`` ends the
+    response with its connection, ``UNFRAMED_CUT`` does so inside an event or
+    resets it.
     """
 
     NONE = 'none'
@@ -46,6 +49,39 @@
     SILENT = 'silent'
     EXTRA = 'extra'
     EXTRA_UNNAMED = 'extra-unnamed'
+    UNFRAMED = 'unframed'
+    UNFRAMED_CUT = 'unframed-cut'
+    ENDLESS_NOISE = 'endless-noise'
+    ENDLESS_HEADER = 'endless-header'
+    ENDLESS_HEADERS = 'endless-headers'
+    ENDLESS_INTERIM = 'endless-interim'
+    ENDLESS_BODY = 'endless-body'
+    ENDLESS_SURPLUS = 'endless-surplus'
+    ENDLESS_CHUNK_SIZE = 'endless-chunk-size'
+    ENDLESS_CHUNK_EXTENSION = 'endless-chunk-extension'
+    ENDLESS_TRAILERS = 'endless-trailers'
+    ENDLESS_EVENT = 'endless-event'
+
+
+_HEAD = (
+    b'HTTP/1.1 200 OK\r\n'
+    b'Teaselbridge-Attempt-Id: %s\r\nTeaselbridge-Reply-Stamp: x\r\n'
+)
+_CHUNKED = _HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+# First bytes and those that are repeated, by fault.
+ENDLESS_BYTES = {
+    Fault.ENDLESS_NOISE: (b'', b'\x00noise'),
+    Fault.ENDLESS_HEADER: (_HEAD + b'X-Long: ', b'x'),
+    Fault.ENDLESS_HEADERS: (_HEAD, b'X-Next: y\r\n'),
+    Fault.ENDLESS_INTERIM: (b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
+    Fault.ENDLESS_BODY: (_HEAD + b'\r\n', b'x'),
+    Fault.ENDLESS_SURPLUS: (_HEAD + b'Content-Length: 2\r\n\r\nok', b'x'),
+    Fault.ENDLESS_CHUNK_SIZE: (_CHUNKED, b'0'),
+    Fault.ENDLESS_CHUNK_EXTENSION: (_CHUNKED + b'2;', b'x'),
+    Fault.ENDLESS_TRAILERS: (_CHUNKED + b'2\r\nok\r\n0\r\n', b'X: y\r\n'),
+    Fault.ENDLESS_EVENT: (_CHUNKED + b'ffffffff\r\ndata: ', b'x'),
+}
+ENDLESS_WRITE_BYTES = 16_384
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -234,6 +270,8 @@
             return False
         if fault is Fault.SILENT:
             await asyncio.Event().wait()
+        if fault in ENDLESS_BYTES:
+            await _write_endlessly(writer, fault, run.attempt)
         if fault is Fault.ERROR:
             return await _send_response(
                 connection, writer, 500, headers, b'failed'
@@ -276,6 +314,9 @@
             status_code=200,
             headers=[*headers, ('Content-Type', 'text/event-stream')],
         )
+        if fault in (Fault.UNFRAMED, Fault.UNFRAMED_CUT):
+            await self._send_unframed(run, writer, fault, first)
+            return False
         writer.write(connection.send(head) or b'')
         if self.crashing_part and self.crashing_part in _list_parts(run):
             await writer.drain()
@@ -298,6 +339,21 @@
         await writer.drain()
         return True
 
+    async def _send_unframed(
+        self, run: Run, writer: asyncio.StreamWriter, fault: Fault, first: int
+    ) -> None:
+        """Send a stream that ends with its connection, then close it."""
+        writer.write(_HEAD.replace(b'%s', run.attempt.encode()) + b'\r\n')
+        for number in range(first, self.events + 1):
+            data = event(number)
+            if fault is Fault.UNFRAMED_CUT and number > first:
+                writer.write(data[:6])
+                break
+            writer.write(data)
+        await writer.drain()
+        writer.write_eof()
+        await asyncio.sleep(self.event_ms / clocks.SECOND_MS)
+
     def _build_headers(self, run: Run) -> Headers:
         headers = [
             ('Teaselbridge-Attempt-Id', run.attempt),
@@ -317,6 +373,22 @@
     return f'id: {number}\ndata: piece {number}\n\n'.encode()
 
 
+async def _write_endlessly(
+    writer: asyncio.StreamWriter, fault: Fault, attempt: str
+) -> typing.NoReturn:
+    """Send bytes until the peer closes the connection.
+
+    :raises ConnectionError: the peer closed it.
+    """
+    begin, repeated = ENDLESS_BYTES[fault]
+    writer.write(begin.replace(b'%s', attempt.encode()))
+    block = repeated * (ENDLESS_WRITE_BYTES // len(repeated))
+    while True:
+        writer.write(block)
+        await writer.drain()
+        await asyncio.sleep(0)
+
+
 def _list_parts(run: Run) -> list[str]:
     """Return the ids of the parts of a request's prompt."""
     entries = run.headers.get('teaselbridge-prompt-prefix', '').split(',')
