Blame plain requests for a crash whatever else had begun

With a crash confirmed at once, only requests whose answer had just begun were blamed. A plain request that crashes its server has no answer yet, so that it went unnoticed where another answer was under way at that moment. The rule now holds for prompts only. test_plain_request_is_blamed_beside_a_begun_answer failed before.

--- a/src/teaselbridge/decisions/poison.py
+++ b/src/teaselbridge/decisions/poison.py
@@ -228,17 +228,17 @@
 ) -> list[effects.Effect]:
     """Blame what a gone server broke off just before for its crash.
 
-    Requests whose answer had just begun are blamed, or all of them where
-    none had.
+    Of the prompts those are blamed whose answer had just begun, or all of
+    them where none had.
     """
     state.poison.record_crashed(server.host)
     broken_off = state.poison.take_interrupted(server.host, now.mono)
-    begun = [item for item in broken_off if item.has_begun]
+    has_begun = any(item.has_begun for item in broken_off)
     out: list[effects.Effect] = []
-    for item in begun:
-        out += _blame(state, item.call, server, now)
-    if not begun:
-        for item in broken_off:
+    for item in broken_off:
+        if item.has_begun:
+            out += _blame(state, item.call, server, now)
+        elif not (item.call.parts and has_begun):
             out += record_crash(state, item.call, server, now)
     return out
 
--- a/tests/decisions/test_suspects.py
+++ b/tests/decisions/test_suspects.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 import typing
 
@@ -173,6 +174,15 @@
             )
         self.assertIs(CLEAR, self.standing('rare'))
 
+    # Guards against a plain request that goes unnoticed beside an answer that
+    # was under way.
+    def test_plain_request_is_blamed_beside_a_begun_answer(self) -> None:
+        call = dataclasses.replace(
+            samples.relayed(next(self.handles)), fingerprint='body'
+        )
+        self.crash(self.prompt('head', 'bad'), waiting=(call,))
+        self.assertTrue(self.state.poison.is_suspect('body'))
+
     def test_last_part_is_not_blamed(self) -> None:
         call = self.prompt('bad')
         self.crash(call)
