Send no requests to a server that refuses connections

The check that follows a broken-off answer tells that a server is gone, at once; it is now ejected for six seconds, longer than its entry lasts. Other nodes find out by their own checks. test_gone_server_gets_no_requests is new and failed before.

--- a/src/teaselbridge/decisions/poison.py
+++ b/src/teaselbridge/decisions/poison.py
@@ -13,6 +13,7 @@
 
 from teaselbridge.decisions import broadcasts
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import servers
 from teaselbridge.decisions import suspects
 from teaselbridge.peers import messages
 
@@ -20,7 +21,6 @@
     from teaselbridge import clock
     from teaselbridge.decisions import calls
     from teaselbridge.decisions import events
-    from teaselbridge.decisions import servers
     from teaselbridge.decisions import state as states
 
 # Number of hosts that crashed running a body before the body is refused.
@@ -220,7 +220,10 @@
     server = state.servers.get(event.host)
     if server is None or not event.is_gone:
         return []
-    return confirm_crashes(state, server, now)
+    return [
+        *servers.eject_gone(server, now),
+        *confirm_crashes(state, server, now),
+    ]
 
 
 def confirm_crashes(
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -16,6 +16,8 @@
 MIN_EJECT_FAULTS = 3
 MIN_EJECTION_MS = 2_000
 MAX_EJECTION_MS = 30_000
+# Longer than the entry of a dead server stays listed.
+GONE_EJECTION_MS = 6_000
 REPORT_INTERVAL_MS = 1_000
 IDLE_REPORT_INTERVAL_MS = 4_000
 MAX_UNKNOWN_POLLS_PER_TICK = 2
@@ -360,6 +362,18 @@
     return [_build_record(effects.Mark.SERVER_EJECTED, server, detail)]
 
 
+def eject_gone(server: Server, now: clock.Instant) -> list[effects.Effect]:
+    """Eject a server whose port refuses connections.
+
+    Its host comes back under another name, or is ejected for some time.
+    """
+    server.ejected_until = max(
+        server.ejected_until, now.mono + GONE_EJECTION_MS
+    )
+    detail = f'refuses connections, for {GONE_EJECTION_MS} ms'
+    return [_build_record(effects.Mark.SERVER_EJECTED, server, detail)]
+
+
 def request_load_reports(
     state: states.State, now: clock.Instant
 ) -> list[effects.Effect]:
--- a/tests/decisions/test_suspects.py
+++ b/tests/decisions/test_suspects.py
@@ -201,6 +201,13 @@
             reducer.reduce(self.state, event, self.now)
         self.assertIs(CLEAR, self.standing('bad'))
 
+    # Guards against requests that try one dead server after the other.
+    def test_gone_server_gets_no_requests(self) -> None:
+        host = self.crash(self.prompt('bad'))
+        alive = self.add_server()
+        self.assertEqual([alive], self.state.servers.usable('p', self.now))
+        self.assertIsNotNone(self.state.servers.get(host))
+
     def test_fault_that_comes_after_the_check_counts(self) -> None:
         server = self.add_server()
         poison.suspect(self.state, self.prompt('x'), server, CUT, self.now)
