--- a/src/teaselbridge/runtime/loop.py
+++ b/src/teaselbridge/runtime/loop.py
@@ -174,6 +174,7 @@
             in_backoff=sum(
                 server.backoff_until > now.mono for server in state.servers.all
             ),
+            refused_parts=len(state.parts.refused),
         )
 
 
--- a/src/teaselbridge/telemetry/metrics.py
+++ b/src/teaselbridge/telemetry/metrics.py
@@ -77,6 +77,11 @@
             'Backend servers that asked for no requests of this node.',
             registry=self._registry,
         )
+        self._refused_parts = prometheus_client.Gauge(
+            'teaselbridge_prompt_parts_refused',
+            'Prompt parts that are refused because engines crashed.',
+            registry=self._registry,
+        )
         prometheus_client.ProcessCollector(registry=self._registry)
 
     def count(self, effect: effects.Count) -> None:
@@ -115,6 +120,7 @@
         peers: int,
         era: int,
         in_backoff: int,
+        refused_parts: int,
     ) -> None:
         """Set the gauges.
 
@@ -124,6 +130,7 @@
         :param peers: other nodes that are considered alive.
         :param era: era of the store.
         :param in_backoff: backend servers that get no requests for a time.
+        :param refused_parts: prompt parts that are refused.
         """
         self._held.set(held)
         self._queued.set(queued)
@@ -131,6 +138,7 @@
         self._peers.set(peers)
         self._era.set(era)
         self._in_backoff.set(in_backoff)
+        self._refused_parts.set(refused_parts)
 
     def export(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
