Look for the common version only where several versions run

A pool without a rollout runs one version, and its servers were sorted and counted for each request.

--- a/src/teaselbridge/decisions/versions.py
+++ b/src/teaselbridge/decisions/versions.py
@@ -89,14 +89,13 @@
     does not know yet, when the choice matters. Servers that are not usable
     count as well; of two equally common versions the older one is chosen.
     """
-    staying = sorted(
-        state.servers.staying(pool), key=lambda server: server.row.born
-    )
+    staying = state.servers.staying(pool)
+    if len({server.version for server in staying}) < 2:
+        return usable
+    staying.sort(key=lambda server: server.row.born)
     running = collections.Counter(
         server.version for server in staying if server.version
     )
-    if len(running) < 2:
-        return usable
     ((common, _),) = running.most_common(1)
     return [server for server in usable if server.version == common]
 
