Check the server of a stream that ends without stating its end

A crash between two events then looks like its end, so that the crash of a part went unnoticed, and such an end was no sound answer either, so that a part of most prompts stayed suspect where all streams come so, one request at a time.

The server is now checked as after a broken-off answer: gone, the answer that had just begun is blamed; there, the answer is sound. Two tests are new; neither could pass before (no such path).

--- a/src/teaselbridge/decisions/poison.py
+++ b/src/teaselbridge/decisions/poison.py
@@ -98,14 +98,9 @@
         )
         return True
 
-    def record_interrupted(
-        self, host: str, call: calls.Call, mono: int, *, has_begun: bool
-    ) -> None:
-        """Record that a server broke off a request and may have crashed.
-
-        :param has_begun: whether its answer had just begun.
-        """
-        self._interrupted.append(_InterruptedCall(host, mono, call, has_begun))
+    def record_interrupted(self, interrupted: _InterruptedCall) -> None:
+        """Record a request whose server may have crashed."""
+        self._interrupted.append(interrupted)
 
     def take_interrupted(self, host: str, mono: int) -> list[_InterruptedCall]:
         """Return and forget the requests that a server broke off recently."""
@@ -119,6 +114,20 @@
         )
         return [item for item in recent if item.host == host]
 
+    def take_ended(self, host: str) -> list[calls.Call]:
+        """Return and forget the requests that a server may have ended."""
+        ended = [
+            item.call
+            for item in self._interrupted
+            if item.host == host and item.is_ended
+        ]
+        self._interrupted = collections.deque(
+            item
+            for item in self._interrupted
+            if item.host != host or not item.is_ended
+        )
+        return ended
+
     def is_check_due(self, host: str, mono: int) -> bool:
         """Return whether a server may be checked, and record that it is."""
         checked_at = self._checked_at.get(host)
@@ -177,10 +186,18 @@
 
 
 class _InterruptedCall(typing.NamedTuple):
+    """Request whose connection its server closed.
+
+    :param has_begun: whether its answer had just begun.
+    :param is_ended: whether the answer may be complete, as it did not state
+        its end.
+    """
+
     host: str
     mono: int
     call: calls.Call
     has_begun: bool
+    is_ended: bool = False
 
 
 def suspect(
@@ -205,10 +222,42 @@
         if has_begun:
             return _blame(state, call, server, now)
         return []
-    state.poison.record_interrupted(
-        server.host, call, now.mono, has_begun=has_begun
+    return _check_server(
+        state,
+        server,
+        _InterruptedCall(server.host, now.mono, call, has_begun),
+    )
+
+
+def suspect_end(
+    state: states.State,
+    call: calls.Call,
+    server: servers.Server,
+    answered_ms: int,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Record an answer that ended with its connection, without stating it.
+
+    It is sound if the server turns out to be there, and was broken off by a
+    crash otherwise.
+
+    :param answered_ms: how long ago the answer began.
+    """
+    has_begun = answered_ms <= suspects.CRASH_DELAY_MS
+    return _check_server(
+        state,
+        server,
+        _InterruptedCall(
+            server.host, now.mono, call, has_begun, is_ended=True
+        ),
     )
-    if not state.poison.is_check_due(server.host, now.mono):
+
+
+def _check_server(
+    state: states.State, server: servers.Server, closed: _InterruptedCall
+) -> list[effects.Effect]:
+    state.poison.record_interrupted(closed)
+    if not state.poison.is_check_due(server.host, closed.mono):
         return []
     return [effects.CheckServer(server.host, server.row.address)]
 
@@ -218,8 +267,13 @@
 ) -> list[effects.Effect]:
     """Handle the result of a check of a server that broke off a request."""
     server = state.servers.get(event.host)
-    if server is None or not event.is_gone:
+    if server is None:
         return []
+    if not event.is_gone:
+        out: list[effects.Effect] = []
+        for call in state.poison.take_ended(event.host):
+            out += suspects.record_sound_answer(state, call, now)
+        return out
     return [
         *servers.eject_gone(server, now),
         *confirm_crashes(state, server, now),
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -342,9 +342,15 @@
     out = moves.record_request_outcome(
         state, request, now, failed=False, span=_mean_event_gap_ms(request)
     )
+    server = state.servers.get(request.host)
     out += _record_server_success(state, request)
     if event.is_framed:
         out += suspects.record_sound_answer(state, request.call, now)
+    elif server is not None and request.call.parts:
+        answered_ms = now.mono - request.first_token_at
+        out += poison.suspect_end(
+            state, request.call, server, answered_ms, now
+        )
     out += _report_answered(state, request, 'stream', now)
     out.append(effects.SendFinish(request.caller_handle, True))
     return out + requests.remove_request(state, request)
--- a/tests/decisions/test_suspects.py
+++ b/tests/decisions/test_suspects.py
@@ -201,6 +201,29 @@
             reducer.reduce(self.state, event, self.now)
         self.assertIs(CLEAR, self.standing('bad'))
 
+    def end_unframed(self, *parts: str, is_gone: bool) -> None:
+        """End an answer with its connection, and check the server."""
+        server = self.add_server()
+        call = self.prompt(*parts)
+        poison.suspect_end(self.state, call, server, 40, self.now)
+        event = events.ServerChecked(server.host, is_gone=is_gone)
+        reducer.reduce(self.state, event, self.now)
+
+    # Guards against a crash that looks like the end of an answer that does
+    # not state its end.
+    def test_end_without_a_stated_end_may_be_a_crash(self) -> None:
+        for _ in range(2):
+            self.end_unframed('bad', is_gone=True)
+        self.assertIs(REFUSED, self.standing('bad'))
+
+    def test_end_without_a_stated_end_is_sound_if_the_server_is_there(
+        self,
+    ) -> None:
+        self.crash(self.prompt('head', 'bad'))
+        self.end_unframed('head', is_gone=False)
+        self.assertIs(CLEAR, self.standing('head'))
+        self.assertIs(SUSPECT, self.standing('bad'))
+
     # Guards against requests that try one dead server after the other.
     def test_gone_server_gets_no_requests(self) -> None:
         host = self.crash(self.prompt('bad'))
