Time a new version against the old one's times before the rollout

Six of the first eight answers on a route were slow at the two nodes that tried it, and none counted.

The class is that of the unknown old version: a comparison with what is not known yet, although it was known before. Each node now keeps the usual times by route, and a rollout begins with them; the old version's answers go on from there. Times of servers that say that they are still slow after their start are left out, so that the earlier comparison blames no good version.

test_slow_version_is_found_at_its_first_answers failed before.

--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -196,6 +196,7 @@
     :param slots: requests that it runs concurrently, 0 for unknown.
     :param left_ms: time until it is taken back, 0 for unknown.
     :param born: wall-clock milliseconds of its start, 0 for unknown.
+    :param cold_ms: how long it is still slow after its start.
     """
 
     host: str
@@ -211,6 +212,7 @@
     slots: int = 0
     left_ms: int = 0
     born: int = 0
+    cold_ms: int = 0
 
 
 class HostsRead(msgspec.Struct, frozen=True):
--- a/src/teaselbridge/decisions/evidence.py
+++ b/src/teaselbridge/decisions/evidence.py
@@ -233,6 +233,35 @@
         return span > SLOW_FACTOR * max(self.span, self.recent_span)
 
 
+class UsualTimes:
+    """Times of a pool's answers by route, whether or not a move is tested.
+
+    A node that has few requests on a route could not time the new version
+    otherwise until the move is half over.
+    """
+
+    def __init__(self) -> None:
+        self._by_route: dict[str, _Baseline] = {}
+
+    def add(self, route: str, span: float, mono: int) -> None:
+        """Record the time of a successful answer.
+
+        :param span: milliseconds a token or answer took.
+        :param mono: monotonic milliseconds.
+        """
+        self._by_route.setdefault(route, _Baseline()).add_span(span, mono)
+
+    def copy_to(self, route: str, baseline: _Baseline) -> None:
+        """Copy the times of a route."""
+        usual = self._by_route.get(route)
+        if usual is None:
+            return
+        baseline.span = usual.span
+        baseline.timed = usual.timed
+        baseline.recent_span = usual.recent_span
+        baseline.timed_at = usual.timed_at
+
+
 @dataclasses.dataclass(slots=True)
 class _VersionTests:
     """Tests of the new version on one route or on all routes."""
@@ -258,9 +287,12 @@
 
     Each route is tested on its own, to detect faults of a single route. All
     routes are also tested together, which detects a common fault sooner.
+
+    :param usual: times before the move, none where they are unknown.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, usual: UsualTimes | None = None) -> None:
+        self._usual = usual
         self._baselines: dict[str, _Baseline] = {}
         self._tests: dict[str, _VersionTests] = {}
         self._tallies: dict[str, _VersionTallies] = {}
@@ -281,7 +313,7 @@
         :param span: milliseconds a token or answer took, 0 for unknown.
         :param mono: monotonic milliseconds.
         """
-        old = self._baselines.setdefault(route, _Baseline())
+        old = self._baseline_of(route)
         old.errors.add(failed)
         timed = bool(span) and not failed
         slow = timed and bool(old.timed) and span > SLOW_FACTOR * old.span
@@ -300,7 +332,7 @@
         :param mono: monotonic milliseconds.
         :return: the fault, once the evidence suffices.
         """
-        old = self._baselines.setdefault(route, _Baseline())
+        old = self._baseline_of(route)
         timed = bool(span) and not failed and old.timed >= MIN_TIMED_COUNT
         slow = timed and old.is_slow(span, mono)
         self._tallies_of(route).new.add(failed, timed, slow)
@@ -313,6 +345,15 @@
             return dataclasses.replace(fault, cause=detail)
         return fault
 
+    def _baseline_of(self, route: str) -> _Baseline:
+        """Return the baseline of a route, which begins with usual times."""
+        known = self._baselines.get(route)
+        if known is None:
+            known = self._baselines[route] = _Baseline()
+            if self._usual is not None:
+                self._usual.copy_to(route, known)
+        return known
+
     def _tallies_of(self, route: str) -> _VersionTallies:
         return self._tallies.setdefault(route, _VersionTallies())
 
--- a/src/teaselbridge/decisions/moves.py
+++ b/src/teaselbridge/decisions/moves.py
@@ -60,9 +60,7 @@
     """
 
     number: int
-    own_evidence: evidence.Evidence = dataclasses.field(
-        default_factory=evidence.Evidence
-    )
+    own_evidence: evidence.Evidence
     pool: evidence.PoolEvidence = dataclasses.field(
         default_factory=evidence.PoolEvidence
     )
@@ -79,6 +77,7 @@
         self._outcomes: dict[str, MoveOutcomes] = {}
         self._controls: dict[str, StepControl] = {}
         self._rejected: dict[str, set[str]] = {}
+        self._usual_times: dict[str, evidence.UsualTimes] = {}
 
     @property
     def all(self) -> tuple[messages.Move, ...]:
@@ -156,11 +155,17 @@
         if seen is not None:
             seen.number = number
 
+    def get_usual_times(self, pool: str) -> evidence.UsualTimes:
+        """Return the times of a pool's answers, created on first use."""
+        return self._usual_times.setdefault(pool, evidence.UsualTimes())
+
     def get_outcomes(self, pool: str, number: int) -> MoveOutcomes:
         """Return the outcomes of a move and drop those of older moves."""
         seen = self._outcomes.get(pool)
         if seen is None or seen.number < number:
-            seen = self._outcomes[pool] = MoveOutcomes(number)
+            own_evidence = evidence.Evidence(self.get_usual_times(pool))
+            seen = MoveOutcomes(number, own_evidence)
+            self._outcomes[pool] = seen
         return seen
 
 
@@ -205,14 +210,22 @@
 
     :param span: milliseconds a token or answer took, 0 for unknown.
     """
-    move = state.moves.get(server.row.pool)
-    if move is None or not is_tested(move, now):
+    pool = server.row.pool
+    move = state.moves.get(pool)
+    if move is not None and not is_tested(move, now):
+        move = None
+    is_new = move is not None and server.version == move.new
+    if server.cold_until > now.mono:
+        span = 0.0
+    if span and not failed and not is_new:
+        state.moves.get_usual_times(pool).add(route, span, now.mono)
+    if move is None:
         return []
     seen = state.moves.get_outcomes(move.pool, move.number)
     if state.moves.is_old(move, server.version):
         seen.own_evidence.add_old_outcome(route, failed, span, now.mono)
         return []
-    if server.version != move.new:
+    if not is_new:
         return []
     fault = seen.own_evidence.add_new_outcome(route, failed, span, now.mono)
     seen.is_urgent = seen.is_urgent or failed
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -57,6 +57,7 @@
     :param failure_ratio: moving average of the share of failed attempts.
     :param full_until: until when it gets no work after it answered that it
         is full.
+    :param cold_until: until when it is slow after its start.
     :param backoff_until: until when it asked for no requests of this node.
     :param last_heard_at: when it last sent any data.
     :param lag_ms: how much later than predicted its first bytes came.
@@ -81,6 +82,7 @@
     other_prefill_tokens: int = 0
     failure_ratio: float = 0.0
     full_until: int = 0
+    cold_until: int = 0
     backoff_until: int = 0
     last_heard_at: int = 0
     lag_ms: float = 0.0
@@ -179,6 +181,7 @@
         """
         server = Server(row=row, version=version, since=now.mono)
         server.slots = row.slots or DEFAULT_SLOTS
+        server.cold_until = now.mono + row.cold_ms
         server.leaving = row.host in self._leaving_since
         self._by_host[row.host] = server
         self._by_pool.setdefault(row.pool, []).append(server)
--- a/src/teaselbridge/platform/documents.py
+++ b/src/teaselbridge/platform/documents.py
@@ -121,6 +121,7 @@
     # Start of the server in Unix milliseconds; it distinguishes the
     # incarnations of one server id.
     born: int = 0
+    cold_left_ms: float = 0
     # Whether the server runs on a host that the cloud can take back.
     spot: bool = False
     # Unlike the other fields, this one has an underscore in the document.
@@ -186,6 +187,7 @@
         slots=max(0, document.slots),
         left_ms=round(document.leaves_ms or 0),
         born=document.born,
+        cold_ms=max(0, round(document.cold_left_ms)),
     )
 
 
--- a/tests/decisions/test_stream_times.py
+++ b/tests/decisions/test_stream_times.py
@@ -7,6 +7,7 @@
 
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import events
+from teaselbridge.decisions import moves
 from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import servers
@@ -17,6 +18,44 @@
 HEAD = calls.Head(200, ())
 
 
+class TestUsualTimes(test_versions.VersionTestCase):
+    """Times before the rollout count where a node has few requests."""
+
+    def record(self, server: servers.Server, span: float, mono: int) -> None:
+        """Record an answer."""
+        moves.record_outcome(
+            self.state,
+            server,
+            'r',
+            samples.instant(mono),
+            failed=False,
+            span=span,
+        )
+
+    def run_rollout(self, new_span: float) -> bool:
+        """Return whether a version is rejected after eight answers."""
+        (old,) = self.add('v', 1)
+        for second in range(10):
+            self.record(old, 50.0, 1_000 * second)
+        (new,) = self.add('v2', 1)
+        self.order()
+        for second in range(10, 14):
+            self.record(old, 50.0, 1_000 * second)
+            self.record(new, new_span, 1_000 * second)
+            self.record(new, new_span, 1_000 * second + 500)
+        move = self.state.moves.get('p')
+        assert move is not None
+        return self.state.moves.verdict(move) is not None
+
+    # Guards against a slow version that is not timed until the old one has
+    # answered several times on each route at the node that tries it.
+    def test_slow_version_is_found_at_its_first_answers(self) -> None:
+        self.assertTrue(self.run_rollout(200.0))
+
+    def test_equal_version_is_not_rejected(self) -> None:
+        self.assertFalse(self.run_rollout(50.0))
+
+
 class TestStreamTimes(test_versions.VersionTestCase):
     """A version is compared by its own work, not by the queue before it."""
 
