--- a/tests/decisions/test_stream_times.py
+++ b/tests/decisions/test_stream_times.py
@@ -32,12 +32,16 @@
             span=span,
         )
 
-    def run_rollout(self, new_span: float) -> bool:
-        """Return whether a version is rejected after eight answers."""
+    def run_rollout(self, new_span: float, cold_ms: int = 0) -> bool:
+        """Return whether a version is rejected after eight answers.
+
+        :param cold_ms: how long its server is slow after its start.
+        """
         (old,) = self.add('v', 1)
         for second in range(10):
             self.record(old, 50.0, 1_000 * second)
         (new,) = self.add('v2', 1)
+        new.cold_until = cold_ms
         self.order()
         for second in range(10, 14):
             self.record(old, 50.0, 1_000 * second)
@@ -55,6 +59,11 @@
     def test_equal_version_is_not_rejected(self) -> None:
         self.assertFalse(self.run_rollout(50.0))
 
+    # Guards against a good version that is rejected while its servers are
+    # still slow after their start.
+    def test_servers_that_just_started_are_not_timed(self) -> None:
+        self.assertFalse(self.run_rollout(200.0, cold_ms=20_000))
+
 
 class TestStreamTimes(test_versions.VersionTestCase):
     """A version is compared by its own work, not by the queue before it."""
