Refuse plain requests of a pool without servers at once

An empty pool was waited for, as its servers may be starting; a plain request has no time for that, and comes back sooner by Retry-After. Streams wait as before, and so does every request before this node has listed any server.

test_plain_request_is_refused_at_once_without_any_server failed before.

--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -142,12 +142,12 @@
         )
     staying = state.servers.staying(call.route.pool)
     allowed = versions.filter_by_version(state, request, staying)
-    if staying and not allowed and not request.streaming:
+    if _is_hopeless(state, request, staying, allowed):
         return _build_waiting_refusal(
             state,
             request,
             calls.Reason.NO_SERVER,
-            'no server runs a version that may serve the request',
+            'no server is left that may serve the request',
         )
     backoff_ms = notices.get_min_backoff_ms(allowed, now)
     max_wait_ms = call.route.goal_ms // MAX_BACKOFF_WAIT_GOAL_DIVISOR
@@ -177,6 +177,26 @@
     return None
 
 
+def _is_hopeless(
+    state: states.State,
+    request: requests.Request,
+    staying: list[servers.Server],
+    allowed: list[servers.Server],
+) -> bool:
+    """Return whether no server may serve a waiting request in time.
+
+    A stream has time to wait for the first server of an empty pool.
+
+    :param staying: servers of the pool that are not leaving.
+    :param allowed: those of them that run a version that may serve it.
+    """
+    if allowed or request.streaming:
+        return False
+    if staying:
+        return True
+    return bool(state.store_view.rows) and not request.call.route.streaming
+
+
 def _build_waiting_refusal(
     state: states.State,
     request: requests.Request,
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -231,10 +231,27 @@
         assert refusal is not None
         self.assertGreaterEqual(refusal.retry_after_ms, 4_000)
 
-    def test_empty_pool_is_waited_for(self) -> None:
+    def test_empty_pool_is_waited_for_before_servers_are_known(self) -> None:
         self.order()
         self.assertIsNone(self.check())
 
+    # Guards against requests that are held to their deadline though their
+    # pool has no server.
+    def test_plain_request_is_refused_at_once_without_any_server(
+        self,
+    ) -> None:
+        self.state.store_view.rows['servers/x'] = samples.row('x')
+        self.assertIsNotNone(self.check())
+
+    def test_stream_waits_for_the_first_server(self) -> None:
+        self.state.store_view.rows['servers/x'] = samples.row('x')
+        now = samples.instant(500)
+        call = samples.relayed(1, streaming=True)
+        request = requests.Request(call=call, now=now)
+        self.assertIsNone(
+            relays.check_waiting_request(self.state, request, now)
+        )
+
 
 class TestEndedRollout(VersionTestCase):
     """Rollouts that have ended, and pools without an order."""
