Clear a prompt part by a success only; drop records without room

Three faults found by reading suspects again, each with a test that failed before:

- an answer of 4xx to a prompt without a stream cleared its parts, though the server may not have run it (test_client_error_is_no_sound_answer);
- a record that was dropped at once, for want of room, was looked up again and ended the event with an error (test_record_without_room_is_dropped);
- a record from the store did not yield to recent sound answers, as one from another node does (test_stored_record_yields_to_recent_sound_answers).

--- a/src/teaselbridge/decisions/calls.py
+++ b/src/teaselbridge/decisions/calls.py
@@ -104,6 +104,11 @@
     headers: tuple[Header, ...]
     body: bytes
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the server served the request."""
+        return 200 <= self.status < 300
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -161,7 +161,7 @@
         case events.AnswerLoadReceived():
             return relays.handle_answer_load_received(state, event, now)
         case events.PartRead():
-            return suspects.handle_part_read(state, event)
+            return suspects.handle_part_read(state, event, now)
         case events.ServerChecked():
             return poison.handle_server_checked(state, event, now)
         case events.ServerNoticed():
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -398,7 +398,8 @@
         state, request, now, failed=False, span=span
     )
     out += _record_server_success(state, request)
-    out += suspects.record_sound_answer(state, request.call, now)
+    if received.is_success:
+        out += suspects.record_sound_answer(state, request.call, now)
     return out + _deliver_answer(state, request, received, now)
 
 
--- a/src/teaselbridge/decisions/suspects.py
+++ b/src/teaselbridge/decisions/suspects.py
@@ -121,7 +121,7 @@
     def merge(self, record: messages.PartCrashes) -> bool:
         """Merge accusations and withdrawals.
 
-        :return: whether any was not known before.
+        :return: whether any was not known before and is known now.
         """
         known = self._records.get(record.part)
         merged = record if known is None else known.merge(record)
@@ -134,7 +134,7 @@
             self._drop_least()
         if was_kept or self._is_kept(record.part):
             self._unsaved.add(record.part)
-        return True
+        return record.part in self._records
 
     def take_unsaved(self) -> list[messages.PartCrashes]:
         """Return and forget the records to keep in the store."""
@@ -247,24 +247,16 @@
 def merge_record(
     state: states.State, record: messages.PartCrashes, now: clock.Instant
 ) -> list[effects.Effect]:
-    """Merge the record of another node.
-
-    A part that has had sound answers at this node is cleared at once.
-    """
-    out = _merge(state, record, 'gossip')
-    if state.parts.is_sound(
-        record.part, now.mono
-    ) and state.parts.get_standing(record.part):
-        out += _clear(state, record.part, 'recent sound answers')
-    return out
+    """Merge the record of another node."""
+    return _merge_foreign(state, record, 'gossip', now)
 
 
 def handle_part_read(
-    state: states.State, event: events.PartRead
+    state: states.State, event: events.PartRead, now: clock.Instant
 ) -> list[effects.Effect]:
     """Handle a record that was read from the store."""
     if not event.is_lifted:
-        return _merge(state, event.record, 'store')
+        return _merge_foreign(state, event.record, 'store', now)
     if state.parts.get_standing(event.record.part) is Standing.CLEAR:
         return []
     return _clear(state, event.record.part, 'lifted by an operator')
@@ -387,6 +379,24 @@
         state.membership.updates.add_part(part)
 
 
+def _merge_foreign(
+    state: states.State,
+    record: messages.PartCrashes,
+    cause: str,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Merge a record that this node has not made.
+
+    A part that has had sound answers at this node is cleared at once.
+    """
+    out = _merge(state, record, cause)
+    if state.parts.get_standing(record.part) is Standing.CLEAR:
+        return out
+    if state.parts.is_sound(record.part, now.mono):
+        out += _clear(state, record.part, 'recent sound answers')
+    return out
+
+
 def _clear(state: states.State, part: str, cause: str) -> list[effects.Effect]:
     record = state.parts.get(part)
     cleared = dataclasses.replace(record, cleared=record.hosts)
--- a/tests/decisions/test_suspects.py
+++ b/tests/decisions/test_suspects.py
@@ -183,6 +183,16 @@
         self.crash(self.prompt('head', 'bad'), waiting=(call,))
         self.assertTrue(self.state.poison.is_suspect('body'))
 
+    # Guards against a refusal by a server that clears a part it did not run.
+    def test_client_error_is_no_sound_answer(self) -> None:
+        self.crash(self.prompt('bad'))
+        for status, standing in ((400, SUSPECT), (200, CLEAR)):
+            call = self.prompt('bad')
+            request = requests.Request(call=call, now=self.now)
+            answer = calls.Answer(status, (), b'')
+            relays.answer(self.state, request, answer, self.now)
+            self.assertIs(standing, self.standing('bad'))
+
     def test_last_part_is_not_blamed(self) -> None:
         call = self.prompt('bad')
         self.crash(call)
@@ -258,6 +268,17 @@
         self.assertEqual(suspects.MAX_RECORDS, len(self.state.parts.records))
         self.assertIs(REFUSED, self.standing('bad'))
 
+    # Guards against an error for a record that is dropped as it comes.
+    def test_record_without_room_is_dropped(self) -> None:
+        for number in range(suspects.MAX_RECORDS):
+            self.crash(self.prompt(f'part{number}'))
+        record = messages.PartCrashes(
+            part='x', hosts=('h',), cleared=('h',), until=self.now.wall + 1
+        )
+        self.assertEqual(
+            [], suspects.merge_record(self.state, record, self.now)
+        )
+
 
 class TestRefusal(SuspectsTestCase):
     """What becomes of requests with an accused part."""
@@ -387,6 +408,17 @@
         (record,) = self.list_stored()
         self.assertEqual(frozenset(), record.accused)
 
+    def test_stored_record_yields_to_recent_sound_answers(self) -> None:
+        for _ in range(4):
+            self.crash(self.prompt('rare'))
+        (record,) = self.list_stored()
+        other = samples.state(bounds.Bounds())
+        call = self.prompt('rare')
+        suspects.record_sound_answer(other, call, self.now)
+        entry = documents.decode_part(documents.encode_part(record))
+        reducer.reduce(other, entry, self.now)
+        self.assertEqual([], other.parts.refused)
+
     def test_operator_lifts_a_refusal(self) -> None:
         for _ in range(4):
             self.crash(self.prompt('bad'))
