Forget broken-off requests in time, and check their servers more often

Broken-off requests were dropped only when a server turned out to be gone, so that they piled up beside garbled answers; they are dropped after six seconds now, as they count for no longer. A check that a garbled answer had caused half a second before kept a crash from being checked until its entry went; checks may be 100 ms apart.

--- a/src/teaselbridge/decisions/poison.py
+++ b/src/teaselbridge/decisions/poison.py
@@ -35,7 +35,7 @@
 # three missed heartbeats after which the entry of a crashed server expires.
 CRASH_CONFIRM_TIMEOUT_MS = 6_000
 # A server that broke off a request is checked no more often than this.
-CHECK_INTERVAL_MS = 500
+CHECK_INTERVAL_MS = 100
 # Hosts that are remembered as crashed.
 MAX_CRASHED = 1_000
 
@@ -100,7 +100,10 @@
 
     def record_interrupted(self, interrupted: _InterruptedCall) -> None:
         """Record a request whose server may have crashed."""
-        self._interrupted.append(interrupted)
+        known = self._interrupted
+        known.append(interrupted)
+        while interrupted.mono - known[0].mono > CRASH_CONFIRM_TIMEOUT_MS:
+            known.popleft()
 
     def take_interrupted(self, host: str, mono: int) -> list[_InterruptedCall]:
         """Return and forget the requests that a server broke off recently."""
