--- a/src/teaselbridge/decisions/arrival.py
+++ b/src/teaselbridge/decisions/arrival.py
@@ -8,7 +8,7 @@
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import orders
-from teaselbridge.decisions import relays
+from teaselbridge.decisions import relay_checks
 from teaselbridge.decisions import requests
 
 if typing.TYPE_CHECKING:
@@ -58,7 +58,7 @@
     state: states.State, call: calls.Call, now: clock.Instant
 ) -> calls.Refusal | None:
     if call.is_relayed:
-        return relays.check(state, call, now)
+        return relay_checks.check(state, call, now)
     return requests.check(state, call, now)
 
 
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -11,6 +11,7 @@
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import prefill
 from teaselbridge.decisions import prompts
+from teaselbridge.decisions import relay_checks
 from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import suspects
@@ -84,7 +85,7 @@
     :return: no effects where it may be sent.
     """
     if request.call.is_relayed:
-        refusal = relays.check_waiting_request(state, request, now)
+        refusal = relay_checks.check_waiting_request(state, request, now)
         if refusal is None:
             return []
         return requests.refuse(state, request, refusal)
--- a/tests/decisions/test_notices.py
+++ b/tests/decisions/test_notices.py
@@ -9,7 +9,7 @@
 from teaselbridge.decisions import events
 from teaselbridge.decisions import notices
 from teaselbridge.decisions import reducer
-from teaselbridge.decisions import relays
+from teaselbridge.decisions import relay_checks
 from teaselbridge.decisions import requests
 from tests.decisions import samples
 
@@ -70,7 +70,7 @@
     def _check_waiting(self, at: int, **route: object) -> calls.Refusal | None:
         call = samples.relayed(1, **route)
         request = requests.Request(call=call, now=samples.instant(0))
-        return relays.check_waiting_request(
+        return relay_checks.check_waiting_request(
             self.state, request, samples.instant(at)
         )
 
--- a/tests/decisions/test_suspects.py
+++ b/tests/decisions/test_suspects.py
@@ -18,6 +18,7 @@
 from teaselbridge.decisions import gossip
 from teaselbridge.decisions import poison
 from teaselbridge.decisions import reducer
+from teaselbridge.decisions import relay_checks
 from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import suspects
@@ -96,7 +97,7 @@
 
     def is_refused(self, *parts: str) -> bool:
         """Return whether a new prompt is refused."""
-        refusal = relays.check(self.state, self.prompt(*parts), self.now)
+        refusal = relay_checks.check(self.state, self.prompt(*parts), self.now)
         return refusal is not None
 
 
@@ -249,6 +250,19 @@
         poison.suspect(self.state, self.prompt('bad'), server, CUT, self.now)
         self.assertIs(SUSPECT, self.standing('bad'))
 
+    # Guards against broken-off requests that are kept forever where no server
+    # turns out to be gone.
+    def test_old_interruptions_are_forgotten(self) -> None:
+        server = self.add_server()
+        for _ in range(20):
+            poison.suspect(self.state, self.prompt('x'), server, CUT, self.now)
+            self.now = self.now.plus(1_000)
+        kept = self.state.poison.take_interrupted(server.host, self.now.mono)
+        self.assertLessEqual(
+            len(kept), poison.CRASH_CONFIRM_TIMEOUT_MS // 1_000 + 1
+        )
+        self.assertEqual(0, len(self.state.poison._interrupted))
+
     def test_leaving_server_is_not_a_crash(self) -> None:
         server = self.add_server()
         server.leaving = True
@@ -291,7 +305,7 @@
 
     def test_new_request_is_refused_truthfully(self) -> None:
         self.convict()
-        refusal = relays.check(
+        refusal = relay_checks.check(
             self.state, self.prompt('head', 'bad'), self.now
         )
         assert refusal is not None
@@ -303,7 +317,9 @@
         call = self.prompt('head', 'bad')
         request = requests.Request(call=call, now=self.now)
         self.convict()
-        refusal = relays.check_waiting_request(self.state, request, self.now)
+        refusal = relay_checks.check_waiting_request(
+            self.state, request, self.now
+        )
         assert refusal is not None
         self.assertIs(calls.RunStatus.NOT_RUN, refusal.ran)
 
@@ -312,7 +328,9 @@
         request = requests.Request(call=call, now=self.now)
         request.may_have_run = True
         self.convict()
-        refusal = relays.check_waiting_request(self.state, request, self.now)
+        refusal = relay_checks.check_waiting_request(
+            self.state, request, self.now
+        )
         assert refusal is not None
         self.assertIs(calls.RunStatus.UNKNOWN, refusal.ran)
 
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -10,7 +10,7 @@
 from teaselbridge.decisions import events
 from teaselbridge.decisions import evidence
 from teaselbridge.decisions import moves
-from teaselbridge.decisions import relays
+from teaselbridge.decisions import relay_checks
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import rollouts
 from teaselbridge.decisions import servers
@@ -193,7 +193,7 @@
         """Check a waiting request."""
         now = samples.instant(500)
         request = requests.Request(call=samples.relayed(number), now=now)
-        return relays.check_waiting_request(self.state, request, now)
+        return relay_checks.check_waiting_request(self.state, request, now)
 
     # Guards against requests that are held to their deadline though only a
     # version that was taken back is left.
@@ -249,7 +249,7 @@
         call = samples.relayed(1, streaming=True)
         request = requests.Request(call=call, now=now)
         self.assertIsNone(
-            relays.check_waiting_request(self.state, request, now)
+            relay_checks.check_waiting_request(self.state, request, now)
         )
 
 
