Tell how long a rollout has lasted with each report on it

What operators would see: a good version that misses its deadline and is taken back. Since steps are left to the nodes that get reports, no other node steps in.

Reports now carry the sender's elapsed time, of its monotonic clock, and a node adopts the longest. Weighed: the wall time of the first node (clocks jump by seconds); steps by every node (who lack the others' doubt).

test_restarted_candidate_learns_the_time_of_the_rollout failed before.

--- a/src/teaselbridge/decisions/reports.py
+++ b/src/teaselbridge/decisions/reports.py
@@ -16,6 +16,7 @@
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import leases
 from teaselbridge.decisions import moves
+from teaselbridge.decisions import rollouts
 from teaselbridge.peers import messages
 
 if typing.TYPE_CHECKING:
@@ -58,6 +59,9 @@
     move = state.moves.get(message.pool)
     if move is None or move.number != message.number:
         return []
+    rollouts.adopt_elapsed(
+        state, move.pool, move.number, message.elapsed_ms, now
+    )
     pool = state.moves.get_outcomes(move.pool, move.number).pool
     out: list[effects.Effect] = []
     for score in message.scores:
@@ -86,6 +90,7 @@
         node=state.options.me.name,
         incarnation=state.options.me.incarnation,
         scores=scores,
+        elapsed_ms=rollouts.get_elapsed_ms(state, move.pool, move.number, now),
     )
     return handle_scores(state, message, now) + _send_to_deciders(
         state, move, message
--- a/src/teaselbridge/decisions/rollouts.py
+++ b/src/teaselbridge/decisions/rollouts.py
@@ -47,7 +47,7 @@
     """State of an ordered rollout; times are monotonic milliseconds.
 
     :param number: number of the move.
-    :param began: when this node learned of it.
+    :param began: when the first node learned of it, as far as is known.
     :param duration_ms: time allowed for the rollout.
     :param reported: state that was last reported to the operators.
     :param reporting: state of the report that is in progress.
@@ -142,6 +142,29 @@
     return []
 
 
+def get_elapsed_ms(
+    state: states.State, pool: str, number: int, now: clock.Instant
+) -> int:
+    """Return the time since this node learned of a rollout, 0 if unknown."""
+    rollout = state.rollouts.by_pool.get(pool)
+    if rollout is None or rollout.number != number:
+        return 0
+    return now.mono - rollout.began
+
+
+def adopt_elapsed(
+    state: states.State,
+    pool: str,
+    number: int,
+    elapsed_ms: int,
+    now: clock.Instant,
+) -> None:
+    """Adopt the time that another node has known a rollout for longer."""
+    rollout = state.rollouts.by_pool.get(pool)
+    if rollout is not None and rollout.number == number:
+        rollout.began = min(rollout.began, now.mono - elapsed_ms)
+
+
 def tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
     """Take the steps that are due and report them to the operators."""
     out: list[effects.Effect] = []
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -382,6 +382,7 @@
     :param node: name of the sender.
     :param incarnation: incarnation of the sender at its start.
     :param scores: totals by route since the sender's start.
+    :param elapsed_ms: time since the sender learned of the rollout.
     """
 
     pool: str
@@ -389,6 +390,7 @@
     node: str
     incarnation: int
     scores: tuple[evidence.Score, ...]
+    elapsed_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -203,6 +203,27 @@
                 self.report(state, 4)
             self.assertLess(self.step(state), 0.1, state.options.me.name)
 
+    # Guards against a good version that misses its deadline because the nodes
+    # that take the steps were restarted during its rollout.
+    def test_restarted_candidate_learns_the_time_of_the_rollout(self) -> None:
+        for state in self.states:
+            state.rollouts.by_pool['p'].began = DURATION_MS // 2
+        candidates = leases.list_candidates(self.states[0], 'p')
+        for state in self.states:
+            if state.options.me.name in candidates:
+                self.assertLess(self.step(state), 0.1)
+                message = messages.Scores(
+                    pool='p',
+                    number=40,
+                    node='other',
+                    incarnation=1,
+                    scores=(),
+                    elapsed_ms=DURATION_MS // 2,
+                )
+                now = samples.instant(DURATION_MS // 2)
+                reports.handle_scores(state, message, now)
+                self.assertEqual(0.5, self.step(state))
+
     def test_candidates_step_where_there_is_no_doubt(self) -> None:
         shares = [self.step(state) for state in self.states]
         candidates = leases.list_candidates(self.states[0], 'p')
