Give a version no more traffic before it has served some requests

Seven of the eight servers of both versions were down for six seconds of its trial, so that it served next to nothing, and the shares rose by the clock.

Cause: the absence of evidence was taken for a good trial. A step now needs four outcomes of the new version where the old one has had twenty; without them the rollout is taken back at its deadline. A pool without requests is completed as before.

test_version_that_has_served_few_requests_gets_no_more failed before.

--- a/src/teaselbridge/decisions/evidence.py
+++ b/src/teaselbridge/decisions/evidence.py
@@ -374,6 +374,14 @@
         self._baselines: dict[str, _Baseline] = {}
         self._tests: dict[str, _VersionTests] = {}
 
+    def count(self) -> tuple[int, int]:
+        """Return the numbers of outcomes of the old and the new version."""
+        scores = self._last_scores.values()
+        return (
+            sum(score.old.count for score in scores),
+            sum(score.new.count for score in scores),
+        )
+
     @property
     def doubt(self) -> Fault | None:
         """Reason why the new version is in doubt, if it is."""
--- a/src/teaselbridge/decisions/rollouts.py
+++ b/src/teaselbridge/decisions/rollouts.py
@@ -40,6 +40,10 @@
 ALL_TRAFFIC_FRACTION = 0.6
 DONE_FRACTION = 0.85
 RETRY_DELAY_MS = 500
+# A version with fewer outcomes, beside so many of the old one, is not tried
+# enough for more traffic.
+MIN_NEW_OUTCOMES = 4
+MIN_OLD_OUTCOMES = 20
 
 
 @dataclasses.dataclass(slots=True)
@@ -199,7 +203,7 @@
         return _apply_step(
             state, move, stage, 0.0, 'the deadline has passed', now
         )
-    if state.moves.get_outcomes(move.pool, move.number).pool.doubt is not None:
+    if not _is_tried(state, move):
         return []
     if not _gets_reports(state, move) or not _has_capacity(state, move):
         return []
@@ -222,6 +226,19 @@
     return []
 
 
+def _is_tried(state: states.State, move: messages.Move) -> bool:
+    """Return whether the new version's outcomes allow the next step.
+
+    It must not be in doubt, and must have served some requests if the old
+    version has: its servers may have been down during the trial.
+    """
+    seen = state.moves.get_outcomes(move.pool, move.number).pool
+    old, new = seen.count()
+    if old >= MIN_OLD_OUTCOMES and new < MIN_NEW_OUTCOMES:
+        return False
+    return seen.doubt is None
+
+
 def _gets_reports(state: states.State, move: messages.Move) -> bool:
     """Return whether the other nodes report their outcomes to this node."""
     candidates = leases.list_candidates(state, move.pool)
--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -203,6 +203,29 @@
                 self.report(state, 4)
             self.assertLess(self.step(state), 0.1, state.options.me.name)
 
+    # Guards against a bad version that gets half of the traffic unseen, as its
+    # servers were down during its trial.
+    def test_version_that_has_served_few_requests_gets_no_more(self) -> None:
+        candidates = leases.list_candidates(self.states[0], 'p')
+        for new, expected in ((1, 0.08), (6, 0.5)):
+            score = evidence.Score(
+                route='r',
+                old=evidence.Tally(count=60),
+                new=evidence.Tally(count=new),
+            )
+            message = messages.Scores(
+                pool='p',
+                number=40,
+                node='canary',
+                incarnation=1,
+                scores=(score,),
+            )
+            for state in self.states:
+                if state.options.me.name in candidates:
+                    now = samples.instant(10)
+                    reports.handle_scores(state, message, now)
+                    self.assertEqual(expected, self.step(state))
+
     # Guards against a good version that misses its deadline because the nodes
     # that take the steps were restarted during its rollout.
     def test_restarted_candidate_learns_the_time_of_the_rollout(self) -> None:
