Count no refused connection for or against a version

The usual failures of the old version were connections refused by its servers while these were down. A refused connection says nothing about a version; it counted on both sides, and hid the failures of the new one behind those of the hosts of the old one.

test_refused_connection_is_no_outcome_of_a_version failed before.

--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -443,6 +443,7 @@
     server.failure_ratio += FAILURE_RATE_SMOOTHING * (1 - server.failure_ratio)
     if not server.leaving:
         request.failed_version = server.version
+    if not server.leaving and fault.kind is not calls.FaultKind.CONNECT:
         out += moves.record_request_outcome(
             state, request, now, failed=True, span=0
         )
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -11,6 +11,7 @@
 from teaselbridge.decisions import evidence
 from teaselbridge.decisions import moves
 from teaselbridge.decisions import relay_checks
+from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import rollouts
 from teaselbridge.decisions import servers
@@ -186,6 +187,29 @@
         self.assertEqual(CALLS, self.count('v'))
 
 
+class TestOutcomes(VersionTestCase):
+    """Which failures count for or against a version."""
+
+    # Guards against crashed servers of the old version that hide the failures
+    # of the new one.
+    def test_refused_connection_is_no_outcome_of_a_version(self) -> None:
+        (old,) = self.add('v', 1)
+        self.add('v2', 1)
+        self.order()
+        for kind, count in (
+            (calls.FaultKind.CONNECT, 0),
+            (calls.FaultKind.ERROR, 1),
+        ):
+            now = samples.instant(500)
+            request = requests.Request(call=samples.relayed(1), now=now)
+            request.host = old.host
+            fault = calls.Fault(kind, calls.RunStatus.NOT_RUN, '')
+            relays.handle_attempt_failed(self.state, request, fault, None, now)
+            seen = self.state.moves.get_outcomes('p', 40)
+            scores = seen.own_evidence.scores
+            self.assertEqual(count, sum(item.old.failed for item in scores))
+
+
 class TestHopelessRequest(VersionTestCase):
     """No server is left that may ever serve a waiting request."""
 
