--- a/src/teaselbridge/decisions/evidence.py
+++ b/src/teaselbridge/decisions/evidence.py
@@ -38,8 +38,8 @@
 SMOOTHING_FACTOR = 0.005
 # Standard errors that are added to the old version's rate.
 STANDARD_ERRORS = 2.0
-# With fewer outcomes of the old version, `DEFAULT_RATE` is expected, or what
-# these outcomes and as many more at that rate as PRIOR_COUNT make.
+# With fewer outcomes of the old version, their rate is expected after adding
+# PRIOR_COUNT outcomes at `DEFAULT_RATE`, but no less than `DEFAULT_RATE`.
 MIN_BASELINE_COUNT = 20
 DEFAULT_RATE = 0.1
 PRIOR_COUNT = 2
@@ -374,7 +374,7 @@
         self._baselines: dict[str, _Baseline] = {}
         self._tests: dict[str, _VersionTests] = {}
 
-    def count(self) -> tuple[int, int]:
+    def count_outcomes(self) -> tuple[int, int]:
         """Return the numbers of outcomes of the old and the new version."""
         scores = self._last_scores.values()
         return (
--- a/src/teaselbridge/decisions/rollouts.py
+++ b/src/teaselbridge/decisions/rollouts.py
@@ -233,7 +233,7 @@
     version has: its servers may have been down during the trial.
     """
     seen = state.moves.get_outcomes(move.pool, move.number).pool
-    old, new = seen.count()
+    old, new = seen.count_outcomes()
     if old >= MIN_OLD_OUTCOMES and new < MIN_NEW_OUTCOMES:
         return False
     return seen.doubt is None
