Log the terms that backend servers state, and count limited attempts

Nothing read Server-Limit, so that no log or metric could tell whether a host knew a limit. Each answer now yields an event with its terms; a change of them is a server-terms line, and attempts at servers with a rate are counted as limited_attempts. No decision changes.

--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -7,6 +7,7 @@
 from teaselbridge.decisions import active
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
+from teaselbridge.decisions.limits import answers
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import prefill
@@ -164,7 +165,8 @@
     if state.poison.is_suspect(call.fingerprint):
         server.suspect_requests += 1
     out: list[effects.Effect] = [
-        effects.Count(effects.Counter.ATTEMPTS, call.route.name)
+        effects.Count(effects.Counter.ATTEMPTS, call.route.name),
+        *answers.count_attempt(state, server.host),
     ]
     if call.is_relayed:
         return out + relays.start_attempt(state, request, server, now)
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from teaselbridge.decisions import calls
+from teaselbridge.decisions.limits import terms as terms_module
 from teaselbridge.decisions import tickets
 from teaselbridge.peers import messages
 from teaselbridge.tables import model
@@ -158,6 +159,30 @@
     detail: str = ''
 
 
+class TermsStated(msgspec.Struct, frozen=True, kw_only=True):
+    """Terms of a backend server, as one of its answers states them.
+
+    :param host: host of the lifetime that the request was sent to.
+    :param terms: its terms; an answer without any states none.
+    :param asked_at: monotonic milliseconds at which the request was sent.
+    """
+
+    host: str
+    terms: terms_module.Terms
+    asked_at: int
+
+
+class TermsInvalid(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer whose terms cannot be used.
+
+    :param host: host of the lifetime that the request was sent to.
+    :param detail: description of the values.
+    """
+
+    host: str
+    detail: str
+
+
 class AttemptFailed(msgspec.Struct, frozen=True):
     """End of an attempt without an answer."""
 
@@ -542,6 +567,8 @@
     | PartRead
     | AnswerLoadReceived
     | ServerNoticed
+    | TermsStated
+    | TermsInvalid
     | ServersListed
     | ServersChanged
     | NodesListed
--- /dev/null
+++ b/src/teaselbridge/decisions/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits that a backend server sets for the requests of all nodes."""
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -17,6 +17,7 @@
 from teaselbridge.decisions import events
 from teaselbridge.decisions import knowledge
 from teaselbridge.decisions import leases
+from teaselbridge.decisions.limits import answers
 from teaselbridge.decisions import loads
 from teaselbridge.decisions import membership
 from teaselbridge.decisions import notices
@@ -166,6 +167,10 @@
             return poison.handle_server_checked(state, event, now)
         case events.ServerNoticed():
             return notices.handle_server_noticed(state, event, now)
+        case events.TermsStated():
+            return answers.handle_terms_stated(state, event, now)
+        case events.TermsInvalid():
+            return answers.handle_terms_invalid(state, event)
         case events.ConfigurationRead():
             return knowledge.handle_configuration_read(state, event, now)
         case events.ServersListed():
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -16,6 +16,7 @@
 from teaselbridge.decisions import knowledge
 from teaselbridge.decisions import leases
 from teaselbridge.decisions import ledger
+from teaselbridge.decisions.limits import terms
 from teaselbridge.decisions import loads
 from teaselbridge.decisions import members
 from teaselbridge.decisions import moves
@@ -98,6 +99,7 @@
         self.queue = admission.RequestQueue()
         self.latency_estimator = admission.LatencyEstimator()
         self.servers = servers.ServerRegistry()
+        self.terms = terms.StatedTerms()
         self.rotation = placement.Rotation()
         self.prompts = prompts.SentPrompts()
         self.budgets = retry.RetryBudgets(bounds=options.bounds)
--- a/src/teaselbridge/platform/names.py
+++ b/src/teaselbridge/platform/names.py
@@ -13,6 +13,10 @@
 RETRY_AFTER = b'retry-after'
 # Set to 1 in all answers of a backend server that is leaving.
 SERVER_LEAVING = b'server-leaving'
+# Requests a second that a backend server takes from all nodes together.
+SERVER_LIMIT = b'server-limit'
+# Refusals a second, for want of room, beyond which a backend server fails.
+SERVER_BRITTLE = b'server-brittle'
 # Number of times that the store was restored from an older copy.
 STORE_ERA = 'Store-Era'
 # Two numbers: tokens of the prompt and the maximum of output tokens.
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -11,6 +11,7 @@
 from teaselbridge import clock
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import events
+from teaselbridge.decisions.limits import terms
 from teaselbridge.platform import names
 
 if typing.TYPE_CHECKING:
@@ -38,11 +39,13 @@
 class _Progress:
     """Progress of an answer.
 
+    :param asked_at: monotonic milliseconds at which the request was sent.
     :param has_head: whether its head has come.
     :param first_byte_at: monotonic milliseconds of the first byte of a
         stream, none before it.
     """
 
+    asked_at: int
     has_head: bool = False
     first_byte_at: int | None = None
 
@@ -72,7 +75,7 @@
     :param post: function that passes an event to the reducer.
     """
     handle = effect.call.handle
-    progress = _Progress()
+    progress = _Progress(asked_at=_CLOCK.now().mono)
     try:
         response = await client.send(_build_request(effect), stream=True)
         progress.has_head = True
@@ -138,6 +141,8 @@
     if load:
         _post_load(load, effect.address, post)
     _post_notice(response, effect.host, post)
+    if response.status_code != MISDIRECTED_STATUS:
+        _post_terms(headers, effect.host, progress.asked_at, post)
     not_run = names.first(headers, names.NOT_RUN)
     if not_run or response.status_code == MISDIRECTED_STATUS:
         await _read_body(response)
@@ -268,6 +273,40 @@
         )
 
 
+def _post_terms(
+    headers: names.Headers, host: str, asked_at: int, post: Post
+) -> None:
+    """Post the terms that a server states in an answer.
+
+    An answer whose values cannot be used states nothing.
+
+    :param host: host of the lifetime that the request was sent to.
+    :param asked_at: monotonic milliseconds at which the request was sent.
+    """
+    limits = names.list_values(headers, names.SERVER_LIMIT)
+    refusals = names.list_values(headers, names.SERVER_BRITTLE)
+    try:
+        stated = terms.Terms(
+            rate=_parse_least(limits), refusals=_parse_least(refusals)
+        )
+    except ValueError:
+        detail = f'invalid terms: {limits}, {refusals}'[:MAX_DETAIL_CHARS]
+        post(events.TermsInvalid(host=host, detail=detail))
+        return
+    post(events.TermsStated(host=host, terms=stated, asked_at=asked_at))
+
+
+def _parse_least(values: list[str]) -> float | None:
+    """Return the least of some decimal numbers, none where there are none.
+
+    :raises ValueError: one of them is no finite number from 0 on.
+    """
+    numbers = [float(value) for value in values]
+    if not all(math.isfinite(item) and item >= 0 for item in numbers):
+        raise ValueError(f'no limit: {values}')
+    return min(numbers, default=None)
+
+
 def _parse_retry_after(values: list[str]) -> tuple[int, str]:
     """Return the longest valid time in milliseconds, and the invalid values.
 
--- a/src/teaselbridge/standins/runner.py
+++ b/src/teaselbridge/standins/runner.py
@@ -11,6 +11,7 @@
 import collections
 import dataclasses
 import enum
+import time
 import typing
 
 import h11
@@ -116,6 +117,10 @@
     * ``retry_after``: seconds stated in its refusals of all requests, empty
       where it refuses none.
     * ``refused_count``: number of requests that it refused so.
+    * ``limit``: requests a second that it names in its answers, empty for
+      none.
+    * ``arrivals``: times of all requests that reached it, in seconds of the
+      monotonic clock.
     * ``crashing_part``: id of a prompt part; the server crashes as it begins
       a stream whose prompt has it. Empty for none.
     * ``has_crashed``: whether it did.
@@ -145,6 +150,8 @@
         self.is_leaving = False
         self.retry_after = ''
         self.refused_count = 0
+        self.limit = ''
+        self.arrivals: list[float] = []
         self.crashing_part = ''
         self.has_crashed = False
         self._server: asyncio.Server | None = None
@@ -251,6 +258,7 @@
         """
         fault = self.faults.popleft() if self.faults else Fault.NONE
         headers = self._build_headers(run)
+        self.arrivals.append(time.monotonic())
         if self.retry_after:
             self.refused_count += 1
             refused = [
@@ -362,6 +370,8 @@
         ]
         if self.is_leaving:
             headers.append(('Server-Leaving', '1'))
+        if self.limit:
+            headers.append(('Server-Limit', self.limit))
         return headers
 
 
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -34,7 +34,18 @@
     yield b''
 
 
+TERMS = (events.TermsStated, events.TermsInvalid)
+
+
 def run_attempt(status: int, *headers: tuple[str, str]) -> list[events.Event]:
+    """Return the events of an attempt, less those of the server's terms."""
+    found = run_whole_attempt(status, *headers)
+    return [event for event in found if not isinstance(event, TERMS)]
+
+
+def run_whole_attempt(
+    status: int, *headers: tuple[str, str]
+) -> list[events.Event]:
     """Return the events of an attempt that is answered like this."""
     found: list[events.Event] = []
 
@@ -135,3 +146,43 @@
     def test_long_invalid_value_is_cut(self) -> None:
         notice = self._get_notice(503, ('Retry-After', 'x' * 5_000))
         self.assertLessEqual(len(notice.detail), runners.MAX_DETAIL_CHARS)
+
+
+class TestTerms(testtools.TestCase):
+    """Each answer tells the terms on which its server takes requests."""
+
+    def _get_terms(self, *values: str, status: int = 200) -> events.Event:
+        headers = [('Server-Limit', value) for value in values]
+        event, *_ = run_whole_attempt(status, ID, *headers)
+        return event
+
+    def _get_rate(self, *values: str) -> float | None:
+        event = self._get_terms(*values)
+        assert isinstance(event, events.TermsStated)
+        self.assertEqual('i@1', event.host)
+        return event.terms.rate
+
+    def test_decimal_fractions(self) -> None:
+        self.assertEqual(0.2, self._get_rate('0.2'))
+        self.assertEqual(7.5, self._get_rate(' 7.50'))
+
+    def test_none_and_the_smallest_of_several(self) -> None:
+        self.assertEqual(0, self._get_rate('0'))
+        self.assertEqual(2, self._get_rate('30', '2', '4'))
+
+    def test_answer_without_any(self) -> None:
+        self.assertIsNone(self._get_rate())
+
+    def test_refusals_tell_too(self) -> None:
+        event = self._get_terms('3', status=503)
+        self.assertIsInstance(event, events.TermsStated)
+
+    def test_unusable_values_are_described(self) -> None:
+        for value in ('-1', 'nan', 'inf', '1,5', 'few', ''):
+            event = self._get_terms('3', value)
+            assert isinstance(event, events.TermsInvalid), value
+            self.assertIn(repr(value), event.detail)
+
+    def test_answer_of_another_instance_tells_nothing(self) -> None:
+        (event,) = run_whole_attempt(421, ID, ('Server-Limit', '3'))
+        self.assertIsInstance(event, events.AttemptFailed)
