Keep the rate that a server names, by all nodes together

Callers saw nothing yet; a server that had named one request a second got 13 in 4 s (11 allowed), 126 over sockets. Cause: nothing read Server-Limit, and all bounds of a server (slots, fullness, Retry-After) are kept by each host alone: a limit that all share, of which each knows a part.

A few nodes are the senders of a server that names a rate, 2 and one more for each request a second, by rendezvous hashing over the nodes that are or were active in the last 10 s; each has an equal part of the rate in a token bucket that starts empty. All attempts take their token where they start. Terms go with the load updates of nodes, at once when a server begins, and are ordered by when they were asked for and heard; of those that overtook each other the stricter hold. Requests are refused at once when the rates leave no time within their goal.

Grants on request need the node that grants to be known and alive, and a message before each request; not tried.

--- a/src/teaselbridge/decisions/admission.py
+++ b/src/teaselbridge/decisions/admission.py
@@ -139,6 +139,27 @@
             and entry.call.route.priority == call.route.priority
         )
 
+    def count_before(self, call: calls.Call) -> int:
+        """Count the waiting requests that are served before a request.
+
+        They are those of the same pool that are more urgent, or as urgent and
+        queued earlier.
+        """
+        own = self._entries.get(call.handle)
+        priority = call.route.priority
+        return sum(
+            1
+            for entry in self._entries.values()
+            if entry.call.route.pool == call.route.pool
+            and (
+                entry.call.route.priority < priority
+                or (
+                    entry.call.route.priority == priority
+                    and (own is None or entry.number < own.number)
+                )
+            )
+        )
+
     def find_shed_candidate(self) -> calls.Call | None:
         """Return the request to shed first: last priority, last deadline."""
         if not self._entries:
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -7,7 +7,7 @@
 from teaselbridge.decisions import active
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
-from teaselbridge.decisions.limits import answers
+from teaselbridge.decisions.limits import sending
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import prefill
@@ -101,10 +101,17 @@
     nodes = active.count_nodes(state)
     return any(
         server.has_free_slot(nodes)
-        for server in state.servers.usable(pool, now)
+        for server in _list_usable(state, pool, now)
     )
 
 
+def _list_usable(
+    state: states.State, pool: str, now: clock.Instant
+) -> list[servers.Server]:
+    usable = state.servers.usable(pool, now)
+    return sending.filter_by_rate(state, usable, now)
+
+
 def choose_server(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> servers.Server | None:
@@ -114,7 +121,7 @@
     """
     call = request.call
     nodes = active.count_nodes(state)
-    usable = state.servers.usable(call.route.pool, now)
+    usable = _list_usable(state, call.route.pool, now)
     wanted = versions.filter_by_version(state, request, usable)
     candidates = [server for server in wanted if server.has_free_slot(nodes)]
     if state.poison.is_suspect(call.fingerprint):
@@ -166,7 +173,7 @@
         server.suspect_requests += 1
     out: list[effects.Effect] = [
         effects.Count(effects.Counter.ATTEMPTS, call.route.name),
-        *answers.count_attempt(state, server.host),
+        *sending.record_attempt(state, server),
     ]
     if call.is_relayed:
         return out + relays.start_attempt(state, request, server, now)
--- a/src/teaselbridge/decisions/limits/answers.py
+++ b/src/teaselbridge/decisions/limits/answers.py
@@ -5,6 +5,7 @@
 import typing
 
 from teaselbridge.decisions import effects
+from teaselbridge.decisions.limits import sending
 from teaselbridge.decisions.limits import terms as terms_module
 
 if typing.TYPE_CHECKING:
@@ -12,6 +13,9 @@
     from teaselbridge.decisions import events
     from teaselbridge.decisions import state as states
 
+# A server may change its terms with each answer.
+RECORD_INTERVAL_MS = 1_000
+
 
 def handle_terms_stated(
     state: states.State, event: events.TermsStated, now: clock.Instant
@@ -20,8 +24,8 @@
     statement = terms_module.Statement(
         terms=event.terms, asked_at=event.asked_at, heard_at=now.mono
     )
-    state.terms.invalid_hosts.discard(event.host)
-    return merge_statement(state, event.host, statement, 'answer')
+    state.limits.terms.invalid_hosts.discard(event.host)
+    return merge_statement(state, event.host, statement, 'answer', now)
 
 
 def handle_terms_invalid(
@@ -31,9 +35,9 @@
 
     They are recorded once until an answer of the server is valid again.
     """
-    if event.host in state.terms.invalid_hosts:
+    if event.host in state.limits.terms.invalid_hosts:
         return []
-    state.terms.invalid_hosts.add(event.host)
+    state.limits.terms.invalid_hosts.add(event.host)
     return [_build_record(state, event.host, event.detail)]
 
 
@@ -42,24 +46,30 @@
     host: str,
     statement: terms_module.Statement,
     source: str,
+    now: clock.Instant,
 ) -> list[effects.Effect]:
-    """Merge a statement of a server, and record a change of its terms.
+    """Merge a statement of a server, and apply a change of its terms.
+
+    The nodes that are to share a rate learn at once that it is named.
 
     :param source: who passed the statement on, for the timeline.
     """
-    if not state.terms.merge(host, statement):
+    known = state.limits.terms
+    before = known.get(host)
+    if not known.merge(host, statement):
         return []
-    detail = f'{describe(state.terms.get(host))}, by {source}'
-    return [_build_record(state, host, detail)]
-
-
-def count_attempt(state: states.State, host: str) -> list[effects.Effect]:
-    """Count an attempt if its server has named a rate."""
-    if state.terms.get(host).rate is None:
+    sending.update_rate(state, host, now)
+    if not before.is_restrictive:
+        state.loads.next_update_at = now.mono
+    has_begun_or_ended = (
+        before.is_restrictive is not known.get(host).is_restrictive
+    )
+    if not known.try_record(host, RECORD_INTERVAL_MS, now) and not (
+        has_begun_or_ended
+    ):
         return []
-    server = state.servers.get(host)
-    pool = '' if server is None else server.row.pool
-    return [effects.Count(effects.Counter.LIMITED_ATTEMPTS, pool)]
+    detail = f'{describe(state.limits.terms.get(host))}, by {source}'
+    return [_build_record(state, host, detail)]
 
 
 def describe(terms: terms_module.Terms) -> str:
--- /dev/null
+++ b/src/teaselbridge/decisions/limits/known.py
@@ -0,0 +1,26 @@
+"""What a node knows and keeps of the limits of backend servers."""
+
+from __future__ import annotations
+
+from teaselbridge.decisions.limits import shares
+from teaselbridge.decisions.limits import terms as terms_module
+from teaselbridge.decisions.limits import tokens
+
+
+class Limits:
+    """Terms of backend servers, and this node's shares of them.
+
+    Attributes:
+
+    * ``terms``: what the servers stated.
+    * ``buckets``: this node's requests to servers that name a rate.
+    * ``candidates``: nodes that may be senders.
+    * ``next_refresh_at``: monotonic milliseconds of the next update of the
+      shares.
+    """
+
+    def __init__(self) -> None:
+        self.terms = terms_module.StatedTerms()
+        self.buckets = tokens.Buckets()
+        self.candidates = shares.Candidates()
+        self.next_refresh_at = 0
--- a/src/teaselbridge/decisions/limits/terms.py
+++ b/src/teaselbridge/decisions/limits/terms.py
@@ -80,6 +80,8 @@
 
     def __init__(self) -> None:
         self._by_host: dict[str, Statement] = {}
+        self._changed: dict[str, None] = {}
+        self._recorded_at: dict[str, int] = {}
         self.invalid_hosts: set[str] = set()
 
     @property
@@ -112,9 +114,40 @@
             if not statement.terms.is_restrictive:
                 return False
             self._by_host[host] = statement
+            self._changed[host] = None
             return True
         merged = self._by_host[host] = known.merge(statement)
-        return merged.terms != known.terms
+        if merged.terms == known.terms:
+            return False
+        self._changed[host] = None
+        return True
+
+    def take_changed(self, most: int) -> list[str]:
+        """Return and clear hosts whose terms changed, at most so many."""
+        hosts = list(self._changed)[:most]
+        for host in hosts:
+            del self._changed[host]
+        return hosts
+
+    def take_next(self, most: int) -> list[str]:
+        """Return hosts by turns, at most so many."""
+        hosts = list(self._by_host)[:most]
+        for host in hosts:
+            self._by_host[host] = self._by_host.pop(host)
+        return hosts
+
+    def try_record(
+        self, host: str, interval_ms: int, now: clock.Instant
+    ) -> bool:
+        """Return whether a change may be recorded, and note that it is.
+
+        :param interval_ms: least time between two records of one server.
+        """
+        recorded_at = self._recorded_at.get(host)
+        if recorded_at is not None and now.mono - recorded_at < interval_ms:
+            return False
+        self._recorded_at[host] = now.mono
+        return True
 
     def forget_gone(
         self,
@@ -130,6 +163,7 @@
             if host in hosts or now.mono - known.heard_at < max_age_ms:
                 continue
             del self._by_host[host]
+            self._recorded_at.pop(host, None)
         self.invalid_hosts = {
             host for host in self.invalid_hosts if host in hosts
         }
--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -21,6 +21,7 @@
 from teaselbridge.decisions import active
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import leases
+from teaselbridge.decisions.limits import exchange
 from teaselbridge.decisions import usage
 from teaselbridge.peers import messages
 
@@ -219,7 +220,7 @@
     state.usage.merge_counts(message, now)
     for item in message.servers:
         _refresh_others_load(state, item.host, now)
-    return []
+    return exchange.merge_updates(state, message, now)
 
 
 def is_participant(state: states.State) -> bool:
@@ -354,6 +355,7 @@
         demand=state.rates.get_demand(),
         usage=usage_counts,
         reading=state.loads.sum_own_readings(now),
+        terms=exchange.take_updates(state, now),
     )
 
 
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -18,6 +18,7 @@
 from teaselbridge.decisions import knowledge
 from teaselbridge.decisions import leases
 from teaselbridge.decisions.limits import answers
+from teaselbridge.decisions.limits import sending
 from teaselbridge.decisions import loads
 from teaselbridge.decisions import membership
 from teaselbridge.decisions import notices
@@ -225,6 +226,7 @@
     out += confirmation.tick(state, now)
     out += leases.tick(state, now)
     out += loads.tick(state, now)
+    out += sending.tick(state, now)
     out += usage.tick(state, now)
     out += scaling.tick(state, now)
     out += rollouts.tick(state, now)
--- a/src/teaselbridge/decisions/relay_checks.py
+++ b/src/teaselbridge/decisions/relay_checks.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import freshness
+from teaselbridge.decisions.limits import sending
 from teaselbridge.decisions import notices
 from teaselbridge.decisions import rates
 from teaselbridge.decisions import suspects
@@ -28,6 +30,7 @@
 # until all nodes know of a lost server.
 MIN_RETRY_AFTER_MS = 150
 RETRY_AFTER_JITTER_MS = 350
+RATES_DETAIL = 'all servers limit the rate of requests'
 
 
 def check(
@@ -49,6 +52,9 @@
             calls.Reason.POISON, calls.RunStatus.NOT_RUN, detail
         )
     refusal = suspects.check(state, call, now)
+    if refusal is not None:
+        return refusal
+    refusal = _check_rates_on_arrival(state, call, now)
     if refusal is not None:
         return refusal
     wait = rates.check(state, call, now)
@@ -93,6 +99,9 @@
             calls.Reason.NO_SERVER,
             'no server is left that may serve the request',
         )
+    refusal = _check_rates(state, request, allowed, now)
+    if refusal is not None:
+        return refusal
     backoff_ms = notices.get_min_backoff_ms(allowed, now)
     max_wait_ms = call.route.goal_ms // MAX_BACKOFF_WAIT_GOAL_DIVISOR
     if backoff_ms > max_wait_ms and not request.streaming:
@@ -121,6 +130,65 @@
     return None
 
 
+def _check_rates_on_arrival(
+    state: states.State, call: calls.Call, now: clock.Instant
+) -> calls.Refusal | None:
+    """Refuse a new request that waits too long behind those before it."""
+    staying = state.servers.staying(call.route.pool)
+    ahead = state.queue.count_before(call)
+    wait_ms = sending.predict_wait_ms(state, staying, ahead, now)
+    if wait_ms <= _max_rate_wait_ms(call, now.mono, now):
+        return None
+    return build_refusal(
+        state,
+        calls.Reason.NO_SERVER,
+        RATES_DETAIL,
+        _get_return_ms(wait_ms),
+    )
+
+
+def _check_rates(
+    state: states.State,
+    request: requests.Request,
+    allowed: list[servers.Server],
+    now: clock.Instant,
+) -> calls.Refusal | None:
+    """Refuse the next request in turn if it can no longer start in time.
+
+    :param allowed: servers that may serve it.
+    """
+    wait_ms = sending.predict_wait_ms(state, allowed, 0, now)
+    arrived = now.mono if request.streaming else request.arrived
+    if wait_ms <= max(0, _max_rate_wait_ms(request.call, arrived, now)):
+        return None
+    return _build_waiting_refusal(
+        state,
+        request,
+        calls.Reason.NO_SERVER,
+        RATES_DETAIL,
+        _get_return_ms(wait_ms),
+    )
+
+
+def _max_rate_wait_ms(
+    call: calls.Call, arrived: int, now: clock.Instant
+) -> int:
+    """Return how long a request may wait for the rates of its servers.
+
+    A caller that is refused earlier can still be served within its goal time
+    by another node.
+    """
+    left_ms = call.deadline - now.mono - min_time_left_ms(call)
+    if not call.route.goal_ms:
+        return left_ms
+    return min(left_ms, arrived + call.route.goal_ms - now.mono)
+
+
+def _get_return_ms(wait_ms: float) -> int:
+    """Return after how long a caller may return that was refused by rate."""
+    return MIN_RETRY_AFTER_MS if math.isinf(wait_ms) else round(wait_ms)
+
+
 def _is_hopeless(
     state: states.State,
     request: requests.Request,
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -16,7 +16,7 @@
 from teaselbridge.decisions import knowledge
 from teaselbridge.decisions import leases
 from teaselbridge.decisions import ledger
-from teaselbridge.decisions.limits import terms
+from teaselbridge.decisions.limits import known
 from teaselbridge.decisions import loads
 from teaselbridge.decisions import members
 from teaselbridge.decisions import moves
@@ -99,7 +99,7 @@
         self.queue = admission.RequestQueue()
         self.latency_estimator = admission.LatencyEstimator()
         self.servers = servers.ServerRegistry()
-        self.terms = terms.StatedTerms()
+        self.limits = known.Limits()
         self.rotation = placement.Rotation()
         self.prompts = prompts.SentPrompts()
         self.budgets = retry.RetryBudgets(bounds=options.bounds)
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -8,6 +8,7 @@
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import claims
 from teaselbridge.decisions import evidence
+from teaselbridge.decisions.limits import terms as terms_module
 from teaselbridge.tables import delta
 from teaselbridge.tables import model
 
@@ -461,6 +462,22 @@
     prompts: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StatedTerms:
+    """Terms of a backend server, as one of its answers stated them.
+
+    :param host: name of the server's host.
+    :param terms: the terms.
+    :param asked_ms_ago: time since the request was sent.
+    :param heard_ms_ago: time since its answer came.
+    """
+
+    host: str
+    terms: terms_module.Terms
+    asked_ms_ago: int
+    heard_ms_ago: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Loads:
     """Load that the sender causes; sent several times a second.
@@ -474,6 +491,7 @@
     :param usage: counts of the latest usage windows, empty in messages that
         carry none.
     :param reading: recent prompt tokens by pool.
+    :param terms: what servers stated, changes first.
     :param takes_part: whether the sender gets the updates of others.
     """
 
@@ -485,6 +503,7 @@
     demand: tuple[Demand, ...] = ()
     usage: tuple[Usage, ...] = ()
     reading: tuple[Reading, ...] = ()
+    terms: tuple[StatedTerms, ...] = ()
     takes_part: bool = True
 
 
