Order servers for those that limit the rate of requests

A server that takes one request a second counted as whole, so that the pool was not enlarged while it lasted. It counts as lost in the need; the test fails without the change (4 servers needed instead of 5). Not weighed by its rate: the nodes do not count requests by server.

--- a/src/teaselbridge/decisions/demand.py
+++ b/src/teaselbridge/decisions/demand.py
@@ -112,7 +112,7 @@
 
     The operators initially start enough servers for the usual load. Once
     that load has been observed, the measured prompt tokens are the better
-    estimate.
+    estimate. A server that limits the rate of requests counts as lost.
     """
     demand = state.demands.get(pool.name, now)
     first = demand.first if now.mono - demand.since < WARM_UP_MS else 0
@@ -120,11 +120,12 @@
     busy = demand.uncached_per_s / speed
     # The remaining servers recompute what the caches of a lost zone held.
     cold = demand.prompts / speed
+    limited = _count_limited(state, pool)
     return ServerNeed(
-        usual_servers=max(
-            MIN_SERVERS, first, math.ceil(busy / USUAL_PREFILL_FRACTION)
-        ),
-        least=max(
+        usual_servers=limited
+        + max(MIN_SERVERS, first, math.ceil(busy / USUAL_PREFILL_FRACTION)),
+        least=limited
+        + max(
             MIN_SERVERS,
             math.ceil(MIN_INITIAL_FRACTION * first),
             math.ceil(busy / MAX_PREFILL_FRACTION),
@@ -133,6 +134,14 @@
     )
 
 
+def _count_limited(state: states.State, pool: model.Pool) -> int:
+    """Return how many servers of a pool limit the rate of requests."""
+    return sum(
+        state.limits.terms.get(server.host).rate is not None
+        for server in state.servers.staying(pool.name)
+    )
+
+
 def _record_initial_servers(
     state: states.State,
     pool: model.Pool,
--- a/tests/decisions/test_demand.py
+++ b/tests/decisions/test_demand.py
@@ -11,6 +11,7 @@
 
 from teaselbridge.decisions import bounds
 from teaselbridge.decisions import demand
+from teaselbridge.decisions.limits import terms
 from teaselbridge.decisions import prefill
 from teaselbridge.decisions import scaling
 from teaselbridge.tables import model
@@ -79,3 +80,20 @@
     def test_need_tolerates_loss_of_a_server(self) -> None:
         need = self.need(self.make(0.0), demand.WARM_UP_MS)
         self.assertEqual(demand.ServerNeed(usual_servers=4, least=4), need)
+
+    # Guards against a pool that is not enlarged while its servers limit the
+    # rate of requests.
+    def test_limited_server_counts_as_lost(self) -> None:
+        state = self.make(0.0)
+        limited = terms.Statement(
+            terms=terms.Terms(rate=1.0), asked_at=0, heard_at=1
+        )
+        for host in ('a', 'b'):
+            row = samples.row(host)
+            state.servers.add(row, samples.VERSION, samples.instant(0))
+        state.limits.terms.merge('a', limited)
+        need = self.need(state, demand.WARM_UP_MS)
+        self.assertEqual(demand.ServerNeed(usual_servers=5, least=5), need)
+        state.servers.mark('a', samples.instant(0))
+        need = self.need(state, demand.WARM_UP_MS)
+        self.assertEqual(demand.ServerNeed(usual_servers=4, least=4), need)
