--- a/src/teaselbridge/runtime/loop.py
+++ b/src/teaselbridge/runtime/loop.py
@@ -81,6 +81,10 @@
         """Set the handler of an effect type."""
         self._handlers[kind] = handler
 
+    def get_handler(self, kind: type) -> EffectHandler:
+        """Return the handler of an effect type."""
+        return self._handlers[kind]
+
     def post(self, event: events.Event) -> None:
         """Process an event, after those that are already queued.
 
--- a/tests/decisions/cluster.py
+++ b/tests/decisions/cluster.py
@@ -87,6 +87,22 @@
     return most
 
 
+@dataclasses.dataclass(kw_only=True)
+class Sent:
+    """A request that a caller sent.
+
+    :param node: node that the caller sent it to.
+    :param sent_at: virtual time in milliseconds.
+    :param call: the request.
+    :param is_served: whether it was served.
+    """
+
+    node: str
+    sent_at: int
+    call: calls.Call
+    is_served: bool = False
+
+
 @dataclasses.dataclass(kw_only=True)
 class Node:
     """A node of the model.
@@ -111,8 +127,9 @@
     Attributes:
 
     * ``now``: virtual time in milliseconds.
-    * ``served``, ``served_priorities``, ``refused``: when requests were
-      served, their priorities, and the refusals.
+    * ``sent``: all requests by handle.
+    * ``served``: the served ones, in the order of their answers.
+    * ``refused``: the refusals.
     * ``can_reach``: whether one node reaches another.
     * ``can_serve``: whether a node reaches a server.
     """
@@ -139,9 +156,8 @@
             member.name: Node(name=member.name, state=self._build(member))
             for member in self.members
         }
-        self.served: list[int] = []
-        self.served_priorities: list[int] = []
-        self._priorities: dict[int, int] = {}
+        self.sent: dict[int, Sent] = {}
+        self.served: list[Sent] = []
         self.refused: list[calls.Refusal] = []
 
     def run(self, until: int, per_s: float = 0.0, **route: object) -> None:
@@ -172,10 +188,25 @@
         handle = next(self._handles)
         deadline = self.now + 2_000
         call = samples.relayed(handle, deadline=deadline, **route)
-        self._priorities[handle] = call.route.priority
+        self.sent[handle] = Sent(node=name, sent_at=self.now, call=call)
         self._post(self.nodes[name], events.CallArrived(call))
         return handle
 
+    def count_served(
+        self, names: typing.Container[str], since: int, until: int
+    ) -> tuple[int, int]:
+        """Count the requests that were served at some nodes.
+
+        :param since: time from which on they were sent, until another one.
+        :return: number of those that were served, and of all.
+        """
+        sent = [
+            item
+            for item in self.sent.values()
+            if item.node in names and since <= item.sent_at < until
+        ]
+        return sum(item.is_served for item in sent), len(sent)
+
     def restart(self, name: str) -> None:
         """Restart a node, which forgets everything."""
         (member,) = [item for item in self.members if item.name == name]
@@ -233,9 +264,9 @@
             case effects.RelayAttempt():
                 self._schedule(LINK_MS, lambda: self._serve(node, effect))
             case effects.SendAnswer():
-                self.served.append(self.now)
-                priority = self._priorities[effect.handle]
-                self.served_priorities.append(priority)
+                sent = self.sent[effect.handle]
+                sent.is_served = True
+                self.served.append(sent)
             case effects.SendRefusal():
                 self.refused.append(effect.refusal)
 
--- /dev/null
+++ b/tests/decisions/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of requests that are forwarded to other nodes."""
--- a/tests/decisions/limits/test_rates.py
+++ b/tests/decisions/limits/test_rates.py
@@ -181,16 +181,17 @@
     # Guards against urgent requests that wait behind others for a rate.
     def test_urgent_requests_come_first(self) -> None:
         model = self._run(rate=2.0, per_s=60)
-        served_at = []
         for name in model.nodes:
             for priority in (9, 0):
                 for _ in range(4):
                     model.send_request(name, priority=priority)
-        before = len(model.served_priorities)
+        before = len(model.served)
         model.run(model.now + 400)
-        served_at = model.served_priorities[before:]
-        self.assertGreater(len(served_at), 0)
-        self.assertNotIn(9, served_at)
+        priorities = [
+            item.call.route.priority for item in model.served[before:]
+        ]
+        self.assertGreater(len(priorities), 0)
+        self.assertNotIn(9, priorities)
 
 
 class TestStatements(testtools.TestCase):
