Forward the requests of a node that reaches no server to one that does

Cause: a request is bound to the node that it arrives at, so that one without links can only refuse, whatever its timeouts; callers keep the address list for up to three seconds.

After a fault that a lost link can cause, a node opens connections to up to eight servers of the pool; if none accepts one in 300 ms, it takes its links for cut, tells the others, leaves the address list while others remain, and forwards each request to a node that reaches the pool, over HTTP on a port of the range for traffic between nodes. It probes on and takes over again once a server accepts a connection; old connections are dropped then.

Weighed: the zmq channel between nodes (needs flow control, cancelling and framing of large answers of its own, and shares a pipe with gossip); sending callers elsewhere (they count first attempts only); ejecting servers sooner (no server is reached). HTTP brings back-pressure, cancelling by closing and streams.

--- a/src/teaselbridge/cli/serve.py
+++ b/src/teaselbridge/cli/serve.py
@@ -77,6 +77,7 @@
     listeners = listening.listen_all(
         (
             settings.listen.callers,
+            settings.listen.forwarding,
             *listening.list_auxiliary_addresses(settings, site_settings),
         )
     )
--- a/src/teaselbridge/decisions/arrival.py
+++ b/src/teaselbridge/decisions/arrival.py
@@ -7,6 +7,7 @@
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
+from teaselbridge.decisions.forwarding import helper
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import relay_checks
 from teaselbridge.decisions import requests
@@ -35,7 +36,7 @@
         requests.build_record(
             request,
             effects.Mark.ARRIVED,
-            f'workspace {call.key.workspace}',
+            _describe(call),
         ),
     ]
     if drain.is_closed_to_new_requests(state, now) and not call.is_relayed:
@@ -47,16 +48,26 @@
     if call.handle not in state.requests:
         return out
     state.held.setdefault(call.key, call.handle)
-    state.budgets.add_attempt(call.route)
+    if not call.origin:
+        state.budgets.add_attempt(call.route)
     if request.uses_claim:
         return out + orders.claim(state, request, now)
     requests.enqueue(state, request)
     return out
 
 
+def _describe(call: calls.Call) -> str:
+    if not call.origin:
+        return f'workspace {call.key.workspace}'
+    return f'workspace {call.key.workspace}, forwarded by {call.origin}'
+
+
 def _check_new_request(
     state: states.State, call: calls.Call, now: clock.Instant
 ) -> calls.Refusal | None:
+    refusal = helper.check(state, call) if call.origin else None
+    if refusal is not None:
+        return refusal
     if call.is_relayed:
         return relay_checks.check(state, call, now)
     return requests.check(state, call, now)
--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -8,6 +8,7 @@
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions.forwarding import origin
 from teaselbridge.decisions import moves
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import poison
@@ -98,6 +99,8 @@
     request = _current(state, event.handle, event.attempt)
     if request is None:
         return []
+    if request.helper:
+        return origin.handle_answer(state, request, event.answer, now)
     if request.call.is_relayed:
         return relays.answer(state, request, event.answer, now)
     status = event.answer.status
@@ -124,6 +127,8 @@
     request = _current(state, event.handle, event.attempt)
     if request is None:
         return []
+    if request.helper:
+        return origin.handle_failed(state, request, event.fault, now)
     if request.call.is_relayed:
         return relays.handle_attempt_failed(
             state, request, event.fault, None, now
@@ -142,6 +147,8 @@
     request = _current(state, event.handle, event.attempt)
     if request is None:
         return []
+    if request.helper:
+        return origin.handle_progress(state, request, event, now)
     match event:
         case events.HeadReceived():
             return relays.handle_head_received(state, request, event, now)
@@ -157,6 +164,8 @@
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
     """Enforce the deadline, end backoffs and leave reclaimed servers."""
+    if request.helper and request.remaining_ms(now) > 0:
+        return origin.tick(state, request, now)
     if request.call.is_relayed:
         return relays.tick(state, request, now)
     if request.remaining_ms(now) <= 0:
--- a/src/teaselbridge/decisions/calls.py
+++ b/src/teaselbridge/decisions/calls.py
@@ -179,6 +179,9 @@
     :param parts: parts of the prompt in order, for relayed engines.
     :param tokens_in: tokens of the prompt, for relayed engines.
     :param last_event: id of the last stream event that the caller received.
+    :param origin: name of the node that forwarded it, empty where a caller
+        sent it to this node.
+    :param is_counted: whether that node has counted a run for usage.
     """
 
     handle: int
@@ -202,6 +205,8 @@
     parts: tuple[PromptPart, ...] = ()
     tokens_in: int = 0
     last_event: str = ''
+    origin: str = ''
+    is_counted: bool = False
 
     @property
     def is_relayed(self) -> bool:
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -7,6 +7,7 @@
 from teaselbridge.decisions import active
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
+from teaselbridge.decisions.forwarding import origin
 from teaselbridge.decisions.limits import sending
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import placement
@@ -65,6 +66,13 @@
             if refused:
                 out += refused
                 continue
+            if state.links.is_cut(pool):
+                passed = _pass_on(state, request, now)
+                out += passed
+                if not passed:
+                    state.queue.remove(call.handle)
+                    set_aside.append(call)
+                continue
             server = choose_server(state, request, now)
             if server is not None:
                 out += _start_attempt(state, request, server, now)
@@ -78,6 +86,23 @@
     return out
 
 
+def _pass_on(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Forward a request for which no server is reached, or refuse it.
+
+    :return: no effects where a stream waits for a node that can help.
+    """
+    helper = None
+    if not request.call.origin:
+        helper = origin.choose_helper(state, request)
+    if helper is not None:
+        return origin.forward(state, request, helper, now)
+    if request.streaming:
+        return []
+    return relays.give_up(state, request, 'no node reaches a server')
+
+
 def _refuse_waiting(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -68,6 +68,9 @@
     :param new_connection: whether it needs a new connection of its own.
     :param source: ``ip:port`` of the server to copy the prompt's KV cache
         from, empty for none.
+    :param origin: name of this node, if the request goes to another node
+        instead of a server; else empty.
+    :param is_counted: whether this node has counted a run for usage.
     """
 
     call: calls.Call
@@ -80,6 +83,8 @@
     urgency: int | None
     new_connection: bool
     source: str = ''
+    origin: str = ''
+    is_counted: bool = False
 
 
 class CancelAttempt(msgspec.Struct, frozen=True):
@@ -96,6 +101,14 @@
     address: str
 
 
+class ProbeLink(msgspec.Struct, frozen=True):
+    """Command to open a connection to a backend server and close it."""
+
+    host: str
+    pool: str
+    address: str
+
+
 class DropConnections(msgspec.Struct, frozen=True):
     """Command to close all pooled connections to a backend server.
 
@@ -501,6 +514,7 @@
     LATE = 'late'
     ATTEMPTS = 'attempts'
     LIMITED_ATTEMPTS = 'limited_attempts'
+    FORWARDED = 'forwarded'
     RETRIES = 'retries'
     RESUMED = 'resumed'
     FAULTS = 'faults'
@@ -572,11 +586,14 @@
     SERVER_GONE = 'server-gone'
     SERVER_BACKOFF = 'server-backoff'
     SERVER_TERMS = 'server-terms'
+    LINKS_LOST = 'links-lost'
+    LINKS_RESTORED = 'links-restored'
     SERVER_EJECTED = 'server-ejected'
     SERVER_RESTORED = 'server-restored'
     ARRIVED = 'request-arrived'
     ATTEMPT = 'request-attempt'
     FAULT = 'request-fault'
+    FORWARDED = 'request-forwarded'
     ANSWERED = 'request-answered'
     REFUSED = 'request-refused'
     CLAIMED = 'request-claimed'
@@ -642,6 +659,7 @@
     | StorePart
     | CancelAttempt
     | CheckServer
+    | ProbeLink
     | DropConnections
     | SendToken
     | SendEnd
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -131,6 +131,17 @@
     is_gone: bool
 
 
+class LinkProbed(msgspec.Struct, frozen=True):
+    """End of an attempt to connect to a backend server.
+
+    :param is_connected: whether the connection was opened in time.
+    """
+
+    host: str
+    pool: str
+    is_connected: bool
+
+
 class AnswerLoadReceived(msgspec.Struct, frozen=True):
     """Load of a backend server, taken from one of its answers.
 
@@ -566,6 +577,7 @@
     | ServerChecked
     | PartRead
     | AnswerLoadReceived
+    | LinkProbed
     | ServerNoticed
     | TermsStated
     | TermsInvalid
--- /dev/null
+++ b/src/teaselbridge/decisions/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of requests to nodes that reach the backend servers."""
--- /dev/null
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -0,0 +1,239 @@
+"""Requests that this node forwards, as it reaches no server for them.
+
+Another node, the helper, sends the request to a server and passes the answer
+back. It counts the run: usage, evidence on versions and on crashes, rates of
+servers. This node has checked the rate of the workspace and passes on the key,
+which the helper checks again when it sends the request. A forwarded request
+is not forwarded again.
+"""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from teaselbridge.decisions import active
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions import relay_checks
+from teaselbridge.decisions import relays
+from teaselbridge.decisions import requests
+from teaselbridge.peers import messages
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import state as states
+
+MAX_HELPERS = 3
+
+
+def forward(
+    state: states.State,
+    request: requests.Request,
+    helper: messages.Member,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Forward a waiting request to another node."""
+    state.queue.remove(request.handle)
+    call = request.call
+    request.phase = requests.Phase.RUNNING
+    request.attempt += 1
+    request.host = ''
+    request.helper = helper.name
+    request.peers_tried.append(helper.name)
+    request.started_at = now.mono
+    request.progressed_at = now.mono
+    request.first = True
+    request.in_doubt = True
+    last_event = call.last_event
+    if request.last_event is not None:
+        last_event = str(request.last_event)
+    detail = f'attempt {request.attempt} forwarded to {helper.name}'
+    return [
+        effects.Count(effects.Counter.FORWARDED, call.route.pool),
+        requests.build_record(request, effects.Mark.FORWARDED, detail),
+        effects.RelayAttempt(
+            call=call,
+            attempt=request.attempt,
+            address=helper.forwarding,
+            host=helper.name,
+            instance='',
+            remaining_ms=max(1, request.remaining_ms(now)),
+            last_event=last_event,
+            urgency=None,
+            new_connection=request.is_at_most_once,
+            origin=state.options.me.name,
+            is_counted=request.began,
+        ),
+    ]
+
+
+def choose_helper(
+    state: states.State, request: requests.Request
+) -> messages.Member | None:
+    """Choose the node that gets a request, in this zone if there is one.
+
+    Of two random ones it is that with fewer requests of this node.
+
+    :return: the node, none where no other one is known to reach a server.
+    """
+    names = active.list_names(state)
+    pool = request.call.route.pool
+    able = [
+        member
+        for member in state.membership.alive
+        if member.forwarding
+        and member.name in names
+        and member.status is messages.Status.ALIVE
+        and not member.draining
+        and pool not in member.unreachable
+        and member.name not in request.peers_tried
+    ]
+    zone = state.options.me.zone
+    nearest = [member for member in able if member.zone == zone] or able
+    if not nearest:
+        return None
+    held = collections.Counter(
+        item.helper
+        for item in state.requests.values()
+        if item.phase is requests.Phase.RUNNING
+    )
+    pair = state.random.sample(nearest, min(2, len(nearest)))
+    return min(pair, key=lambda member: held[member.name])
+
+
+def handle_progress(
+    state: states.State,
+    request: requests.Request,
+    event: events.HeadReceived
+    | events.StreamEventsReceived
+    | events.RelayEnded,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Pass on the progress of a stream that the helper relays."""
+    request.progressed_at = now.mono
+    match event:
+        case events.HeadReceived():
+            request.first = False
+            if request.streaming:
+                return []
+            request.streaming = True
+            return [effects.SendHead(request.caller_handle, event.head)]
+        case events.StreamEventsReceived():
+            return _handle_events(state, request, event, now)
+        case events.RelayEnded():
+            out = _report_answered(request, 'stream', now)
+            out.append(effects.SendFinish(request.caller_handle, True))
+            return out + requests.remove_request(state, request)
+
+
+def handle_answer(
+    state: states.State,
+    request: requests.Request,
+    answer: calls.Answer,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Pass on a whole answer, whatever its status: the helper has retried."""
+    out = _report_answered(request, f'status {answer.status}', now)
+    out.append(effects.SendAnswer(request.caller_handle, answer, False))
+    return out + requests.remove_request(state, request)
+
+
+def handle_failed(
+    state: states.State,
+    request: requests.Request,
+    fault: calls.Fault,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Handle a helper that refused the request, or was lost with it."""
+    out = requests.report_fault(request, fault)
+    requests.detach_from_server(state, request)
+    if fault.ran is calls.RunStatus.UNKNOWN:
+        request.possible_runs += 1
+        request.may_have_run = True
+    request.in_doubt = request.may_have_run
+    if _can_retry(state, request, fault, now):
+        requests.enqueue(state, request)
+        return out
+    if request.streaming:
+        out += _report_answered(request, f'stream broken: {fault.detail}', now)
+        out.append(effects.SendFinish(request.caller_handle, False))
+        return out + requests.remove_request(state, request)
+    return out + relays.give_up(state, request, fault.detail)
+
+
+def tick(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Give up on a helper that is lost, if the request may run again."""
+    helper = state.membership.get_peer(request.helper)
+    if helper is not None and helper.status is messages.Status.ALIVE:
+        return []
+    if not request.call.route.idempotent:
+        return []
+    fault = calls.Fault(
+        calls.FaultKind.SILENT, calls.RunStatus.UNKNOWN, 'the helper is lost'
+    )
+    cancel = effects.CancelAttempt(request.handle, request.attempt)
+    return [cancel, *handle_failed(state, request, fault, now)]
+
+
+def _handle_events(
+    state: states.State,
+    request: requests.Request,
+    event: events.StreamEventsReceived,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Pass on stream events in their order."""
+    known = request.last_event
+    if event.last is not None and known is not None and event.last <= known:
+        fault = calls.Fault(
+            calls.FaultKind.INVALID,
+            calls.RunStatus.UNKNOWN,
+            f'event {event.last} after {known}',
+        )
+        cancel = effects.CancelAttempt(request.handle, request.attempt)
+        return [cancel, *handle_failed(state, request, fault, now)]
+    if event.last is not None:
+        request.last_event = event.last
+    return [
+        effects.Count(effects.Counter.EVENTS, request.call.route.name),
+        effects.SendEvents(request.caller_handle, event.data),
+    ]
+
+
+def _can_retry(
+    state: states.State,
+    request: requests.Request,
+    fault: calls.Fault,
+    now: clock.Instant,
+) -> bool:
+    call = request.call
+    left_ms = request.remaining_ms(now)
+    if left_ms < relay_checks.min_time_left_ms(call) or not request.attached:
+        return False
+    if fault.ran is calls.RunStatus.NOT_RUN:
+        return len(request.peers_tried) < MAX_HELPERS
+    if not call.route.idempotent:
+        return False
+    if request.possible_runs >= call.route.attempts:
+        return False
+    return state.budgets.try_spend(call.route)
+
+
+def _report_answered(
+    request: requests.Request, detail: str, now: clock.Instant
+) -> list[effects.Effect]:
+    route = request.call.route.name
+    elapsed_ms = now.mono - request.arrived
+    return [
+        effects.Count(effects.Counter.ANSWERED, route),
+        effects.ObserveLatency(effects.Span.WHOLE, route, elapsed_ms),
+        requests.build_record(
+            request,
+            effects.Mark.ANSWERED,
+            f'{detail} by {request.helper}, {request.attempt} attempts,'
+            f' {elapsed_ms} ms',
+        ),
+    ]
--- a/src/teaselbridge/decisions/membership.py
+++ b/src/teaselbridge/decisions/membership.py
@@ -111,13 +111,25 @@
     state: states.State, *, draining: bool, status: messages.Status
 ) -> list[effects.Effect]:
     """Change this node's own entry and broadcast it to peers at once."""
-    membership = state.membership
-    membership.me = dataclasses.replace(
-        membership.me,
-        incarnation=membership.me.incarnation + 1,
-        draining=draining,
-        status=status,
+    me = dataclasses.replace(
+        state.membership.me, draining=draining, status=status
     )
+    return _announce(state, me)
+
+
+def announce_unreachable(
+    state: states.State, pools: tuple[str, ...]
+) -> list[effects.Effect]:
+    """Tell the peers of which pools this node reaches no server."""
+    me = dataclasses.replace(state.membership.me, unreachable=pools)
+    return _announce(state, me)
+
+
+def _announce(
+    state: states.State, me: messages.Member
+) -> list[effects.Effect]:
+    membership = state.membership
+    membership.me = dataclasses.replace(me, incarnation=me.incarnation + 1)
     membership.updates.add_member(membership.me.name)
     update = messages.Gossip(
         members=(membership.me,), generation=state.index.generation
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -15,6 +15,7 @@
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions.forwarding import links
 from teaselbridge.decisions import knowledge
 from teaselbridge.decisions import leases
 from teaselbridge.decisions.limits import answers
@@ -166,6 +167,8 @@
             return suspects.handle_part_read(state, event, now)
         case events.ServerChecked():
             return poison.handle_server_checked(state, event, now)
+        case events.LinkProbed():
+            return links.handle_link_probed(state, event, now)
         case events.ServerNoticed():
             return notices.handle_server_noticed(state, event, now)
         case events.TermsStated():
@@ -227,6 +230,7 @@
     out += leases.tick(state, now)
     out += loads.tick(state, now)
     out += sending.tick(state, now)
+    out += links.tick(state, now)
     out += usage.tick(state, now)
     out += scaling.tick(state, now)
     out += rollouts.tick(state, now)
--- a/src/teaselbridge/decisions/relay_checks.py
+++ b/src/teaselbridge/decisions/relay_checks.py
@@ -54,10 +54,12 @@
     refusal = suspects.check(state, call, now)
     if refusal is not None:
         return refusal
-    refusal = _check_rates_on_arrival(state, call, now)
+    refusal = None
+    if not state.links.is_cut(call.route.pool):
+        refusal = _check_rates_on_arrival(state, call, now)
     if refusal is not None:
         return refusal
-    wait = rates.check(state, call, now)
+    wait = 0 if call.origin else rates.check(state, call, now)
     if wait:
         detail = 'the workspace exceeds its request rate'
         return calls.Refusal(
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -14,6 +14,7 @@
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions.forwarding import links
 from teaselbridge.decisions import moves
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import poison
@@ -46,6 +47,16 @@
 # Time without new requests for a server that reported that it is full.
 FULL_SERVER_BACKOFF_MS = 100
 
+# Faults that a lost link can cause as well as a failed server.
+LINK_FAULTS = frozenset(
+    {
+        calls.FaultKind.CONNECT,
+        calls.FaultKind.RESET,
+        calls.FaultKind.SILENT,
+        calls.FaultKind.CUT,
+    }
+)
+
 
 def resolve_route(
     route: model.Route, workspace: model.Workspace | None, request: str
@@ -343,8 +354,10 @@
     """Retry an idempotent request whose server sends no data."""
     silence_ms = silence.get_overdue_ms(state, request, now)
     route = request.call.route
-    if not silence_ms or not route.idempotent:
+    if not silence_ms:
         return []
+    if not route.idempotent:
+        return links.probe_pool(state, route.pool, now)
     if request.possible_runs + 1 >= route.attempts:
         return []
     fault = calls.Fault(
@@ -440,6 +453,8 @@
     if fault.kind is calls.FaultKind.MISDIRECTED:
         out += servers.mark_leaving(state, server.host, 'address reused', now)
         return out
+    if fault.kind in LINK_FAULTS:
+        out += links.probe_pool(state, server.row.pool, now)
     server.failure_ratio += FAILURE_RATE_SMOOTHING * (1 - server.failure_ratio)
     if not server.leaving:
         request.failed_version = server.version
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -63,6 +63,7 @@
     :ivar silence_timeout_ms: time without data after which it is retried
         elsewhere.
     :ivar expected_first_byte_ms: predicted time to the first byte.
+    :ivar helper: node that the running attempt was forwarded to.
     :ivar last_event: number of the last event passed on to the caller.
     """
 
@@ -92,7 +93,7 @@
         self.peer = ''
         self.peers_tried: list[str] = []
         self.streaming = False
-        self.began = False
+        self.began = call.is_counted
         self.may_have_run = False
         self.possible_runs = 0
         self.refused_attempts = 0
@@ -101,6 +102,7 @@
         self.silence_timeout_ms = 0
         self.expected_first_byte_ms = 0.0
         self.last_event: int | None = None
+        self.helper = ''
 
     @property
     def handle(self) -> int:
@@ -238,6 +240,7 @@
     """Remove a request from its server's counts and mark it as waiting."""
     server = state.servers.get(request.host)
     request.phase = Phase.BACKOFF
+    request.helper = ''
     if server is None:
         return
     server.inflight = max(0, server.inflight - 1)
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -365,6 +365,15 @@
     return [_build_record(effects.Mark.SERVER_EJECTED, server, detail)]
 
 
+def clear_faults(server: Server) -> None:
+    """Forget the faults of a server that had other causes."""
+    server.faults = 0
+    server.consecutive_ejections = 0
+    server.ejected_until = 0
+    server.lag_ms = 0.0
+    server.failure_ratio = 0.0
+
+
 def eject_gone(server: Server, now: clock.Instant) -> list[effects.Effect]:
     """Eject a server whose port refuses connections.
 
--- a/src/teaselbridge/decisions/silence.py
+++ b/src/teaselbridge/decisions/silence.py
@@ -148,7 +148,12 @@
 def _has_untried_server(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> bool:
-    """Return whether a server is usable on which it was not tried yet."""
+    """Return whether a server is usable on which it was not tried yet.
+
+    Where no server is reached, another node may reach one.
+    """
+    if state.links.is_cut(request.call.route.pool):
+        return not request.call.origin
     return any(
         server.host not in request.tried
         for server in state.servers.usable(request.call.route.pool, now)
--- a/src/teaselbridge/gateway/addresses.py
+++ b/src/teaselbridge/gateway/addresses.py
@@ -65,6 +65,8 @@
         and me.name in names
     ):
         members.append(me)
+    # A node that reaches no server has to forward what it gets.
+    members = [item for item in members if not item.unreachable] or members
     wanted = zone or state.options.me.zone
     nearest = [member for member in members if member.zone == wanted]
     if len(nearest) >= MIN_LOCAL_NODES:
--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -22,6 +22,8 @@
     from teaselbridge.runtime import outlets as outlets_module
 
 CLOSE_HEADER = (b'connection', b'close')
+# Room for the headers that a node adds to a request that it forwards.
+ADDED_HEADER_BYTES = 1_024
 
 
 class CallerDisconnectedError(Exception):
@@ -33,11 +35,19 @@
 
     :param loop: event loop of the reducer.
     :param outlets: queues of output for the waiting callers.
+    :param is_forwarded: whether it serves other nodes, which forward
+        requests, instead of callers.
     """
 
     def __init__(
-        self, *, loop: loops.Loop, outlets: outlets_module.OutputQueues
+        self,
+        *,
+        loop: loops.Loop,
+        outlets: outlets_module.OutputQueues,
+        is_forwarded: bool = False,
     ) -> None:
+        self._is_forwarded = is_forwarded
+        self._added_header_bytes = ADDED_HEADER_BYTES if is_forwarded else 0
         self._loop = loop
         self._outlets = outlets
 
@@ -80,7 +90,7 @@
         ingress.check_framing(headers)
         limits = state.index.configuration.tables.limits
         size = sum(len(name) + len(value) for name, value in headers)
-        if size > limits.header_bytes:
+        if size > limits.header_bytes + self._added_header_bytes:
             raise ingress.refused(
                 calls.Reason.HEADERS_TOO_LARGE, f'{size} bytes of headers'
             )
@@ -100,6 +110,7 @@
                 headers=headers,
                 body=body,
                 now=now.mono,
+                is_forwarded=self._is_forwarded,
             ),
             state.index,
         )
@@ -159,7 +170,9 @@
         close: bool = False,
     ) -> None:
         body = ingress.encode_refusal_body(refusal)
-        headers = ingress.build_refusal_headers(refusal, request)
+        headers = ingress.build_refusal_headers(
+            refusal, request, is_forwarded=self._is_forwarded
+        )
         if self._loop.state.drain is not None or (
             close and refusal.reason is calls.Reason.BAD_REQUEST
         ):
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -39,6 +39,9 @@
     :param region: region of the zone.
     :param draining: whether it accepts no new work.
     :param cores: processor cores of its host, 0 for unknown.
+    :param forwarding: ``ip:port`` of its HTTP interface for requests that
+        other nodes forward, empty for none.
+    :param unreachable: pools of which it reaches no server.
     """
 
     name: str
@@ -51,6 +54,8 @@
     region: str
     draining: bool = False
     cores: float = 0.0
+    forwarding: str = ''
+    unreachable: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/teaselbridge/platform/ingress.py
+++ b/src/teaselbridge/platform/ingress.py
@@ -36,6 +36,7 @@
     :param target: path and query as they were sent.
     :param headers: names and values as they were sent.
     :param now: monotonic milliseconds at which the request began to arrive.
+    :param is_forwarded: whether another node sent it.
     """
 
     handle: int
@@ -44,6 +45,7 @@
     headers: names.Headers
     body: bytes
     now: int
+    is_forwarded: bool = False
 
 
 class RefusedError(Exception):
@@ -124,9 +126,16 @@
         parts=_decode_prompt_parts(raw.headers),
         tokens_in=tokens_in,
         last_event=names.first(raw.headers, names.LAST_EVENT_ID),
+        origin=_get_forwarded(raw, names.FORWARDED_BY),
+        is_counted=bool(_get_forwarded(raw, names.IS_COUNTED)),
     )
 
 
+def _get_forwarded(raw: RawRequest, name: bytes) -> str:
+    """Return a header that other nodes set, empty in a caller's request."""
+    return names.first(raw.headers, name) if raw.is_forwarded else ''
+
+
 def get_refusal_status(refusal: calls.Refusal) -> int:
     """Return the HTTP status of a refusal.
 
@@ -154,13 +163,17 @@
 
 
 def build_refusal_headers(
-    refusal: calls.Refusal, request: str
+    refusal: calls.Refusal, request: str, *, is_forwarded: bool = False
 ) -> names.Headers:
     """Return the headers of the response to a refused request.
 
     :param request: id of the request, empty where it is unknown.
+    :param is_forwarded: whether another node sent it, which can tell by a
+        header that this node did not run it.
     """
     headers: names.Headers = [(b'content-type', b'application/json')]
+    if is_forwarded and refusal.ran is calls.RunStatus.NOT_RUN:
+        headers.append((names.NOT_RUN, b'1'))
     if request:
         headers.append((names.ATTEMPT_ID, request.encode('latin-1')))
     if refusal.retry_after_ms:
--- a/src/teaselbridge/platform/names.py
+++ b/src/teaselbridge/platform/names.py
@@ -29,6 +29,10 @@
 DUTY_HOLDER = 'Teaselbridge-Duty-Holder'
 FENCING_TOKEN = 'Teaselbridge-Fence-Token'
 
+# Headers of requests that one node forwards to another one.
+FORWARDED_BY = b'teaselbridge-forwarded-by'
+IS_COUNTED = b'teaselbridge-is-counted'
+
 # Headers that only this system may set; those of callers are not forwarded.
 SYSTEM_HEADERS = frozenset(
     {
@@ -36,6 +40,8 @@
         CREDENTIAL,
         DEADLINE_MS,
         EXPECT_INSTANCE,
+        FORWARDED_BY,
+        IS_COUNTED,
         LAST_EVENT_ID,
         URGENCY,
         WORKSPACE,
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -98,11 +98,20 @@
     ]
     added_headers = {
         names.DEADLINE_MS: str(effect.remaining_ms),
-        names.EXPECT_INSTANCE: effect.instance,
-        names.WORKSPACE: call.key.workspace,
         names.LAST_EVENT_ID: effect.last_event,
-        names.CACHE_SOURCE: effect.source,
     }
+    if effect.origin:
+        added_headers |= {
+            names.FORWARDED_BY: effect.origin,
+            names.CREDENTIAL: call.credential,
+            names.IS_COUNTED: '1' if effect.is_counted else '',
+        }
+    else:
+        added_headers |= {
+            names.EXPECT_INSTANCE: effect.instance,
+            names.WORKSPACE: call.key.workspace,
+            names.CACHE_SOURCE: effect.source,
+        }
     if effect.urgency is not None:
         added_headers[names.URGENCY] = str(effect.urgency)
     headers += [
@@ -137,12 +146,8 @@
     must_match = bool(answered_id) or response.is_success
     if call.key.id and must_match and answered_id != call.key.id:
         raise InvalidAnswerError(f'answer of another request, {answered_id}')
-    load = names.first(headers, names.LOAD)
-    if load:
-        _post_load(load, effect.address, post)
-    _post_notice(response, effect.host, post)
-    if response.status_code != MISDIRECTED_STATUS:
-        _post_terms(headers, effect.host, progress.asked_at, post)
+    if not effect.origin:
+        _post_statements(response, effect, progress.asked_at, post)
     not_run = names.first(headers, names.NOT_RUN)
     if not_run or response.status_code == MISDIRECTED_STATUS:
         await _read_body(response)
@@ -243,6 +248,22 @@
     )
 
 
+def _post_statements(
+    response: httpx.Response,
+    effect: effects.RelayAttempt,
+    asked_at: int,
+    post: Post,
+) -> None:
+    """Post what a server says about itself in the head of its answer."""
+    headers = response.headers.raw
+    load = names.first(headers, names.LOAD)
+    if load:
+        _post_load(load, effect.address, post)
+    _post_notice(response, effect.host, post)
+    if response.status_code != MISDIRECTED_STATUS:
+        _post_terms(headers, effect.host, asked_at, post)
+
+
 def _post_load(load: str, address: str, post: Post) -> None:
     try:
         running, waiting, slots = (int(item) for item in load.split(','))
--- a/src/teaselbridge/runtime/attempts.py
+++ b/src/teaselbridge/runtime/attempts.py
@@ -26,6 +26,9 @@
 CONNECT_TIMEOUT_MS = 1_000
 LOAD_TIMEOUT_MS = 400
 CHECK_TIMEOUT_MS = 500
+PROBE_TIMEOUT_MS = 300
+# A link that resets connections may do so only after they were opened.
+PROBE_OPEN_MS = 15
 MAX_CONNECTIONS = 256
 KEEP_ALIVE_TIMEOUT_MS = 20_000
 CLOSE_DELAY_MS = 30_000
@@ -135,6 +138,7 @@
         loop.handle(effects.RelayAttempt, self._relay_attempt)
         loop.handle(effects.CancelAttempt, self._cancel_attempt)
         loop.handle(effects.CheckServer, self._start_check)
+        loop.handle(effects.ProbeLink, self._start_probe)
         loop.handle(effects.DropConnections, self._drop_connections)
         loop.handle(effects.QueryLoad, self._query_load)
 
@@ -200,6 +204,15 @@
         is_gone = await _refuses_connections(effect.address)
         self._loop.post(events.ServerChecked(effect.host, is_gone))
 
+    def _start_probe(self, effect: effects.ProbeLink) -> None:
+        self._tasks.start(self._probe_link(effect))
+
+    async def _probe_link(self, effect: effects.ProbeLink) -> None:
+        is_connected = await _accepts_connections(effect.address)
+        self._loop.post(
+            events.LinkProbed(effect.host, effect.pool, is_connected)
+        )
+
     def _drop_connections(self, effect: effects.DropConnections) -> None:
         client = self._clients.pop(effect.address)
         if client is not None:
@@ -259,6 +272,26 @@
     return False
 
 
+async def _accepts_connections(address: str) -> bool:
+    """Return whether a port accepts a connection and keeps it open."""
+    host, _, port = address.rpartition(':')
+    try:
+        async with asyncio.timeout(clock.seconds(PROBE_TIMEOUT_MS)):
+            reader, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    try:
+        async with asyncio.timeout(clock.seconds(PROBE_OPEN_MS)):
+            await reader.read(1)
+    except TimeoutError:
+        return True
+    except OSError:
+        return False
+    finally:
+        writer.transport.abort()
+    return False
+
+
 async def _close_after_delay(client: httpx.AsyncClient) -> None:
     """Close a client after a delay in which its attempts can end."""
     await asyncio.sleep(clock.seconds(CLOSE_DELAY_MS))
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -141,13 +141,7 @@
         self._loop.handle(effects.OrderServers, self._start_server_order)
         self._loop.handle(effects.ReportMove, self._start_move_report)
         self._loop.handle(effects.StorePart, self._start_part_write)
-        self._caller_listener = self._build_listener(
-            relay.IngressApplication(
-                loop=self._loop,
-                outlets=outlets_module.OutputQueues(loop=self._loop),
-            ),
-            settings.listen.callers,
-        )
+        self._request_listeners = self._build_request_listeners()
         self._auxiliary_listeners = [
             self._build_listener(app, address)
             for address in listening.list_auxiliary_addresses(
@@ -171,7 +165,7 @@
 
         :raises OSError: an address is in use or not available.
         """
-        for listener in (self._caller_listener, *self._auxiliary_listeners):
+        for listener in (*self._request_listeners, *self._auxiliary_listeners):
             listener.bind()
         self._transport.bind()
         self._loop.record(
@@ -188,7 +182,7 @@
         # Requests that already wait in the backlog are served a little later
         # rather than refused for lack of a configuration.
         await self._store_watch.wait_for_first_read(FIRST_READ_TIMEOUT_MS)
-        for listener in (self._caller_listener, *self._auxiliary_listeners):
+        for listener in (*self._request_listeners, *self._auxiliary_listeners):
             await listener.start()
 
     async def run(self) -> None:
@@ -233,7 +227,8 @@
 
     async def stop(self) -> None:
         """Wait until open responses have ended, then close everything."""
-        await self._caller_listener.stop()
+        for listener in self._request_listeners:
+            await listener.stop()
         for listener in self._auxiliary_listeners:
             await listener.stop()
         self._record(effects.Mark.NODE_STOPPED, '')
@@ -242,7 +237,7 @@
     async def abort(self) -> None:
         """Close everything without notifying peers, as if the process died."""
         await self._tasks.stop()
-        for listener in (self._caller_listener, *self._auxiliary_listeners):
+        for listener in (*self._request_listeners, *self._auxiliary_listeners):
             await listener.abort()
         await self._close()
 
@@ -333,6 +328,24 @@
     def _build_directory_app(self) -> typing.Any:
         return directory.NodeEndpoints(loop=self._loop, meter=self._meter)
 
+    def _build_request_listeners(self) -> list[web.HttpListener]:
+        """Build the listeners for callers and for other nodes."""
+        listen = self._settings.listen
+        outlets = outlets_module.OutputQueues(loop=self._loop)
+        addresses = {False: listen.callers, True: listen.forwarding}
+        return [
+            self._build_listener(
+                relay.IngressApplication(
+                    loop=self._loop,
+                    outlets=outlets,
+                    is_forwarded=is_forwarded,
+                ),
+                address,
+            )
+            for is_forwarded, address in addresses.items()
+            if address
+        ]
+
     def _build_listener(
         self, app: typing.Any, address: str
     ) -> web.HttpListener:
@@ -379,6 +392,7 @@
         region=settings.node.region,
         draining=True,
         cores=settings.limits.cores,
+        forwarding=settings.listen.forwarding,
     )
     return states.Options(
         me=me,
--- a/src/teaselbridge/settings/load.py
+++ b/src/teaselbridge/settings/load.py
@@ -69,6 +69,8 @@
     _check_address(listen.callers, source, '$.listen.callers')
     _check_address(listen.admin, source, '$.listen.admin')
     _check_address(listen.peers, source, '$.listen.peers')
+    if listen.forwarding:
+        _check_address(listen.forwarding, source, '$.listen.forwarding')
     for index, seed in enumerate(settings.seeds):
         _check_address(seed, source, f'$.seeds[{index}]')
     if settings.site is not None:
--- a/src/teaselbridge/settings/model.py
+++ b/src/teaselbridge/settings/model.py
@@ -34,11 +34,14 @@
     :param callers: HTTP interface for callers.
     :param admin: HTTP interface for operators.
     :param peers: zmq socket for other nodes.
+    :param forwarding: HTTP interface for requests that other nodes forward,
+        empty for none.
     """
 
     callers: str
     admin: str
     peers: str
+    forwarding: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/decisions/cluster.py
+++ b/tests/decisions/cluster.py
@@ -157,6 +157,9 @@
             for member in self.members
         }
         self.sent: dict[int, Sent] = {}
+        self._forwarded: dict[
+            tuple[str, int], tuple[Node, effects.RelayAttempt]
+        ] = {}
         self.served: list[Sent] = []
         self.refused: list[calls.Refusal] = []
 
@@ -261,14 +264,72 @@
         match effect:
             case effects.SendPeer():
                 self._send_message(node, effect)
+            case effects.RelayAttempt() if effect.origin:
+                self._schedule(LINK_MS, lambda: self._forward(node, effect))
             case effects.RelayAttempt():
                 self._schedule(LINK_MS, lambda: self._serve(node, effect))
-            case effects.SendAnswer():
-                sent = self.sent[effect.handle]
-                sent.is_served = True
-                self.served.append(sent)
-            case effects.SendRefusal():
-                self.refused.append(effect.refusal)
+            case effects.ProbeLink():
+                self._probe(node, effect)
+            case effects.SendAnswer() | effects.SendRefusal():
+                self._handle_outcome(node, effect)
+
+    def _handle_outcome(
+        self, node: Node, effect: effects.SendAnswer | effects.SendRefusal
+    ) -> None:
+        """Record the outcome of a request, or pass it to its origin."""
+        forwarded = self._forwarded.get((node.name, effect.handle))
+        if forwarded is not None:
+            self._pass_back(*forwarded, effect)
+        elif isinstance(effect, effects.SendRefusal):
+            self.refused.append(effect.refusal)
+        else:
+            sent = self.sent[effect.handle]
+            sent.is_served = True
+            self.served.append(sent)
+
+    def _forward(self, node: Node, effect: effects.RelayAttempt) -> None:
+        helper = self.nodes[effect.host]
+        if not helper.is_up or not self.can_reach(node.name, helper.name):
+            fault = calls.Fault(
+                calls.FaultKind.CONNECT, calls.RunStatus.NOT_RUN, 'no helper'
+            )
+            failed = events.AttemptFailed(
+                effect.call.handle, effect.attempt, fault
+            )
+            self._post_later(node, 400, failed)
+            return
+        handle = next(self._handles)
+        self._forwarded[(helper.name, handle)] = (node, effect)
+        call = dataclasses.replace(
+            effect.call,
+            handle=handle,
+            origin=effect.origin,
+            deadline=self.now + effect.remaining_ms,
+        )
+        self._post(helper, events.CallArrived(call))
+
+    def _pass_back(
+        self,
+        node: Node,
+        effect: effects.RelayAttempt,
+        outcome: effects.SendAnswer | effects.SendRefusal,
+    ) -> None:
+        handle, attempt = effect.call.handle, effect.attempt
+        event: events.Event
+        if isinstance(outcome, effects.SendAnswer):
+            event = events.AnswerReceived(handle, attempt, outcome.answer)
+        else:
+            refusal = outcome.refusal
+            fault = calls.Fault(
+                calls.FaultKind.BUSY, refusal.ran, refusal.detail
+            )
+            event = events.AttemptFailed(handle, attempt, fault)
+        self._post_later(node, LINK_MS, event)
+
+    def _probe(self, node: Node, effect: effects.ProbeLink) -> None:
+        is_connected = self.can_serve(node.name, effect.host)
+        event = events.LinkProbed(effect.host, effect.pool, is_connected)
+        self._post_later(node, LINK_MS if is_connected else 300, event)
 
     def _send_message(self, node: Node, effect: effects.SendPeer) -> None:
         if self._random.random() < self._loss:
@@ -343,4 +404,5 @@
         admin='',
         zone=ZONES[number % len(ZONES)],
         region='r',
+        forwarding=f'forwarding-n{number}',
     )
--- a/tests/failures/links.py
+++ b/tests/failures/links.py
@@ -37,7 +37,9 @@
         self._loop = trial.nodes[node].loop
         self._cut: Cut | None = None
         self._relay = self._loop.get_handler(effects.RelayAttempt)
+        self._probe = self._loop.get_handler(effects.ProbeLink)
         self._loop.handle(effects.RelayAttempt, self._start_attempt)
+        self._loop.handle(effects.ProbeLink, self._start_probe)
 
     def cut(self, how: Cut) -> None:
         """Cut the links to all servers."""
@@ -68,3 +70,13 @@
         asyncio.get_running_loop().call_later(
             clock.seconds(delay_ms), self._loop.post, failed
         )
+
+    def _start_probe(self, effect: effects.ProbeLink) -> None:
+        if self._cut is None:
+            self._probe(effect)
+            return
+        delay_ms = CONNECT_TIMEOUT_MS if self._cut is Cut.HANG else 0
+        probed = events.LinkProbed(effect.host, effect.pool, False)
+        asyncio.get_running_loop().call_later(
+            clock.seconds(delay_ms), self._loop.post, probed
+        )
--- a/tests/failures/site.py
+++ b/tests/failures/site.py
@@ -304,7 +304,7 @@
     :param store: address of the key-value store.
     :param duties: address to which duties send their calls.
     """
-    numbers = [ports.find_free_port() for _ in range(5)]
+    numbers = [ports.find_free_port() for _ in range(6)]
     addresses = [f'127.0.0.1:{port}' for port in numbers]
     return settings_model.Settings(
         node=settings_model.Node(
@@ -313,7 +313,10 @@
             region='region',
         ),
         listen=settings_model.Listen(
-            callers=addresses[0], admin=addresses[1], peers=addresses[2]
+            callers=addresses[0],
+            admin=addresses[1],
+            peers=addresses[2],
+            forwarding=addresses[5],
         ),
         site=settings_model.Site(
             ready=addresses[3],
