Let the last streams of a stopping node end within its grace period

The node had found itself idle, and closed its listeners with one second for open responses; the request came on an open connection just before. Open responses now get what is left of the grace period. The test fails without the change.

--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -44,6 +44,8 @@
 # The platform kills the process at the end of the grace period, so draining
 # ends this long before.
 STOP_MARGIN_MS = 1_300
+# Fits between the end of draining and that of the grace period.
+MIN_GRACEFUL_S = 1
 # Callers cache the address list for up to three times the TTL that it states.
 ADDRESS_TTL_MS = 1_000
 ADDRESS_LIST_MAX_AGE_MS = 3 * ADDRESS_TTL_MS
@@ -227,13 +229,26 @@
 
     async def stop(self) -> None:
         """Wait until open responses have ended, then close everything."""
-        for listener in self._request_listeners:
-            await listener.stop()
+        graceful_s = self._get_graceful_s()
+        await asyncio.gather(
+            *(item.stop(graceful_s) for item in self._request_listeners)
+        )
         for listener in self._auxiliary_listeners:
             await listener.stop()
         self._record(effects.Mark.NODE_STOPPED, '')
         await self._close()
 
+    def _get_graceful_s(self) -> int:
+        """Return how long open responses may take, in seconds.
+
+        A request may have come after the last one that the drain waited for.
+        """
+        drain = self._loop.state.drain
+        if drain is None:
+            return MIN_GRACEFUL_S
+        left_ms = drain.stop_deadline - self._loop.now().mono
+        return max(MIN_GRACEFUL_S, left_ms // clocks.SECOND_MS)
+
     async def abort(self) -> None:
         """Close everything without notifying peers, as if the process died."""
         await self._tasks.stop()
@@ -355,7 +370,7 @@
             listener=self._listeners.get(address),
             request_ms=self._settings.limits.request_ms,
             keep_alive_s=CALLER_KEEP_ALIVE_TIMEOUT_S,
-            graceful_s=1,
+            graceful_s=MIN_GRACEFUL_S,
         )
 
 
--- a/src/teaselbridge/runtime/web.py
+++ b/src/teaselbridge/runtime/web.py
@@ -167,8 +167,14 @@
             return repr(error)
         return ''
 
-    async def stop(self) -> None:
-        """Stop listening, wait for open responses, and close."""
+    async def stop(self, graceful_s: int | None = None) -> None:
+        """Stop listening, wait for open responses, and close.
+
+        :param graceful_s: how long they may take in seconds, none for the
+            time that the listener was built with.
+        """
+        if graceful_s is not None:
+            self._server.config.timeout_graceful_shutdown = graceful_s
         self._server.should_exit = True
         if self._task is not None:
             await self._task
--- a/tests/runtime/test_site.py
+++ b/tests/runtime/test_site.py
@@ -12,6 +12,7 @@
 
 from teaselbridge.runtime import site as sites
 from teaselbridge.settings import model
+from tests.failures import base
 from tests.failures import site
 
 
@@ -57,3 +58,25 @@
     def test_bad_settings_change_nothing(self) -> None:
         revoke_bounds = self.reload(self.text(7_000), b'{', b'{"node": 7}')
         self.assertEqual([7_000, 7_000, 7_000], revoke_bounds)
+
+
+class TestStop(base.TestCase):
+    """A graceful shutdown cuts no request."""
+
+    # Guards against a stream that is cut as it began just before the node
+    # closed its last connections.
+    def test_stream_that_began_last_is_finished(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment() as trial:
+                for server in trial.list_servers('engines'):
+                    server.events = 16
+                    server.event_ms = 100.0
+                (node,) = trial.nodes
+                node.drain()
+                call = asyncio.ensure_future(trial.call('/stream/x'))
+                await site.until(lambda: node.loop.state.requests)
+                await node.stop()
+                response = await call
+                self.assertEqual(16, response.text.count('data:'))
+
+        self.run_coroutine(run())
