Divide the slots of servers that bear few refusals among the nodes

Server-Brittle names how many refusals a second, for want of room, a server bears; nothing read it. Cause: what a node knows of the load of others is some hundred milliseconds old, so that several take the same free slot, and each finds out for itself that a server is full.

Once a server of a pool says so, each node uses an equal part of the slots of all its servers; slots that do not divide evenly go to some nodes by rendezvous hashing. A refusal holds back all nodes, told at once with the load updates. A node that has no part of any server, of slots or of rates, forwards its requests to one that has.

--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -8,6 +8,8 @@
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
 from teaselbridge.decisions.forwarding import origin
+from teaselbridge.decisions.limits import owners
+from teaselbridge.decisions.limits import room
 from teaselbridge.decisions.limits import sending
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import placement
@@ -66,7 +68,7 @@
             if refused:
                 out += refused
                 continue
-            if state.links.is_cut(pool):
+            if _needs_other_node(state, request):
                 passed = _pass_on(state, request, now)
                 out += passed
                 if not passed:
@@ -86,21 +88,34 @@
     return out
 
 
+def _needs_other_node(state: states.State, request: requests.Request) -> bool:
+    """Return whether this node cannot send a request to any server."""
+    pool = request.call.route.pool
+    return state.links.is_cut(pool) or owners.has_no_part(
+        state, state.servers.staying(pool)
+    )
+
+
 def _pass_on(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
-    """Forward a request for which no server is reached, or refuse it.
+    """Forward a request that this node cannot send, or refuse it.
 
     :return: no effects where a stream waits for a node that can help.
     """
+    pool = request.call.route.pool
     helper = None
     if not request.call.origin:
-        helper = origin.choose_helper(state, request)
+        able = None
+        if not state.links.is_cut(pool):
+            staying = state.servers.staying(pool)
+            able = owners.list_owners(state, staying)
+        helper = origin.choose_helper(state, request, able)
     if helper is not None:
         return origin.forward(state, request, helper, now)
     if request.streaming:
         return []
-    return relays.give_up(state, request, 'no node reaches a server')
+    return relays.give_up(state, request, 'no node can send it to a server')
 
 
 def _refuse_waiting(
@@ -134,7 +149,8 @@
     state: states.State, pool: str, now: clock.Instant
 ) -> list[servers.Server]:
     usable = state.servers.usable(pool, now)
-    return sending.filter_by_rate(state, usable, now)
+    usable = sending.filter_by_rate(state, usable, now)
+    return room.filter_by_room(state, usable)
 
 
 def choose_server(
--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -70,17 +70,22 @@
 
 
 def choose_helper(
-    state: states.State, request: requests.Request
+    state: states.State,
+    request: requests.Request,
+    able: frozenset[str] | None = None,
 ) -> messages.Member | None:
     """Choose the node that gets a request, in this zone if there is one.
 
     Of two random ones it is that with fewer requests of this node.
 
+    :param able: names of the nodes that can send it, none for all.
     :return: the node, none where no other one is known to reach a server.
     """
     names = active.list_names(state)
+    if able is not None:
+        names &= able
     pool = request.call.route.pool
-    able = [
+    candidates = [
         member
         for member in state.membership.alive
         if member.forwarding
@@ -91,7 +96,8 @@
         and member.name not in request.peers_tried
     ]
     zone = state.options.me.zone
-    nearest = [member for member in able if member.zone == zone] or able
+    nearest = [member for member in candidates if member.zone == zone]
+    nearest = nearest or candidates
     if not nearest:
         return None
     held = collections.Counter(
--- a/src/teaselbridge/decisions/limits/answers.py
+++ b/src/teaselbridge/decisions/limits/answers.py
@@ -5,6 +5,7 @@
 import typing
 
 from teaselbridge.decisions import effects
+from teaselbridge.decisions.limits import room
 from teaselbridge.decisions.limits import sending
 from teaselbridge.decisions.limits import terms as terms_module
 
@@ -59,6 +60,7 @@
     if not known.merge(host, statement):
         return []
     sending.update_rate(state, host, now)
+    room.learn_pool(state, host)
     if not before.is_restrictive:
         state.loads.next_update_at = now.mono
     has_begun_or_ended = (
--- a/src/teaselbridge/decisions/limits/known.py
+++ b/src/teaselbridge/decisions/limits/known.py
@@ -15,6 +15,10 @@
     * ``terms``: what the servers stated.
     * ``buckets``: this node's requests to servers that name a rate.
     * ``candidates``: nodes that may be senders.
+    * ``refusals_by_pool``: refusals per second that a server of a pool
+      bears, for the pools whose servers bear few.
+    * ``own_slots``: slots of servers of these pools that are this node's
+      part, by host.
     * ``next_refresh_at``: monotonic milliseconds of the next update of the
       shares.
     """
@@ -23,4 +27,6 @@
         self.terms = terms_module.StatedTerms()
         self.buckets = tokens.Buckets()
         self.candidates = shares.Candidates()
+        self.refusals_by_pool: dict[str, float] = {}
+        self.own_slots: dict[str, int] = {}
         self.next_refresh_at = 0
--- a/src/teaselbridge/decisions/limits/sending.py
+++ b/src/teaselbridge/decisions/limits/sending.py
@@ -10,6 +10,7 @@
 
 from teaselbridge.decisions import active
 from teaselbridge.decisions import effects
+from teaselbridge.decisions.limits import room
 from teaselbridge.decisions.limits import shares
 
 if typing.TYPE_CHECKING:
@@ -35,6 +36,7 @@
     limits.buckets.remove_others(restricted)
     for host in restricted:
         update_rate(state, host, now)
+    room.refresh(state)
     return []
 
 
--- a/src/teaselbridge/decisions/limits/tokens.py
+++ b/src/teaselbridge/decisions/limits/tokens.py
@@ -71,6 +71,11 @@
         """Remove the bucket of a server that takes any rate."""
         self._by_host.pop(host, None)
 
+    def has_rate(self, host: str) -> bool:
+        """Return whether this node may send requests to a server at all."""
+        bucket = self._by_host.get(host)
+        return bucket is None or bucket.per_s > 0
+
     def may_send(self, host: str, now: clock.Instant) -> bool:
         """Return whether a request may be sent to a server now."""
         bucket = self._by_host.get(host)
--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -22,6 +22,7 @@
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import leases
 from teaselbridge.decisions.limits import exchange
+from teaselbridge.decisions.limits import room
 from teaselbridge.decisions import usage
 from teaselbridge.peers import messages
 
@@ -220,6 +221,7 @@
     state.usage.merge_counts(message, now)
     for item in message.servers:
         _refresh_others_load(state, item.host, now)
+    room.merge_full(state, message, now)
     return exchange.merge_updates(state, message, now)
 
 
@@ -356,6 +358,7 @@
         usage=usage_counts,
         reading=state.loads.sum_own_readings(now),
         terms=exchange.take_updates(state, now),
+        full=room.list_full(state, now),
     )
 
 
--- a/src/teaselbridge/decisions/relay_checks.py
+++ b/src/teaselbridge/decisions/relay_checks.py
@@ -139,6 +139,9 @@
     staying = state.servers.staying(call.route.pool)
     ahead = state.queue.count_before(call)
     wait_ms = sending.predict_wait_ms(state, staying, ahead, now)
+    if math.isinf(wait_ms) and not call.origin:
+        # Another node has a share of the rates.
+        return None
     if wait_ms <= _max_rate_wait_ms(call, now.mono, now):
         return None
     return build_refusal(
@@ -160,6 +163,8 @@
     :param allowed: servers that may serve it.
     """
     wait_ms = sending.predict_wait_ms(state, allowed, 0, now)
+    if math.isinf(wait_ms) and not request.call.origin:
+        return None
     arrived = now.mono if request.streaming else request.arrived
     if wait_ms <= max(0, _max_rate_wait_ms(request.call, arrived, now)):
         return None
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -15,6 +15,7 @@
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge.decisions.forwarding import links
+from teaselbridge.decisions.limits import room
 from teaselbridge.decisions import moves
 from teaselbridge.decisions import placement
 from teaselbridge.decisions import poison
@@ -44,8 +45,6 @@
 # Weight of one outcome in the exponential moving average of a server's
 # failure rate, which covers about seven outcomes.
 FAILURE_RATE_SMOOTHING = 0.15
-# Time without new requests for a server that reported that it is full.
-FULL_SERVER_BACKOFF_MS = 100
 
 # Faults that a lost link can cause as well as a failed server.
 LINK_FAULTS = frozenset(
@@ -448,7 +447,7 @@
     if server is None:
         return out
     if fault.kind is calls.FaultKind.BUSY:
-        server.full_until = now.mono + FULL_SERVER_BACKOFF_MS
+        room.record_refusal(state, server, now)
         return out
     if fault.kind is calls.FaultKind.MISDIRECTED:
         out += servers.mark_leaving(state, server.host, 'address reused', now)
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -483,6 +483,18 @@
     heard_ms_ago: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FullServer:
+    """Backend server that no node should send requests to for a time.
+
+    :param host: name of the server's host.
+    :param left_ms: the time left.
+    """
+
+    host: str
+    left_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Loads:
     """Load that the sender causes; sent several times a second.
@@ -497,6 +509,7 @@
         carry none.
     :param reading: recent prompt tokens by pool.
     :param terms: what servers stated, changes first.
+    :param full: servers that fail if they refuse many requests, and are full.
     :param takes_part: whether the sender gets the updates of others.
     """
 
@@ -509,6 +522,7 @@
     usage: tuple[Usage, ...] = ()
     reading: tuple[Reading, ...] = ()
     terms: tuple[StatedTerms, ...] = ()
+    full: tuple[FullServer, ...] = ()
     takes_part: bool = True
 
 
--- a/tests/decisions/cluster.py
+++ b/tests/decisions/cluster.py
@@ -157,6 +157,7 @@
             for member in self.members
         }
         self.sent: dict[int, Sent] = {}
+        self._running: dict[tuple[str, int, int], Server] = {}
         self._forwarded: dict[
             tuple[str, int], tuple[Node, effects.RelayAttempt]
         ] = {}
@@ -268,6 +269,9 @@
                 self._schedule(LINK_MS, lambda: self._forward(node, effect))
             case effects.RelayAttempt():
                 self._schedule(LINK_MS, lambda: self._serve(node, effect))
+            case effects.CancelAttempt():
+                key = (node.name, effect.handle, effect.attempt)
+                self._schedule(LINK_MS, lambda: self._cancel(key))
             case effects.ProbeLink():
                 self._probe(node, effect)
             case effects.SendAnswer() | effects.SendRefusal():
@@ -287,6 +291,12 @@
             sent.is_served = True
             self.served.append(sent)
 
+    def _cancel(self, key: tuple[str, int, int]) -> None:
+        """End a run whose connection was closed."""
+        server = self._running.pop(key, None)
+        if server is not None:
+            server.running -= 1
+
     def _forward(self, node: Node, effect: effects.RelayAttempt) -> None:
         helper = self.nodes[effect.host]
         if not helper.is_up or not self.can_reach(node.name, helper.name):
@@ -362,9 +372,13 @@
             self._answer(node, server, asked_at, failed)
             return
         server.running += 1
-        waves = 1 + server.running // server.slots
+        waves = 1 + (server.running - 1) // server.slots
+        key = (node.name, handle, attempt)
+        self._running[key] = server
 
         def finish() -> None:
+            if self._running.pop(key, None) is None:
+                return
             server.running -= 1
             answer = calls.Answer(200, (), b'')
             answered = events.AnswerReceived(handle, attempt, answer)
--- a/tests/decisions/limits/test_room.py
+++ b/tests/decisions/limits/test_room.py
@@ -12,6 +12,7 @@
 REFUSALS = 2
 USUAL_PER_S = 45
 BURST = 2
+GOAL_MS = 2_000
 
 
 class TestBrittleServers(testtools.TestCase):
@@ -25,14 +26,14 @@
         ]
         model = cluster.Cluster(nodes=nodes, servers=servers)
         usual = USUAL_PER_S * count / 4
-        model.run(NAMED_AT, usual)
+        model.run(NAMED_AT, usual, goal_ms=GOAL_MS)
         for server in servers:
             server.terms = terms.Terms(refusals=REFUSALS)
-        model.run(NAMED_AT + CONTACT_MS, usual)
+        model.run(NAMED_AT + CONTACT_MS, usual, goal_ms=GOAL_MS)
         for server in servers:
             server.queue = 0
-        model.run(model.now + 6_000, usual * burst)
-        model.run(model.now + 3_000, usual)
+        model.run(model.now + 6_000, usual * burst, goal_ms=GOAL_MS)
+        model.run(model.now + 3_000, usual, goal_ms=GOAL_MS)
         return model
 
     def _count_fallen(self, model: cluster.Cluster) -> int:
