Forward to any node that reaches a server if no active one is known

A node that has just started knows itself as the only active one for some 200 ms and refused what it could have forwarded: 503 for all three routes in a test that cuts the links right after the start.

--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -22,6 +22,8 @@
 from teaselbridge.peers import messages
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from teaselbridge import clock
     from teaselbridge.decisions import state as states
 
@@ -81,34 +83,47 @@
     :param able: names of the nodes that can send it, none for all.
     :return: the node, none where no other one is known to reach a server.
     """
-    names = active.list_names(state)
-    if able is not None:
-        names &= able
-    pool = request.call.route.pool
     candidates = [
         member
-        for member in state.membership.alive
-        if member.forwarding
-        and member.name in names
-        and member.status is messages.Status.ALIVE
-        and not member.draining
-        and pool not in member.unreachable
-        and member.name not in request.peers_tried
+        for member in _list_able(state, request.call.route.pool)
+        if member.name not in request.peers_tried
+        and (able is None or member.name in able)
     ]
+    names = active.list_names(state)
     zone = state.options.me.zone
-    nearest = [member for member in candidates if member.zone == zone]
-    nearest = nearest or candidates
-    if not nearest:
+    candidates = _prefer(candidates, lambda member: member.name in names)
+    candidates = _prefer(candidates, lambda member: member.zone == zone)
+    if not candidates:
         return None
     held = collections.Counter(
         item.helper
         for item in state.requests.values()
         if item.phase is requests.Phase.RUNNING
     )
-    pair = state.random.sample(nearest, min(2, len(nearest)))
+    pair = state.random.sample(candidates, min(2, len(candidates)))
     return min(pair, key=lambda member: held[member.name])
 
 
+def _list_able(state: states.State, pool: str) -> list[messages.Member]:
+    """Return the nodes that take forwarded requests of a pool."""
+    return [
+        member
+        for member in state.membership.alive
+        if member.forwarding
+        and member.status is messages.Status.ALIVE
+        and not member.draining
+        and pool not in member.unreachable
+    ]
+
+
+def _prefer(
+    members: list[messages.Member],
+    is_preferred: collections.abc.Callable[[messages.Member], bool],
+) -> list[messages.Member]:
+    """Return the preferred members, or all where there is none."""
+    return [item for item in members if is_preferred(item)] or members
+
+
 def handle_progress(
     state: states.State,
     request: requests.Request,
--- a/tests/failures/test_site_links.py
+++ b/tests/failures/test_site_links.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from teaselbridge.decisions import usage
 from tests.failures import base
 from tests.failures import links as links_module
 from tests.failures import site
@@ -66,3 +67,148 @@
     # The same where all servers refuse new connections.
     def test_connections_that_are_refused(self) -> None:
         self._check_served(links_module.Cut.REFUSE)
+
+
+class TestForwarding(base.TestCase):
+    """Forwarded requests are served as if their callers had come directly."""
+
+    async def _cut(self, trial: site.Trial, *nodes: int) -> None:
+        """Cut the links of nodes, and wait until they know."""
+        for node in nodes:
+            links_module.Links(trial=trial, node=node).cut(
+                links_module.Cut.REFUSE
+            )
+            while len(trial.nodes[node].loop.state.links.cut_pools) < 2:
+                await trial.call('/stock/x', node=node)
+                await trial.call('/stream/x', node=node)
+
+    def test_request_and_answer_are_unchanged(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(nodes=2) as trial:
+                await self._cut(trial, 0)
+                path = '/orders/a%2Fb/./x?q=1&q=%20two'
+                response = await trial.call(
+                    path, body=b'\x00raw', X_Extra='kept'
+                )
+                self.assertEqual(200, response.status_code)
+                attempt = site.get_attempt_id(response)
+                (ran,) = [
+                    item
+                    for server in trial.servers
+                    for item in server.runs
+                    if item.attempt == attempt
+                ]
+                self.assertEqual(('POST', path), (ran.method, ran.target))
+                self.assertEqual(b'\x00raw', ran.body)
+                self.assertEqual('kept', ran.headers['x-extra'])
+                self.assertEqual('parish', ran.headers['teaselbridge-tenant'])
+                self.assertNotIn('teaselbridge-credential', ran.headers)
+                self.assertNotIn('teaselbridge-forwarded-by', ran.headers)
+                left = int(ran.headers['teaselbridge-deadline-ms'])
+                self.assertTrue(0 < left <= 12_000, left)
+                stamp = response.headers['teaselbridge-reply-stamp']
+                self.assertEqual(attempt, stamp.rpartition('.')[2])
+
+        self.run_coroutine(run())
+
+    # Guards against usage that both nodes count.
+    def test_usage_is_counted_once(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(nodes=2) as trial:
+                await self._cut(trial, 0)
+                counted = _count_usage(trial)
+                for _ in range(8):
+                    response = await trial.call('/orders/x')
+                    self.assertEqual(200, response.status_code)
+                self.assertEqual(counted + 8, _count_usage(trial))
+
+        self.run_coroutine(run())
+
+    # Guards against a stream that ends with the node that passed it on.
+    def test_helper_is_lost_in_the_middle_of_a_stream(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(nodes=3) as trial:
+                await self._cut(trial, 0)
+                for server in trial.list_servers('engines'):
+                    server.events = 20
+                    server.event_ms = 50.0
+                call = asyncio.ensure_future(trial.call('/stream/x'))
+                state = trial.nodes[0].loop.state
+                await site.until(
+                    lambda: any(
+                        item.last_event for item in state.requests.values()
+                    )
+                )
+                (request,) = state.requests.values()
+                (helper,) = [
+                    node
+                    for node in trial.nodes
+                    if node.settings.node.name == request.helper
+                ]
+                await helper.abort()
+                response = await call
+                numbers = [
+                    line
+                    for line in response.text.splitlines()
+                    if line.startswith('id:')
+                ]
+                wanted = [f'id: {number}' for number in range(1, 21)]
+                self.assertEqual(wanted, numbers)
+                trial.nodes.remove(helper)
+
+        self.run_coroutine(run())
+
+    # Guards against runs that go on after their callers have left.
+    def test_caller_leaves(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(nodes=2) as trial:
+                await self._cut(trial, 0)
+                engines = trial.list_servers('engines')
+                for server in engines:
+                    server.events = 200
+                    server.event_ms = 20.0
+                before = sum(server.cancelled_count for server in engines)
+                call = asyncio.ensure_future(trial.call('/stream/x'))
+                state = trial.nodes[1].loop.state
+                await site.until(lambda: state.requests)
+                call.cancel()
+                await site.until(
+                    lambda: (
+                        sum(server.cancelled_count for server in engines)
+                        > before
+                    ),
+                    wait_s=2,
+                )
+
+        self.run_coroutine(run())
+
+    # Guards against requests that wait where no node can serve them.
+    def test_all_nodes_are_cut(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(nodes=2) as trial:
+                await self._cut(trial, 0, 1)
+                states = [node.loop.state for node in trial.nodes]
+                await site.until(
+                    lambda: all(
+                        member.unreachable
+                        for state in states
+                        for member in state.membership.alive
+                    )
+                )
+                response = await trial.call('/stock/x')
+                self.assertEqual(503, response.status_code)
+                self.assertIn('retry-after', response.headers)
+                self.assertTrue(await trial.ready())
+
+        self.run_coroutine(run())
+
+
+def _count_usage(trial: site.Trial) -> int:
+    """Return the requests that all nodes counted for usage."""
+    total = 0
+    for node in trial.nodes:
+        state = node.loop.state
+        window = usage.get_window(state, node.loop.now())
+        counts = state.usage.list_counts(usage.get_source(state), window)
+        total += sum(item.count for item in counts)
+    return total
