Test cuts of a zone, of all nodes and beside limits in the model

All of a zone, two of 64 nodes, all nodes and their return, crashes of three of four servers that are no cut, and a cut node beside servers that name a rate. Callers cannot pass for a node that forwards.

--- a/tests/decisions/forwarding/test_cut.py
+++ b/tests/decisions/forwarding/test_cut.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from teaselbridge.decisions.limits import terms
 from tests.decisions import cluster
 
 CONTACT_MS = 3_000
@@ -45,3 +46,55 @@
         end = CUT_AT + CUT_MS
         self._check_served(model, cut, CUT_AT + CONTACT_MS, end)
         self._check_served(model, cut, end + 1_000, end + 3_500)
+
+    # The same for a whole zone, so that no node of it can help.
+    def test_all_nodes_of_a_zone(self) -> None:
+        zone = cluster.ZONES[0]
+        model = cluster.Cluster(nodes=8, servers=[])
+        cut = {item.name for item in model.members if item.zone == zone}
+        model = self._run(8, cut)
+        self._check_served(model, cut, CUT_AT + CONTACT_MS, CUT_AT + CUT_MS)
+
+    def test_two_of_64_nodes(self) -> None:
+        cut = {'n0', 'n1'}
+        model = self._run(64, cut, per_s=200)
+        self._check_served(model, cut, CUT_AT + CONTACT_MS, CUT_AT + CUT_MS)
+
+    # Guards against requests that wait where nobody reaches a server, and
+    # against nodes that do not come back.
+    def test_all_nodes(self) -> None:
+        model = cluster.Cluster(nodes=4, servers=[])
+        model = self._run(4, set(model.nodes))
+        end = CUT_AT + CUT_MS
+        served, sent = model.count_served(
+            set(model.nodes), end + 1_000, end + 3_500
+        )
+        self.assertGreater(served, 0.95 * sent)
+        for node in model.nodes.values():
+            self.assertEqual([], node.state.links.cut_pools)
+
+    # Guards against a cut that is taken from failures of servers.
+    def test_failed_servers_are_no_cut(self) -> None:
+        servers = [cluster.Server(host=f's{number}') for number in range(4)]
+        model = cluster.Cluster(nodes=4, servers=servers)
+        model.run(CUT_AT, 30)
+        model.can_serve = lambda node, host: host == 's0'
+        model.run(CUT_AT + 6_000, 30)
+        for node in model.nodes.values():
+            self.assertEqual([], node.state.links.cut_pools)
+
+    # Guards against a node that keeps the share of a server that it does not
+    # reach, and against forwarding in a circle.
+    def test_limited_servers_and_a_cut_node(self) -> None:
+        servers = [
+            cluster.Server(host=f's{number}', terms=terms.Terms(rate=4.0))
+            for number in range(4)
+        ]
+        model = cluster.Cluster(nodes=6, servers=servers)
+        model.run(CUT_AT, 12)
+        model.can_serve = lambda node, host: node != 'n0'
+        model.run(CUT_AT + CUT_MS, 12)
+        for server in servers:
+            got = server.max_arrivals(CUT_AT + CONTACT_MS)
+            self.assertLessEqual(got, 1.5 * 4 * 4 + 5)
+        self._check_served(model, {'n0'}, CUT_AT + CONTACT_MS, CUT_AT + CUT_MS)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import testtools
 
 from teaselbridge.decisions import calls
@@ -152,6 +154,16 @@
         )
         self.assertEqual('', call.key.workspace)
 
+    # Guards against callers that pass for a node, which would go past the
+    # rate of their workspace.
+    def test_callers_cannot_pass_for_a_node(self) -> None:
+        request = raw('/stock/x', (names.FORWARDED_BY, b'front-1'))
+        call = ingress.decode_request(request, INDEX)
+        self.assertEqual('', call.origin)
+        forwarded = dataclasses.replace(request, is_forwarded=True)
+        call = ingress.decode_request(forwarded, INDEX)
+        self.assertEqual('front-1', call.origin)
+
     def test_system_headers_of_callers_are_dropped(self) -> None:
         call = ingress.decode_request(
             raw(
