Ask the reader for changes when they are old, not when keys are

Cause: one age served for two things. The changes have an age of their own now.

The same question carries reused addresses, orders of moves and removals of hosts.

--- a/src/teaselbridge/decisions/confirmation.py
+++ b/src/teaselbridge/decisions/confirmation.py
@@ -60,7 +60,12 @@
     if age >= store_age_ms:
         out += _query_store(state, now, QUERY_STORE_INTERVAL_MS)
     known = state.freshness
-    if age < ask_age_ms or now.mono < known.next_peer_query:
+    # Answers to probes confirm keys too, but tell of no other change.
+    changes_age_ms = now.mono - known.changes_known_at
+    if (
+        max(age, changes_age_ms) < ask_age_ms
+        or now.mono < known.next_peer_query
+    ):
         return out
     known.next_peer_query = now.mono + QUERY_READER_INTERVAL_MS
     return [*out, effects.AskChanges(reader.peers)]
@@ -98,6 +103,9 @@
     ):
         sent = message.asked_at - message.confirmed_ms
         freshness.record_confirmation(state, sent)
+    if message.entries is not None and message.asked_at <= now.mono:
+        known = state.freshness
+        known.changes_known_at = max(known.changes_known_at, message.asked_at)
     member = state.membership.get_peer(sender)
     address = '' if member is None else member.peers
     out = configuration.request_newer(state, message.generation, address)
--- a/src/teaselbridge/decisions/freshness.py
+++ b/src/teaselbridge/decisions/freshness.py
@@ -30,6 +30,8 @@
         answer confirmed it, none for never.
     :param confirmed_from: monotonic milliseconds; queries that were sent
         before confirm nothing.
+    :param changes_known_at: monotonic milliseconds before the query was sent
+        whose answer told all changes of the store, 0 for never.
     :param next_store_query: monotonic milliseconds from which the store may be
         queried again.
     :param next_peer_query: monotonic milliseconds from which a peer may be
@@ -38,6 +40,7 @@
 
     confirmed_at: int | None = None
     confirmed_from: int = 0
+    changes_known_at: int = 0
     next_store_query: int = 0
     next_peer_query: int = 0
 
--- a/tests/decisions/test_confirmation.py
+++ b/tests/decisions/test_confirmation.py
@@ -197,3 +197,32 @@
         state = samples.state(bounds.Bounds(revoke_ms=0))
         state.configured = True
         self.assertEqual([], tick_at(state, 5_000))
+
+
+class TestChanges(testtools.TestCase):
+    """A node asks the reader for changes whatever confirms its keys."""
+
+    # Guards against a removed server that a node goes on using, as answers to
+    # probes confirm its keys and it asks for no changes.
+    def test_asks_while_keys_are_confirmed_by_probes(self) -> None:
+        state = node('a')
+        asked = []
+        for mono in range(0, 3_000, 50):
+            freshness.record_confirmation(state, mono)
+            if any(
+                isinstance(effect, effects.AskChanges)
+                for effect in tick_at(state, mono)
+            ):
+                asked.append(mono)
+                message = messages.ChangesSent(
+                    era=1,
+                    revision=1,
+                    since=1,
+                    entries=(),
+                    asked_at=mono,
+                    confirmed_ms=0,
+                    generation=state.index.generation,
+                )
+                now = samples.instant(mono)
+                confirmation.handle_changes_sent(state, message, 'a', now)
+        self.assertGreaterEqual(len(asked), 5)
