--- a/tests/decisions/test_confirmation.py
+++ b/tests/decisions/test_confirmation.py
@@ -199,7 +199,7 @@
         self.assertEqual([], tick_at(state, 5_000))
 
 
-class TestChanges(testtools.TestCase):
+class TestAgeOfChanges(testtools.TestCase):
     """A node asks the reader for changes whatever confirms its keys."""
 
     # Guards against a removed server that a node goes on using, as answers to
