--- a/tests/failures/test_site_links.py
+++ b/tests/failures/test_site_links.py
@@ -5,6 +5,8 @@
 import asyncio
 import time
 
+import httpx
+
 from teaselbridge.decisions import usage
 from tests.failures import base
 from tests.failures import links as links_module
@@ -69,6 +71,41 @@
         self._check_served(links_module.Cut.REFUSE)
 
 
+class TestSilentServer(base.TestCase):
+    """A sound server that is silent for a second is no cut."""
+
+    # Guards against a server that is given up for good, and against links
+    # that are taken for cut, because of one second without data.
+    def test_server_is_used_again(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(nodes=2) as trial:
+                silent, _ = trial.list_servers('engines')
+                silent.event_ms = 1_000.0
+                for response in await _ask_engines(trial, 8):
+                    self.assertEqual(200, response.status_code)
+                    self.assertEqual(3, response.text.count('data:'))
+                for node in trial.nodes:
+                    self.assertEqual([], node.loop.state.links.cut_pools)
+                silent.event_ms = 5.0
+                # The longest that a first ejection lasts.
+                await asyncio.sleep(2)
+                before = len(silent.runs)
+                await _ask_engines(trial, 20)
+                self.assertGreater(len(silent.runs), before)
+
+        self.run_coroutine(run())
+
+
+async def _ask_engines(trial: site.Trial, count: int) -> list[httpx.Response]:
+    """Send streams to all nodes at once and return their answers."""
+    return await asyncio.gather(
+        *(
+            trial.call(f'/stream/{number}', node=number % len(trial.nodes))
+            for number in range(count)
+        )
+    )
+
+
 class TestForwarding(base.TestCase):
     """Forwarded requests are served as if their callers had come directly."""
 
