Let the failure ratio of a server fade without new outcomes

A sound server that was silent for a second was given up for good: requests that failed for its silence raised its failure ratio, which only its own successes lowered, and as it was avoided for the ratio it had none. It came back only once the others were half full. The ratio halves every five seconds without an outcome now.

--- a/src/teaselbridge/decisions/prefill.py
+++ b/src/teaselbridge/decisions/prefill.py
@@ -226,7 +226,7 @@
             + plan.predict_copy_ms(reading)
             + RANK_PENALTY_MS * rank_by_host.get(server.host, 0)
             + RUNNING_PENALTY_MS * running
-            + FAILURE_PENALTY_MS * server.failure_ratio
+            + FAILURE_PENALTY_MS * server.get_failure_ratio(now)
             + current_lag_ms(server, now)
         )
 
@@ -245,7 +245,7 @@
     return min(
         candidates,
         key=lambda server: (
-            round(server.load + 2 * server.failure_ratio, 2)
+            round(server.load + 2 * server.get_failure_ratio(now), 2)
             + round(current_lag_ms(server, now) / LAG_PER_FULL_LOAD_MS, 1),
             state.random.random(),
         ),
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -42,9 +42,6 @@
 CRASH_CHECK_MS = 60
 # With fewer gaps between events the mean says little.
 MIN_EVENT_GAPS = 3
-# Weight of one outcome in the exponential moving average of a server's
-# failure rate, which covers about seven outcomes.
-FAILURE_RATE_SMOOTHING = 0.15
 
 # Faults that a lost link can cause as well as a failed server.
 LINK_FAULTS = frozenset(
@@ -112,7 +109,7 @@
     detail = (
         f'attempt {request.attempt} at {server.row.instance}'
         f' {server.version}, {load} in flight, {backlog} tokens to prefill,'
-        f' {unread} of it; failure rate {server.failure_ratio:.2f}'
+        f' {unread} of it; failure rate {server.get_failure_ratio(now):.2f}'
     )
     source = ''
     if reading.source is not None:
@@ -221,7 +218,7 @@
         state, request, now, failed=False, span=_mean_event_gap_ms(request)
     )
     server = state.servers.get(request.host)
-    out += _record_server_success(state, request)
+    out += _record_server_success(state, request, now)
     if event.is_framed:
         out += suspects.record_sound_answer(state, request.call, now)
     elif server is not None and request.call.parts:
@@ -255,7 +252,7 @@
     out = moves.record_request_outcome(
         state, request, now, failed=False, span=span
     )
-    out += _record_server_success(state, request)
+    out += _record_server_success(state, request, now)
     if received.is_success:
         out += suspects.record_sound_answer(state, request.call, now)
     return out + _deliver_answer(state, request, received, now)
@@ -454,7 +451,7 @@
         return out
     if fault.kind in LINK_FAULTS:
         out += links.probe_pool(state, server.row.pool, now)
-    server.failure_ratio += FAILURE_RATE_SMOOTHING * (1 - server.failure_ratio)
+    server.record_outcome(failed=True, now=now)
     if not server.leaving:
         request.failed_version = server.version
     if not server.leaving and fault.kind is not calls.FaultKind.CONNECT:
@@ -471,14 +468,14 @@
 
 
 def _record_server_success(
-    state: states.State, request: requests.Request
+    state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
     server = state.servers.get(request.host)
     finish_prefill(state, request)
     requests.detach_from_server(state, request)
     if server is None:
         return []
-    server.failure_ratio -= FAILURE_RATE_SMOOTHING * server.failure_ratio
+    server.record_outcome(failed=False, now=now)
     return servers.record_success(server)
 
 
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -25,6 +25,10 @@
 IDLE_POLL_CYCLE = 4
 REPORT_MAX_AGE_MS = 12_000
 DEFAULT_SLOTS = 8
+# Weight of one outcome in the moving average of a server's failure rate,
+# which covers about seven outcomes.
+FAILURE_SMOOTHING = 0.15
+FAILURE_HALF_LIFE_MS = 5_000
 LEAVING_MARK_RETENTION_MS = 600_000
 
 
@@ -54,7 +58,9 @@
     :param prefill: prompt tokens of this node's requests that it has not
         processed yet.
     :param other_prefill_tokens: the same for the requests of other nodes.
-    :param failure_ratio: moving average of the share of failed attempts.
+    :param failure_ratio: moving average of the share of failed attempts,
+        as of the last outcome.
+    :param outcome_at: when the last attempt succeeded or failed.
     :param full_until: until when it gets no work after it answered that it
         is full.
     :param cold_until: until when it is slow after its start.
@@ -81,6 +87,7 @@
     prefill: int = 0
     other_prefill_tokens: int = 0
     failure_ratio: float = 0.0
+    outcome_at: int = 0
     full_until: int = 0
     cold_until: int = 0
     backoff_until: int = 0
@@ -98,6 +105,20 @@
         """Ratio of its in-flight requests from all nodes to its slots."""
         return (self.inflight + self.other_requests) / max(1, self.slots)
 
+    def get_failure_ratio(self, now: clock.Instant) -> float:
+        """Return the failure ratio, which fades without new outcomes.
+
+        A server that is avoided for its failures has none.
+        """
+        age = now.mono - self.outcome_at
+        return float(self.failure_ratio * 0.5 ** (age / FAILURE_HALF_LIFE_MS))
+
+    def record_outcome(self, *, failed: bool, now: clock.Instant) -> None:
+        """Update the failure ratio with the outcome of an attempt."""
+        known = self.get_failure_ratio(now)
+        self.failure_ratio = known + FAILURE_SMOOTHING * (failed - known)
+        self.outcome_at = now.mono
+
     def has_free_slot(self, nodes: int) -> bool:
         """Return whether this node may send it one more request.
 
