--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -207,17 +207,10 @@
     now: clock.Instant,
 ) -> list[effects.Effect]:
     """Pass on stream events in their order."""
-    known = request.last_event
-    if event.last is not None and known is not None and event.last <= known:
-        fault = calls.Fault(
-            calls.FaultKind.INVALID,
-            calls.RunStatus.UNKNOWN,
-            f'event {event.last} after {known}',
-        )
+    fault = requests.check_event_order(request, event)
+    if fault is not None:
         cancel = effects.CancelAttempt(request.handle, request.attempt)
         return [cancel, *handle_failed(state, request, fault, now)]
-    if event.last is not None:
-        request.last_event = event.last
     return [
         effects.Count(effects.Counter.EVENTS, request.call.route.name),
         effects.SendEvents(request.caller_handle, event.data),
--- a/src/teaselbridge/decisions/limits/owners.py
+++ b/src/teaselbridge/decisions/limits/owners.py
@@ -26,28 +26,26 @@
     state: states.State, allowed: list[servers.Server]
 ) -> frozenset[str]:
     """Return the nodes that may send requests to any of some servers."""
-    owners: set[str] = set()
-    for server in allowed:
-        rate = state.limits.terms.get(server.host).rate
-        names = set(room.list_owners(state, server))
-        if rate is not None:
-            senders = shares.list_senders(state, server.host, rate)
-            names = (
-                names & set(senders)
-                if _is_divided(state, server)
-                else set(senders)
-            )
-        owners |= names
-    return frozenset(owners)
+    return frozenset().union(
+        *(_list_owners_of(state, server) for server in allowed)
+    )
+
+
+def _list_owners_of(
+    state: states.State, server: servers.Server
+) -> frozenset[str]:
+    owners = state.limits.candidates.names
+    if room.is_divided(state, server):
+        owners &= frozenset(room.list_owners(state, server))
+    rate = state.limits.terms.get(server.host).rate
+    if rate is not None:
+        owners &= frozenset(shares.list_senders(state, server.host, rate))
+    return owners
 
 
 def _has_part(state: states.State, server: servers.Server) -> bool:
     if not state.limits.buckets.has_rate(server.host):
         return False
-    return not _is_divided(state, server) or (
-        room.count_own_slots(state, server) > 0
-    )
-
-
-def _is_divided(state: states.State, server: servers.Server) -> bool:
-    return room.is_divided(state, server)
+    if not room.is_divided(state, server):
+        return True
+    return room.count_own_slots(state, server) > 0
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -179,19 +179,12 @@
     silence.record_data(state, request, now)
     request.progressed_at = now.mono
     request.event_count += 1
-    if event.last is not None:
-        known = request.last_event
-        if known is not None and event.last <= known:
-            fault = calls.Fault(
-                calls.FaultKind.INVALID,
-                calls.RunStatus.UNKNOWN,
-                f'event {event.last} after {known}',
-            )
-            return [
-                *requests.cancel_attempt(state, request),
-                *handle_attempt_failed(state, request, fault, None, now),
-            ]
-        request.last_event = event.last
+    fault = requests.check_event_order(request, event)
+    if fault is not None:
+        return [
+            *requests.cancel_attempt(state, request),
+            *handle_attempt_failed(state, request, fault, None, now),
+        ]
     out: list[effects.Effect] = []
     answered_ms = now.mono - request.first_token_at
     if state.parts.has_accused and answered_ms > suspects.CRASH_DELAY_MS:
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -213,6 +213,26 @@
     ]
 
 
+def check_event_order(
+    request: Request, event: events.StreamEventsReceived
+) -> calls.Fault | None:
+    """Check that a stream event follows the last one, and remember it.
+
+    :return: the fault, none where the event may be passed on.
+    """
+    if event.last is None:
+        return None
+    known = request.last_event
+    if known is not None and event.last <= known:
+        return calls.Fault(
+            calls.FaultKind.INVALID,
+            calls.RunStatus.UNKNOWN,
+            f'event {event.last} after {known}',
+        )
+    request.last_event = event.last
+    return None
+
+
 def remove_request(
     state: states.State, request: Request
 ) -> list[effects.Effect]:
