Probe the servers of a reached pool once a second at most

Each overdue request of an overloaded pool could have up to eight connections opened three times a second, and a connection may take a slot. A pool of which a server was just reached is probed again after a second only; a cut is still known within contact-ms.

--- a/src/teaselbridge/decisions/forwarding/links.py
+++ b/src/teaselbridge/decisions/forwarding/links.py
@@ -24,6 +24,9 @@
 # that a crash of many servers is not taken for a cut.
 MAX_PROBED_SERVERS = 8
 PROBE_INTERVAL_MS = 300
+# Servers that are overloaded have many requests overdue, and connections to
+# them can take slots.
+REACHED_PROBE_INTERVAL_MS = 1_000
 # A single server that accepts no connection has probably failed.
 MIN_UNREACHABLE_SERVERS = 2
 
@@ -33,13 +36,13 @@
     """Links to the servers of one pool.
 
     :param is_cut: whether no server is reached.
-    :param probed_at: monotonic milliseconds of the last probes.
+    :param next_probe_at: monotonic milliseconds of the next probes.
     :param pending: hosts whose probes have not ended.
     :param failed: hosts whose last probes failed.
     """
 
     is_cut: bool = False
-    probed_at: int | None = None
+    next_probe_at: int = 0
     pending: set[str] = dataclasses.field(default_factory=set)
     failed: set[str] = dataclasses.field(default_factory=set)
 
@@ -80,16 +83,13 @@
 ) -> list[effects.Effect]:
     """Open connections to some servers of a pool, unless just done."""
     links = state.links.get(pool)
-    if links.pending or (
-        links.probed_at is not None
-        and now.mono - links.probed_at < PROBE_INTERVAL_MS
-    ):
+    if links.pending or now.mono < links.next_probe_at:
         return []
     staying = state.servers.staying(pool)
     state.random.shuffle(staying)
     staying.sort(key=lambda server: server.faults)
     chosen = staying[:MAX_PROBED_SERVERS]
-    links.probed_at = now.mono
+    links.next_probe_at = now.mono + PROBE_INTERVAL_MS
     links.failed.clear()
     links.pending = {server.host for server in chosen}
     if not chosen:
@@ -109,6 +109,7 @@
         return []
     links.pending.discard(event.host)
     if event.is_connected:
+        links.next_probe_at = now.mono + REACHED_PROBE_INTERVAL_MS
         return _set_cut(state, event.pool, is_cut=False)
     links.failed.add(event.host)
     if links.pending:
--- a/tests/decisions/forwarding/test_cut.py
+++ b/tests/decisions/forwarding/test_cut.py
@@ -4,8 +4,14 @@
 
 import testtools
 
+from teaselbridge.decisions import bounds
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions.forwarding import links
 from teaselbridge.decisions.limits import terms
+from teaselbridge.decisions import reducer
 from tests.decisions import cluster
+from tests.decisions import samples
 
 CONTACT_MS = 3_000
 CUT_AT = 2_000
@@ -98,3 +104,22 @@
             got = server.max_arrivals(CUT_AT + CONTACT_MS)
             self.assertLessEqual(got, 1.5 * 4 * 4 + 5)
         self._check_served(model, {'n0'}, CUT_AT + CONTACT_MS, CUT_AT + CUT_MS)
+
+
+class TestProbes(testtools.TestCase):
+    """Servers are probed seldom while one of them is reached."""
+
+    # Guards against overloaded servers that many connections make slower.
+    def test_reached_pool_is_not_probed_again_at_once(self) -> None:
+        state = samples.state(bounds.Bounds())
+        now = samples.instant(0)
+        state.servers.add(samples.row('s'), samples.VERSION, now)
+        (probe,) = links.probe_pool(state, 'p', now)
+        assert isinstance(probe, effects.ProbeLink)
+        connected = events.LinkProbed('s', 'p', True)
+        reducer.reduce(state, connected, samples.instant(2))
+        for mono in (300, 900):
+            again = links.probe_pool(state, 'p', samples.instant(mono))
+            self.assertEqual([], again)
+        again = links.probe_pool(state, 'p', samples.instant(1_002))
+        self.assertEqual(1, len(again))
