Count one stall of a host as one slow answer of a version

What operators saw: a good version taken back.

Cause: the test takes outcomes for independent. Those that one stall slows are one observation, at the node and again in the counts that it reports. The class is that of correlated evidence; errors are not affected, since a stall of the host fails no request by itself.

Change: outcomes of a version that end within 100 ms after a slow one of it are not compared, whether slow or not, so that the share of slow ones stays right at many requests a second.

Ruled out: a bound on what outcomes of 100 ms add to the sum (drafted, not run): reports of a second would then count one slow answer each.

--- a/bench/verdicts.py
+++ b/bench/verdicts.py
@@ -19,6 +19,7 @@
 RUN_COUNT = 200  # runs for each pair of versions
 MAX_NEW_REQUESTS = 2_000  # end of a run in which no fault is found
 OLD_PER_NEW = 4  # requests on the old version for each on the new one
+NEW_INTERVAL_MS = 50  # time between two requests on the new version
 NODES = 6
 REPORT_INTERVAL_REQUESTS = (
     12  # requests on the new version between two reports
@@ -106,18 +107,19 @@
     node_evidence = [evidence.Evidence() for _ in range(nodes)]
     pool = evidence.PoolEvidence()
     for number in range(1, MAX_NEW_REQUESTS + 1):
+        mono = number * NEW_INTERVAL_MS
         for _ in range(OLD_PER_NEW):
             route = generator.choice(ROUTES)
             failed = generator.random() < version.usual_errors
             node = generator.choice(node_evidence)
             span = _draw_time(generator, 1.0)
-            node.add_old_outcome(route, failed, span, number)
+            node.add_old_outcome(route, failed, span, mono)
         route = generator.choice(ROUTES)
         errors = version.usual_errors + version.more_errors
         failed = generator.random() < errors
         span = _draw_time(generator, version.slow)
         node = generator.choice(node_evidence)
-        if node.add_new_outcome(route, failed, span, number) is not None:
+        if node.add_new_outcome(route, failed, span, mono) is not None:
             return number
         if number % REPORT_INTERVAL_REQUESTS == 0 and _has_fault(
             node_evidence, pool
--- a/src/teaselbridge/decisions/evidence.py
+++ b/src/teaselbridge/decisions/evidence.py
@@ -30,6 +30,9 @@
 # whatever slowed the hosts since then also counts against the new version.
 UNPAIRED_SLOW_FACTOR = 3.0
 RECENT_MS = 3_000
+# Outcomes that end within this time after a slow one are not compared: a
+# stall of the host slows all that it has in flight.
+STALL_MS = 100
 # Smoothing factor of the old version's recent time, over about five outcomes.
 RECENT_SMOOTHING_FACTOR = 0.2
 MIN_SLOW_RATE = 0.08
@@ -237,6 +240,25 @@
         return span > SLOW_FACTOR * max(self.span, self.recent_span)
 
 
+@dataclasses.dataclass(slots=True)
+class _Stalls:
+    """Slow outcomes of one version at this node, over all routes.
+
+    :param slowed_at: monotonic milliseconds of the last one that counted.
+    """
+
+    slowed_at: int = -STALL_MS
+
+    def may_cover(self, mono: int) -> bool:
+        """Return whether the last slow outcome's cause may last until now."""
+        return mono - self.slowed_at < STALL_MS
+
+    def record(self, slow: bool, mono: int) -> None:
+        """Record an outcome that was compared."""
+        if slow:
+            self.slowed_at = mono
+
+
 class UsualTimes:
     """Times of a pool's answers by route, whether or not a move is tested.
 
@@ -300,6 +322,8 @@
         self._baselines: dict[str, _Baseline] = {}
         self._tests: dict[str, _VersionTests] = {}
         self._tallies: dict[str, _VersionTallies] = {}
+        self._old_stalls = _Stalls()
+        self._new_stalls = _Stalls()
 
     @property
     def scores(self) -> tuple[Score, ...]:
@@ -319,13 +343,15 @@
         """
         old = self._baseline_of(route)
         old.errors.add(failed)
-        timed = bool(span) and not failed
+        succeeded = bool(span) and not failed
+        timed = succeeded and not self._old_stalls.may_cover(mono)
         slow = timed and bool(old.timed) and span > SLOW_FACTOR * old.span
+        self._old_stalls.record(slow, mono)
         self._tallies_of(route).old.add(failed, timed, slow)
-        if not timed:
-            return
-        old.slow.add(slow)
-        old.add_span(span, mono)
+        if timed:
+            old.slow.add(slow)
+        if succeeded:
+            old.add_span(span, mono)
 
     def add_new_outcome(
         self, route: str, failed: bool, span: float, mono: int
@@ -337,8 +363,14 @@
         :return: the fault, once the evidence suffices.
         """
         old = self._baseline_of(route)
-        timed = bool(span) and not failed and old.timed >= MIN_TIMED_COUNT
+        timed = (
+            bool(span)
+            and not failed
+            and old.timed >= MIN_TIMED_COUNT
+            and not self._new_stalls.may_cover(mono)
+        )
         slow = timed and old.is_slow(span, mono)
+        self._new_stalls.record(slow, mono)
         self._tallies_of(route).new.add(failed, timed, slow)
         outcomes = Tally(count=1, failed=failed, timed=timed, slowed=slow)
         fault = _test_outcomes(
