--- a/src/teaselbridge/decisions/forwarding/helper.py
+++ b/src/teaselbridge/decisions/forwarding/helper.py
@@ -24,17 +24,12 @@
     :return: the refusal, none where the request is accepted.
     """
     if state.links.is_cut(call.route.pool):
-        return refuse_unreachable(state)
+        return relay_checks.build_refusal(
+            state, calls.Reason.NO_SERVER, 'this node reaches no server either'
+        )
     held = sum(bool(item.call.origin) for item in state.requests.values())
     if held <= MAX_FORWARDED_REQUESTS:
         return None
     return relay_checks.build_refusal(
         state, calls.Reason.OVERLOAD, 'too many forwarded requests'
     )
-
-
-def refuse_unreachable(state: states.State) -> calls.Refusal:
-    """Return the refusal of a request for which no server is reached."""
-    return relay_checks.build_refusal(
-        state, calls.Reason.NO_SERVER, 'this node reaches no server either'
-    )
--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -170,10 +170,7 @@
     """Handle a helper that refused the request, or was lost with it."""
     out = requests.report_fault(request, fault)
     requests.detach_from_server(state, request)
-    if fault.ran is calls.RunStatus.UNKNOWN:
-        request.possible_runs += 1
-        request.may_have_run = True
-    request.in_doubt = request.may_have_run
+    requests.count_possible_run(request, fault)
     if _can_retry(state, request, fault, now):
         requests.enqueue(state, request)
         return out
@@ -196,8 +193,7 @@
     fault = calls.Fault(
         calls.FaultKind.SILENT, calls.RunStatus.UNKNOWN, 'the helper is lost'
     )
-    cancel = effects.CancelAttempt(request.handle, request.attempt)
-    return [cancel, *handle_failed(state, request, fault, now)]
+    return _cancel(state, request, fault, now)
 
 
 def _handle_events(
@@ -209,14 +205,24 @@
     """Pass on stream events in their order."""
     fault = requests.check_event_order(request, event)
     if fault is not None:
-        cancel = effects.CancelAttempt(request.handle, request.attempt)
-        return [cancel, *handle_failed(state, request, fault, now)]
+        return _cancel(state, request, fault, now)
     return [
         effects.Count(effects.Counter.EVENTS, request.call.route.name),
         effects.SendEvents(request.caller_handle, event.data),
     ]
 
 
+def _cancel(
+    state: states.State,
+    request: requests.Request,
+    fault: calls.Fault,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Give up on a helper that has not ended the request."""
+    cancel = effects.CancelAttempt(request.handle, request.attempt)
+    return [cancel, *handle_failed(state, request, fault, now)]
+
+
 def _can_retry(
     state: states.State,
     request: requests.Request,
--- a/src/teaselbridge/decisions/limits/shares.py
+++ b/src/teaselbridge/decisions/limits/shares.py
@@ -38,11 +38,12 @@
 
     def __init__(self) -> None:
         self._active_at: dict[str, int] = {}
+        self._names: frozenset[str] = frozenset()
 
     @property
     def names(self) -> frozenset[str]:
         """Names of the nodes that are active, or were until recently."""
-        return frozenset(self._active_at)
+        return self._names
 
     def update(
         self, names: collections.abc.Iterable[str], now: clock.Instant
@@ -54,6 +55,7 @@
             for name, active_at in self._active_at.items()
             if now.mono - active_at < LOST_NODE_RETENTION_MS
         }
+        self._names = frozenset(self._active_at)
 
 
 def compute_share(state: states.State, host: str, rate: float) -> float:
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -265,10 +265,7 @@
     out = _record_server_fault(state, request, fault, now)
     finish_prefill(state, request)
     requests.detach_from_server(state, request)
-    if fault.ran is calls.RunStatus.UNKNOWN:
-        request.possible_runs += 1
-        request.may_have_run = True
-    request.in_doubt = request.may_have_run
+    requests.count_possible_run(request, fault)
     if _can_retry(state, request, fault, now):
         out.append(effects.Count(effects.Counter.RETRIES, fault.kind.value))
         return out + _schedule_retry(state, request, fault, now)
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -256,6 +256,14 @@
     return [effects.CancelAttempt(request.handle, request.attempt)]
 
 
+def count_possible_run(request: Request, fault: calls.Fault) -> None:
+    """Count a failed attempt that the server may have run."""
+    if fault.ran is calls.RunStatus.UNKNOWN:
+        request.possible_runs += 1
+        request.may_have_run = True
+    request.in_doubt = request.may_have_run
+
+
 def detach_from_server(state: states.State, request: Request) -> None:
     """Remove a request from its server's counts and mark it as waiting."""
     server = state.servers.get(request.host)
