End a completion that has all its tokens when its end is lost

Cause: a node died between the last token and the end of the stream, the client asked another node for the rest, and to lack only the end was taken for a bad request. The class is a state that is whole, but not marked as ended.

Change: a completion with max_tokens tokens is ended with "length", on arrival, on the failure of its attempt and when it is handed over. More tokens than max_tokens are still a bad request. The number of prompt tokens is not known then and told as 0.

--- a/src/teaselbridge/decisions/arrival.py
+++ b/src/teaselbridge/decisions/arrival.py
@@ -44,6 +44,8 @@
     refusal = _check_new_request(state, call, now)
     if refusal is not None:
         return out + requests.refuse(state, request, refusal)
+    if request.has_all_tokens:
+        return out + requests.finish_at_token_limit(state, request)
     out += _shed_if_full(state, request, now)
     if call.handle not in state.requests:
         return out
--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -76,20 +76,7 @@
         recomputed = max(0, event.prompt_tokens - event.cached_tokens)
         counter = effects.Counter.TOKENS_RECOMPUTED
         out.append(effects.Count(counter, call.route.name, recomputed))
-    out.append(effects.Count(effects.Counter.ANSWERED, call.route.name))
-    detail = f'{len(request.tokens)} tokens, {request.attempt} attempts'
-    out.append(requests.build_record(request, effects.Mark.ANSWERED, detail))
-    if request.attached:
-        out.append(
-            effects.SendEnd(
-                request.caller_handle,
-                event.finish,
-                event.prompt_tokens,
-                len(request.tokens),
-            )
-        )
-        return out + requests.remove_request(state, request)
-    return out + _keep_finished(state, request, event)
+    return out + requests.finish_completion(state, request, event)
 
 
 def answer(
@@ -214,6 +201,8 @@
 ) -> list[effects.Effect]:
     out = _record_server_fault(state, request, fault, now)
     requests.detach_from_server(state, request)
+    if request.has_all_tokens:
+        return out + requests.finish_at_token_limit(state, request)
     if fault.ran is calls.RunStatus.NOT_RUN and request.attempt == 1:
         request.in_doubt = False
     if request.is_at_most_once and fault.ran is not calls.RunStatus.NOT_RUN:
@@ -382,17 +371,6 @@
     return out
 
 
-def _keep_finished(
-    state: states.State,
-    request: requests.Request,
-    event: events.StreamEnded,
-) -> list[effects.Effect]:
-    """Keep a finished answer until the caller that was sent here attaches."""
-    request.phase = requests.Phase.FINISHED
-    request.finished = event
-    return []
-
-
 def _current(
     state: states.State, handle: int, attempt: int
 ) -> requests.Request | None:
--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -135,12 +135,14 @@
     request.in_doubt = True
     state.requests[call.handle] = request
     state.held[call.key] = call.handle
-    requests.enqueue(state, request)
     out.append(
         requests.build_record(
             request, effects.Mark.ADOPTED, f'{len(message.tokens)} sent'
         )
     )
+    if request.has_all_tokens:
+        return out + requests.finish_at_token_limit(state, request)
+    requests.enqueue(state, request)
     return out
 
 
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -157,7 +157,7 @@
     """Command to end a token stream explicitly.
 
     :param finish: finish reason of the engine.
-    :param prompt_tokens: prompt tokens in all.
+    :param prompt_tokens: prompt tokens in all, 0 for unknown.
     :param completion_tokens: tokens of the whole answer.
     """
 
--- a/src/teaselbridge/gateway/parse.py
+++ b/src/teaselbridge/gateway/parse.py
@@ -114,8 +114,8 @@
     if not body.text:
         detail = 'neither `messages` nor `prompt` has text'
         raise build_error(calls.Reason.BAD_REQUEST, detail)
-    if len(body.resume_tokens) >= body.max_tokens:
-        detail = '`resume_tokens` has all of `max_tokens` already'
+    if len(body.resume_tokens) > body.max_tokens:
+        detail = '`resume_tokens` has more than `max_tokens`'
         raise build_error(calls.Reason.BAD_REQUEST, detail)
     return calls.Call(
         handle=raw.handle,
