--- a/tests/decisions/cluster.py
+++ b/tests/decisions/cluster.py
@@ -37,6 +37,7 @@
     """A simulated backend server.
 
     :param host: name of its host.
+    :param version: version that it runs.
     :param slots: requests that it runs at once.
     :param queue: requests that wait there before it refuses more.
     :param work_ms: time that a request takes.
@@ -48,6 +49,7 @@
     """
 
     host: str
+    version: str = samples.VERSION
     slots: int = 64
     queue: int = 8
     work_ms: int = 30
@@ -196,6 +198,11 @@
         self._post(self.nodes[name], events.CallArrived(call))
         return handle
 
+    def post(self, names: typing.Iterable[str], event: events.Event) -> None:
+        """Post an event to some nodes at once."""
+        for name in names:
+            self._post(self.nodes[name], event)
+
     def count_served(
         self, names: typing.Container[str], since: int, until: int
     ) -> tuple[int, int]:
@@ -227,9 +234,11 @@
         event = events.PeerMessageReceived('none', told)
         now = samples.instant(self.now)
         reducer.reduce(state, event, now)
-        for host in self.servers:
-            server = state.servers.add(samples.row(host), samples.VERSION, now)
-            server.slots = self.servers[host].slots
+        for host, simulated in self.servers.items():
+            server = state.servers.add(
+                samples.row(host), simulated.version, now
+            )
+            server.slots = simulated.slots
         return state
 
     def _send_request(self, route: dict[str, object]) -> None:
@@ -274,6 +283,8 @@
                 self._schedule(LINK_MS, lambda: self._cancel(key))
             case effects.ProbeLink():
                 self._probe(node, effect)
+            case effects.ExitProcess():
+                node.is_up = False
             case effects.SendAnswer() | effects.SendRefusal():
                 self._handle_outcome(node, effect)
 
--- a/tests/decisions/limits/test_rates.py
+++ b/tests/decisions/limits/test_rates.py
@@ -5,7 +5,11 @@
 import testtools
 
 from teaselbridge.decisions import calls
+from teaselbridge.decisions import events
 from teaselbridge.decisions.limits import terms
+from teaselbridge.peers import messages
+from teaselbridge.tables import join
+from teaselbridge.tables import model as model_tables
 from tests.decisions import cluster
 
 CONTACT_MS = 3_000
@@ -146,6 +150,88 @@
         self.assertTrue(1 <= len(late) <= 8, late)
 
 
+class TestMeanwhile(testtools.TestCase):
+    """A limit that is named while nodes or versions come and go."""
+
+    RATE = 1.0
+
+    def _build(self) -> cluster.Cluster:
+        servers = build_servers((self.RATE,))
+        return cluster.Cluster(nodes=12, servers=servers)
+
+    def _name_rate(self, model: cluster.Cluster) -> cluster.Server:
+        server = model.servers['limited-1']
+        server.terms = terms.Terms(rate=self.RATE)
+        return server
+
+    def _check(self, server: cluster.Server, since: int, until: int) -> None:
+        """Check that the server gets what it takes, and no more."""
+        got = server.max_arrivals(NAMED_AT + CONTACT_MS)
+        self.assertLessEqual(got, count_allowed(self.RATE))
+        count = sum(since <= at < until for at, _ in server.arrivals)
+        fair = self.RATE * (until - since) / 1_000
+        self.assertGreater(count, fair / 2)
+
+    # Guards against nodes that count lost ones among the senders for good,
+    # and against those left that each take the whole rate.
+    def test_zone_is_lost(self) -> None:
+        model = self._build()
+        model.run(NAMED_AT, 60)
+        server = self._name_rate(model)
+        model.run(NAMED_AT + 6_000, 60)
+        for member in model.members:
+            if member.zone == 'a':
+                model.nodes[member.name].is_up = False
+        model.run(NAMED_AT + 30_000, 60)
+        self._check(server, NAMED_AT + 20_000, NAMED_AT + 30_000)
+
+    # The same for nodes that stop one after the other.
+    def test_nodes_drain(self) -> None:
+        model = self._build()
+        model.run(NAMED_AT, 60)
+        server = self._name_rate(model)
+        for name in list(model.nodes)[:6]:
+            model.run(model.now + 2_000, 60)
+            drained = events.DrainRequested(model.now + 2_000)
+            model.post((name,), drained)
+        model.run(model.now + 2_500, 60)
+        self.assertEqual(6, sum(node.is_up for node in model.nodes.values()))
+        model.run(model.now + 20_000, 60)
+        self._check(server, model.now - 10_000, model.now)
+
+    # Guards against shares of traffic that a rollout sends to a server of
+    # the new version beside its limit.
+    def test_rollout(self) -> None:
+        servers = [
+            cluster.Server(host='limited-1', version='v2'),
+            cluster.Server(host='free-new', version='v2'),
+            cluster.Server(host='old-1'),
+            cluster.Server(host='old-2'),
+        ]
+        model = cluster.Cluster(nodes=12, servers=servers)
+        pool = model_tables.Pool(
+            name='p', kind=model_tables.Kind.RELAYED, versions=(), zones=()
+        )
+        configuration = model_tables.Configuration(
+            tables=model_tables.Tables(pools=(pool,))
+        )
+        for node in model.nodes.values():
+            node.state.index = join.Index(configuration=configuration)
+        model.run(1_000, 60)
+        ordered = events.RolloutOrdered(
+            pool='p', version='v2', duration_ms=20_000, number=40
+        )
+        model.post(model.nodes, ordered)
+        model.run(NAMED_AT, 60)
+        server = self._name_rate(model)
+        model.run(24_000, 60)
+        moves = {
+            node.state.moves.get('p').stage for node in model.nodes.values()
+        }
+        self.assertEqual({messages.Stage.DONE}, moves)
+        self._check(server, 14_000, 24_000)
+
+
 class TestCallers(testtools.TestCase):
     """Callers of a pool whose servers all name a rate."""
 
