Give a version no more traffic before some of its times were compared

Cause: a step needs four outcomes of the new version, whether or not their times were compared. Nodes that have just started know no usual times, so that outcomes count only as not failed. The class is that of: absence of evidence taken for a good trial. A node knows the usual time of a route after eight answers of the old version, and all nodes together got 12 requests of the new one between the restart and the step.

Change: where twenty times of the old version were taken, four of the new version must have been compared.

Left: nodes that were all killed count the time of a rollout from their start, since the order names its duration only.

test_version_whose_times_are_unknown_gets_no_more failed before.

--- a/src/teaselbridge/decisions/evidence.py
+++ b/src/teaselbridge/decisions/evidence.py
@@ -414,6 +414,14 @@
             sum(score.new.count for score in scores),
         )
 
+    def count_timed(self) -> tuple[int, int]:
+        """Return the same for outcomes whose times were compared."""
+        scores = self._last_scores.values()
+        return (
+            sum(score.old.timed for score in scores),
+            sum(score.new.timed for score in scores),
+        )
+
     @property
     def doubt(self) -> Fault | None:
         """Reason why the new version is in doubt, if it is."""
--- a/src/teaselbridge/decisions/rollouts.py
+++ b/src/teaselbridge/decisions/rollouts.py
@@ -230,12 +230,13 @@
     """Return whether the new version's outcomes allow the next step.
 
     It must not be in doubt, and must have served some requests if the old
-    version has: its servers may have been down during the trial.
+    version has: its servers may have been down during the trial. The times of
+    some must have been compared: restarted nodes know no usual times at first.
     """
     seen = state.moves.get_outcomes(move.pool, move.number).pool
-    old, new = seen.count_outcomes()
-    if old >= MIN_OLD_OUTCOMES and new < MIN_NEW_OUTCOMES:
-        return False
+    for old, new in (seen.count_outcomes(), seen.count_timed()):
+        if old >= MIN_OLD_OUTCOMES and new < MIN_NEW_OUTCOMES:
+            return False
     return seen.doubt is None
 
 
--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -226,6 +226,29 @@
                     reports.handle_scores(state, message, now)
                     self.assertEqual(expected, self.step(state))
 
+    # Guards against a slow version that gets half of the traffic unseen, as
+    # restarted nodes have no usual times to compare its answers with.
+    def test_version_whose_times_are_unknown_gets_no_more(self) -> None:
+        candidates = leases.list_candidates(self.states[0], 'p')
+        for timed, expected in ((1, 0.08), (6, 0.5)):
+            score = evidence.Score(
+                route='r',
+                old=evidence.Tally(count=60, timed=60),
+                new=evidence.Tally(count=12, timed=timed),
+            )
+            message = messages.Scores(
+                pool='p',
+                number=40,
+                node='canary',
+                incarnation=1,
+                scores=(score,),
+            )
+            for state in self.states:
+                if state.options.me.name in candidates:
+                    now = samples.instant(10)
+                    reports.handle_scores(state, message, now)
+                    self.assertEqual(expected, self.step(state))
+
     # Guards against a good version that misses its deadline because the nodes
     # that take the steps were restarted during its rollout.
     def test_restarted_candidate_learns_the_time_of_the_rollout(self) -> None:
