--- a/tests/decisions/forwarding/test_cut.py
+++ b/tests/decisions/forwarding/test_cut.py
@@ -10,12 +10,39 @@
 from teaselbridge.decisions.forwarding import links
 from teaselbridge.decisions.limits import terms
 from teaselbridge.decisions import reducer
+from teaselbridge.tables import model as model_tables
 from tests.decisions import cluster
 from tests.decisions import samples
 
 CONTACT_MS = 3_000
 CUT_AT = 2_000
 CUT_MS = 12_000
+CHANGE_INTERVAL_MS = 200
+
+
+def build_change(generation: int, mono: int) -> events.ConfigurationRead:
+    """Return a configuration that the store delivers.
+
+    :param mono: monotonic milliseconds at which it was asked for.
+    """
+    route = model_tables.Route(
+        name='r',
+        match=model_tables.Match(path='/r/', host='h'),
+        pool='p',
+        goal_ms=400 + generation,
+    )
+    pool = model_tables.Pool(
+        name='p', kind=model_tables.Kind.RELAYED, versions=(), zones=()
+    )
+    tables = model_tables.Tables(
+        routes=(route,),
+        pools=(pool,),
+        workspaces=(model_tables.Workspace(name='w', key='k'),),
+    )
+    configuration = model_tables.Configuration(
+        generation=generation, tables=tables
+    )
+    return events.ConfigurationRead(configuration=configuration, sent=mono)
 
 
 class TestCut(testtools.TestCase):
@@ -79,6 +106,24 @@
         for node in model.nodes.values():
             self.assertEqual([], node.state.links.cut_pools)
 
+    # Guards against a change of the configuration that makes nodes forget the
+    # cut, or lose the requests that are forwarded meanwhile.
+    def test_two_of_six_nodes_while_the_configuration_changes(self) -> None:
+        cut = {'n0', 'n1'}
+        servers = [cluster.Server(host=f's{number}') for number in range(4)]
+        model = cluster.Cluster(nodes=6, servers=servers)
+        model.run(CUT_AT, 30)
+        model.can_serve = lambda node, host: node not in cut
+        for generation in range(1, 1 + CUT_MS // CHANGE_INTERVAL_MS):
+            model.post(model.nodes, build_change(generation, model.now))
+            model.run(model.now + CHANGE_INTERVAL_MS, 30)
+        generations = {
+            node.state.index.configuration.generation
+            for node in model.nodes.values()
+        }
+        self.assertEqual({generation}, generations)
+        self._check_served(model, cut, CUT_AT + CONTACT_MS, model.now - 500)
+
     # Guards against a cut that is taken from failures of servers.
     def test_failed_servers_are_no_cut(self) -> None:
         servers = [cluster.Server(host=f's{number}') for number in range(4)]
