Wait by time until the server with endless bytes is used

Cause: a server whose first bytes came late is avoided while another one is idle, until that lag, of at most 3 s and halved each 3 s, is below the 10 ms that count. The bound was wrong, not the server's use.

Change: the server must get its request within 30 s, in which the longest lag is forgotten; each answer still has to be whole within MAX_ANSWER_S, and the bounds of memory stay. No answer within MAX_ANSWER_S, the entry of KNOWN-RED, is another fault and stays listed.

--- a/tests/failures/test_site_bytes.py
+++ b/tests/failures/test_site_bytes.py
@@ -14,6 +14,8 @@
 
 MAX_MEMORY_BYTES = 24 << 20
 MAX_ANSWER_S = 4.0
+# By then the longest lag of a server is forgotten, so that it is used again.
+MAX_UNUSED_S = 30.0
 # A second answer after a complete one is for nobody, and the first stands.
 COMPLETE_FAULTS = (runners.Fault.ENDLESS_SURPLUS,)
 
@@ -28,16 +30,14 @@
             servers = trial.list_servers(pool)
             for server in servers:
                 await trial.call(path)
-            sent = 0
             tracemalloc.start()
             try:
                 servers[0].faults.append(fault)
-                while servers[0].faults:
-                    async with asyncio.timeout(MAX_ANSWER_S):
-                        response = await trial.call(path)
-                    self.assertEqual(200, response.status_code, fault)
-                    sent += 1
-                    self.assertLess(sent, 50)
+                async with asyncio.timeout(MAX_UNUSED_S):
+                    while servers[0].faults:
+                        async with asyncio.timeout(MAX_ANSWER_S):
+                            response = await trial.call(path)
+                        self.assertEqual(200, response.status_code, fault)
                 _, peak = tracemalloc.get_traced_memory()
             finally:
                 tracemalloc.stop()
