Skip comments in a stream whose events have ids

Cause: httpx_sse keeps the last id, as the specification says, and then takes the blank line after a comment for an event without data. A heartbeat after the first token, sent when a stream waits for its next one, was decoded as a token. The same in the reader of engines, where one that numbers its events and sends comments would have been taken for faulty.

Change: events without data are skipped, as the specification asks.

--- a/src/teaselbridge/backends/engine.py
+++ b/src/teaselbridge/backends/engine.py
@@ -128,6 +128,9 @@
         await faults.check_status(response)
         source = httpx_sse.EventSource(response)
         async for item in source.aiter_sse():
+            if not item.data:
+                # A comment after an event with an id.
+                continue
             if item.data == STREAM_END:
                 break
             chunk = _decode(item.data)
--- a/src/teaselbridge/client/caller.py
+++ b/src/teaselbridge/client/caller.py
@@ -327,6 +327,9 @@
             error.
         """
         async for event in httpx_sse.EventSource(response).aiter_sse():
+            if not event.data:
+                # A comment after an event with an id.
+                continue
             if event.event == 'moved':
                 return str(msgspec.json.decode(event.data)['address'])
             if event.event == 'error':
