--- a/src/teaselbridge/workload/results.py
+++ b/src/teaselbridge/workload/results.py
@@ -86,6 +86,7 @@
     :param answer: response times of plain services.
     :param doubled: orders that ran more than once.
     :param unrun: orders that were answered but never ran.
+    :param false_refusals: orders that ran and were refused as not run.
     :param prompt_tokens: prompt tokens that engines processed.
     :param cached_tokens: of these, prefix cache hits.
     :param recomputed_tokens: of these, computed before by any engine.
@@ -104,6 +105,7 @@
     answer: Percentiles
     doubled: int
     unrun: int
+    false_refusals: int
     prompt_tokens: int
     cached_tokens: int
     recomputed_tokens: int
--- a/src/teaselbridge/workload/run.py
+++ b/src/teaselbridge/workload/run.py
@@ -21,6 +21,7 @@
 
 LATE_REASON = 'deadline-passed'
 RAN_UNKNOWN = 'unknown'
+RAN_NO = 'no'
 MAX_IN_FLIGHT = 2_000  # requests in flight
 # Delay after the last outcome, so that attempts that outlast their callers
 # are included in the figures.
@@ -69,6 +70,7 @@
         self._answer_times = results.LatencyHistogram()
         self._reasons: collections.Counter[str] = collections.Counter()
         self._confirmed: set[str] = set()
+        self._not_run: set[str] = set()
         self._seconds = [
             results.SecondCounts() for _ in range(int(plan.seconds) + 1)
         ]
@@ -188,18 +190,24 @@
         request = str(uuid_utils.uuid7())
         body = msgspec.json.encode({'items': [arrival.text]})
         copies = 1 + (self._random.random() < self._plan.resend)
-        replies = await asyncio.gather(
-            *(
-                caller.send(
-                    'POST',
-                    kind.path,
-                    body,
-                    request=request,
-                    deadline_ms=kind.deadline_ms,
+        try:
+            replies = await asyncio.gather(
+                *(
+                    caller.send(
+                        'POST',
+                        kind.path,
+                        body,
+                        request=request,
+                        deadline_ms=kind.deadline_ms,
+                    )
+                    for _ in range(copies)
                 )
-                for _ in range(copies)
             )
-        )
+        except outcomes.RefusedError as error:
+            # Another copy may have run.
+            if copies == 1 and error.problem.ran == RAN_NO:
+                self._not_run.add(request)
+            raise
         self._confirmed.add(request)
         if len({reply.body for reply in replies}) > 1:
             tally.wrong += 1
@@ -262,6 +270,7 @@
             answer=self._answer_times.get_percentiles(),
             doubled=sum(count > 1 for count in runs.values()),
             unrun=len(unrun) if self._plan.control else 0,
+            false_refusals=sum(name in runs for name in self._not_run),
             prompt_tokens=get_increase('prompt_tokens'),
             cached_tokens=get_increase('cached_tokens'),
             recomputed_tokens=get_increase('recomputed_tokens'),
