Expect open connections to last until a stopping process is gone

The soak forgave every lost connection of a node that was being stopped or started. Now it forgives that of killed and paused ones only, and new connections that a node refuses while it starts or stops.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -39,7 +39,7 @@
 RECOVERY_TIMEOUT_S = 20.0
 CALL_TIMEOUT_S = 15.0
 CALL_INTERVAL_S = 0.05
-# Time in which a process that lost a connection is seen to be gone.
+# Time between the last connection of a process that stops and its end.
 EXIT_NOTICE_S = 1.0
 LOOKUP_PATH = '/catalogue/candles'
 LOOKUP_KEY = 'example-key-buyers'
@@ -279,8 +279,9 @@
     ) -> None:
         """Send requests over one connection until the process is gone.
 
-        A connection that is lost while nothing was done to the process is a
-        fault, and so is an answer that is neither one nor a refusal.
+        It is a fault to lose the connection of a process that goes on,
+        neither killed nor paused, and so is an answer that is neither one nor
+        a refusal. A process that starts or stops may refuse new connections.
         """
         limits = httpx.Limits(max_connections=1)
         async with httpx.AsyncClient(
@@ -294,6 +295,7 @@
                     )
                 except httpx.HTTPError as error:
                     await self._check_lost_connection(node, error)
+                    await asyncio.sleep(CALL_INTERVAL_S)
                     continue
                 if response.status_code not in (200, 307, 429, 503, 504):
                     self.faults.append(
@@ -304,9 +306,15 @@
     async def _check_lost_connection(
         self, node: deployment.NodeAddresses, error: httpx.HTTPError
     ) -> None:
-        was_disturbed = node.name in self._disturbed
+        is_new = isinstance(error, httpx.ConnectError)
+        if is_new and node.name in self._disturbed:
+            return
+        process = self._trial.get_pid(node.name)
         await asyncio.sleep(EXIT_NOTICE_S)
-        if not was_disturbed and node.name not in self._disturbed:
+        is_gone = process != self._trial.get_pid(
+            node.name
+        ) or not self._trial.is_running(node.name)
+        if not is_gone and node.name not in self._interrupted:
             self.faults.append(f'{node.name} lost a connection: {error!r}')
 
     async def _check_recovery(self) -> None:
