--- a/bench/soak.py
+++ b/bench/soak.py
@@ -33,6 +33,9 @@
 
 ZONES = ('olomouc-a', 'brno-a', 'kariakoo')
 MIN_RUNNING_NODES = 2
+MIN_ENGINES = 4
+RESEND_FRACTION = 0.3  # fraction of orders that are sent twice concurrently
+REPEATED_SIGNAL_FRACTION = 0.3  # stops and kills that follow another signal
 ENGINE_POOLS = ('kadidlo-lm', 'story-models')
 DRAIN_MS = 4_000
 EXIT_TIMEOUT_S = 10.0
@@ -64,8 +67,16 @@
 class Soak:
     """One run: the series of faults, and what went wrong.
 
+    A node is disturbed from its signal until it is ready again, and
+    interrupted meanwhile if it was killed or paused.
+
     :param trial: the running deployment.
     :param settings: size of the run.
+
+    Attributes:
+
+    * ``events``: faults that were injected, in their order.
+    * ``faults``: what went wrong.
     """
 
     def __init__(
@@ -93,7 +104,7 @@
             seed=self._settings.seed,
             rate=self._settings.rate,
             seconds=self._settings.seconds,
-            resend=0.3,
+            resend=RESEND_FRACTION,
             control=self._trial.control,
         )
         series = (
@@ -155,12 +166,13 @@
         return node
 
     async def _stop_nodes(self, generator: random.Random) -> None:
+        """Stop a node, with one signal or two, and start it again."""
         node = self._take_node(generator)
         if node is None:
             return
         self.events.append(f'{node.name} is stopped')
         self._trial.send_signal(node.name, signal.SIGTERM)
-        if generator.random() < 0.3:
+        if generator.random() < REPEATED_SIGNAL_FRACTION:
             await asyncio.sleep(generator.uniform(0.0, 1.0))
             self._trial.send_signal(node.name, signal.SIGTERM)
         code = await self._wait_for_exit(node.name)
@@ -169,12 +181,13 @@
         await self._start_again(node, generator)
 
     async def _kill_nodes(self, generator: random.Random) -> None:
+        """Kill a node, perhaps while it stops, and start it again."""
         node = self._take_node(generator)
         if node is None:
             return
         self.events.append(f'{node.name} is killed')
         self._interrupted.add(node.name)
-        if generator.random() < 0.3:
+        if generator.random() < REPEATED_SIGNAL_FRACTION:
             self._trial.send_signal(node.name, signal.SIGTERM)
             await asyncio.sleep(generator.uniform(0.0, DRAIN_MS / 1_000))
         self._trial.send_signal(node.name, signal.SIGKILL)
@@ -227,13 +240,14 @@
             self.faults.append(f'{node.name} is not ready again')
 
     async def _disturb_servers(self, generator: random.Random) -> None:
+        """Lose an engine, while enough others are left."""
         figures = await self._trial.read_figures()
         hosts = [
             row['host']
             for row in figures['hosts']
             if row['pool'] in ENGINE_POOLS
         ]
-        if len(hosts) < 4:
+        if len(hosts) < MIN_ENGINES:
             return
         host = generator.choice(hosts)
         kind = generator.choice(('reclaim', 'kill', 'silence'))
