--- a/tests/client/__init__.py
+++ b/tests/client/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the HTTP interface for callers."""
+"""Tests of the client library."""
