Look at limits only where a server sets one

Found on reading the change again: each new request counted those queued before it, and each choice of a server filtered the pool twice more, also where no server names a rate or bears few refusals. What comes out is the same: without a bucket the wait is 0, which no request is refused for, and both filters keep all servers.

Change: `Limits.is_empty`, looked at before the work.

Tests of decisions pass.

--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -91,9 +91,11 @@
 def _needs_other_node(state: states.State, request: requests.Request) -> bool:
     """Return whether this node cannot send a request to any server."""
     pool = request.call.route.pool
-    return state.links.is_cut(pool) or owners.has_no_part(
-        state, state.servers.staying(pool)
-    )
+    if state.links.is_cut(pool):
+        return True
+    if state.limits.is_empty:
+        return False
+    return owners.has_no_part(state, state.servers.staying(pool))
 
 
 def _pass_on(
@@ -149,6 +151,8 @@
     state: states.State, pool: str, now: clock.Instant
 ) -> list[servers.Server]:
     usable = state.servers.usable(pool, now)
+    if state.limits.is_empty:
+        return usable
     usable = sending.filter_by_rate(state, usable, now)
     return room.filter_by_room(state, usable)
 
--- a/src/teaselbridge/decisions/limits/known.py
+++ b/src/teaselbridge/decisions/limits/known.py
@@ -30,3 +30,8 @@
         self.refusals_by_pool: dict[str, float] = {}
         self.own_slots: dict[str, int] = {}
         self.next_refresh_at = 0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether servers neither name a rate nor bear few refusals."""
+        return self.buckets.is_empty and not self.refusals_by_pool
--- a/src/teaselbridge/decisions/limits/tokens.py
+++ b/src/teaselbridge/decisions/limits/tokens.py
@@ -46,6 +46,11 @@
     def __init__(self) -> None:
         self._by_host: dict[str, Bucket] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no server names a rate."""
+        return not self._by_host
+
     def set_rate(self, host: str, per_s: float, now: clock.Instant) -> None:
         """Set the rate of a server's bucket, and create it if needed.
 
--- a/src/teaselbridge/decisions/relay_checks.py
+++ b/src/teaselbridge/decisions/relay_checks.py
@@ -136,6 +136,8 @@
     state: states.State, call: calls.Call, now: clock.Instant
 ) -> calls.Refusal | None:
     """Refuse a new request that waits too long behind those before it."""
+    if state.limits.is_empty:
+        return None
     staying = state.servers.staying(call.route.pool)
     ahead = state.queue.count_before(call)
     wait_ms = sending.predict_wait_ms(state, staying, ahead, now)
