End and report forwarded and direct requests by the same functions

Found on reading the change again: the id to resume after, the end of a stream that cannot be continued and the report of an answer were written in `relays` and in `forwarding.origin`.

Change: `Request.resume_after`, `relays.end_broken_stream` and `relays.report_answered` serve both. Callers see the same.

--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -46,11 +46,9 @@
     request.peers_tried.append(helper.name)
     request.started_at = now.mono
     request.progressed_at = now.mono
+    request.event_count = 0
     request.first = True
     request.in_doubt = True
-    last_event = call.last_event
-    if request.last_event is not None:
-        last_event = str(request.last_event)
     detail = f'attempt {request.attempt} forwarded to {helper.name}'
     return [
         effects.Count(effects.Counter.FORWARDED, call.route.pool),
@@ -62,7 +60,7 @@
             host=helper.name,
             instance='',
             remaining_ms=max(1, request.remaining_ms(now)),
-            last_event=last_event,
+            last_event=request.resume_after,
             urgency=None,
             new_connection=request.is_at_most_once,
             origin=state.options.me.name,
@@ -175,9 +173,7 @@
         requests.enqueue(state, request)
         return out
     if request.streaming:
-        out += _report_answered(request, f'stream broken: {fault.detail}', now)
-        out.append(effects.SendFinish(request.caller_handle, False))
-        return out + requests.remove_request(state, request)
+        return out + relays.end_broken_stream(state, request, fault, now)
     return out + relays.give_up(state, request, fault.detail)
 
 
@@ -245,15 +241,6 @@
 def _report_answered(
     request: requests.Request, detail: str, now: clock.Instant
 ) -> list[effects.Effect]:
-    route = request.call.route.name
-    elapsed_ms = now.mono - request.arrived
-    return [
-        effects.Count(effects.Counter.ANSWERED, route),
-        effects.ObserveLatency(effects.Span.WHOLE, route, elapsed_ms),
-        requests.build_record(
-            request,
-            effects.Mark.ANSWERED,
-            f'{detail} by {request.helper}, {request.attempt} attempts,'
-            f' {elapsed_ms} ms',
-        ),
-    ]
+    return relays.report_answered(
+        request, f'{detail} by {request.helper}', now
+    )
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -101,9 +101,6 @@
     request.silence_timeout_ms = silence.get_first_byte_timeout_ms(request)
     pool = state.index.pool(call.route.pool)
     uses_urgency = pool is not None and pool.engine is not None
-    last = call.last_event
-    if request.last_event is not None:
-        last = str(request.last_event)
     load = server.inflight + server.other_requests
     backlog = server.prefill + server.other_prefill_tokens
     detail = (
@@ -124,7 +121,7 @@
             host=server.host,
             instance=server.row.instance,
             remaining_ms=max(1, request.remaining_ms(now)),
-            last_event=last,
+            last_event=request.resume_after,
             urgency=min(9, call.route.priority) if uses_urgency else None,
             new_connection=request.is_at_most_once,
             source=source,
@@ -219,7 +216,7 @@
         out += poison.suspect_end(
             state, request.call, server, answered_ms, now
         )
-    out += _report_answered(state, request, 'stream', now)
+    out += report_answered(request, 'stream', now)
     out.append(effects.SendFinish(request.caller_handle, True))
     return out + requests.remove_request(state, request)
 
@@ -270,16 +267,27 @@
         out.append(effects.Count(effects.Counter.RETRIES, fault.kind.value))
         return out + _schedule_retry(state, request, fault, now)
     if request.streaming:
-        out += _report_answered(
-            state, request, f'stream broken: {fault.detail}', now
-        )
-        out.append(effects.SendFinish(request.caller_handle, False))
-        return out + requests.remove_request(state, request)
+        return out + end_broken_stream(state, request, fault, now)
     if answered is not None:
         return out + _deliver_answer(state, request, answered, now)
     return out + give_up(state, request, fault.detail)
 
 
+def end_broken_stream(
+    state: states.State,
+    request: requests.Request,
+    fault: calls.Fault,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """End a stream that cannot be continued."""
+    detail = f'stream broken: {fault.detail}'
+    return [
+        *report_answered(request, detail, now),
+        effects.SendFinish(request.caller_handle, False),
+        *requests.remove_request(state, request),
+    ]
+
+
 def give_up(
     state: states.State, request: requests.Request, detail: str
 ) -> list[effects.Effect]:
@@ -492,7 +500,7 @@
     received: calls.Answer,
     now: clock.Instant,
 ) -> list[effects.Effect]:
-    out = _report_answered(state, request, f'status {received.status}', now)
+    out = report_answered(request, f'status {received.status}', now)
     out.append(effects.SendAnswer(request.caller_handle, received, False))
     return out + requests.remove_request(state, request)
 
@@ -508,12 +516,10 @@
     return (request.progressed_at - request.first_token_at) / gaps
 
 
-def _report_answered(
-    state: states.State,
-    request: requests.Request,
-    detail: str,
-    now: clock.Instant,
+def report_answered(
+    request: requests.Request, detail: str, now: clock.Instant
 ) -> list[effects.Effect]:
+    """Count and record the end of a request that was answered."""
     route = request.call.route.name
     span = now.mono - request.arrived
     gap_ms = _mean_event_gap_ms(request)
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -126,6 +126,13 @@
         """Whether another server can continue an interrupted stream."""
         return self.call.kind is model.Kind.ENGINE
 
+    @property
+    def resume_after(self) -> str:
+        """Id of the last stream event that the caller has, empty for none."""
+        if self.last_event is None:
+            return self.call.last_event
+        return str(self.last_event)
+
     @property
     def has_all_tokens(self) -> bool:
         """Whether a completion lacks nothing but its end."""
