--- a/src/teaselbridge/decisions/arrival.py
+++ b/src/teaselbridge/decisions/arrival.py
@@ -5,6 +5,7 @@
 import typing
 
 from teaselbridge.decisions import calls
+from teaselbridge.decisions import completions
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
 from teaselbridge.decisions.forwarding import helper
@@ -45,7 +46,7 @@
     if refusal is not None:
         return out + requests.refuse(state, request, refusal)
     if request.has_all_tokens:
-        return out + requests.finish_at_token_limit(state, request)
+        return out + completions.finish_at_token_limit(state, request)
     out += _shed_if_full(state, request, now)
     if call.handle not in state.requests:
         return out
--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -5,6 +5,7 @@
 import typing
 
 from teaselbridge.decisions import calls
+from teaselbridge.decisions import completions
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
@@ -76,7 +77,7 @@
         recomputed = max(0, event.prompt_tokens - event.cached_tokens)
         counter = effects.Counter.TOKENS_RECOMPUTED
         out.append(effects.Count(counter, call.route.name, recomputed))
-    return out + requests.finish_completion(state, request, event)
+    return out + completions.finish(state, request, event)
 
 
 def answer(
@@ -202,7 +203,7 @@
     out = _record_server_fault(state, request, fault, now)
     requests.detach_from_server(state, request)
     if request.has_all_tokens:
-        return out + requests.finish_at_token_limit(state, request)
+        return out + completions.finish_at_token_limit(state, request)
     if fault.ran is calls.RunStatus.NOT_RUN and request.attempt == 1:
         request.in_doubt = False
     if request.is_at_most_once and fault.ran is not calls.RunStatus.NOT_RUN:
--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -11,6 +11,7 @@
 import typing
 
 from teaselbridge.decisions import calls
+from teaselbridge.decisions import completions
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import leases
 from teaselbridge.decisions import membership
@@ -141,7 +142,7 @@
         )
     )
     if request.has_all_tokens:
-        return out + requests.finish_at_token_limit(state, request)
+        return out + completions.finish_at_token_limit(state, request)
     requests.enqueue(state, request)
     return out
 
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -7,17 +7,15 @@
 
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
-from teaselbridge.decisions import events
 from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
+    from teaselbridge.decisions import events
     from teaselbridge.decisions import state as states
 
 MIN_RETRY_AFTER_MS = 1_000
 MAX_LOGGED_PARTS = 8
-# Finish reason of a completion that has `max_tokens` tokens.
-FINISH_LENGTH = 'length'
 
 
 class Phase(enum.Enum):
@@ -302,43 +300,6 @@
     state.queue.push(request.call)
 
 
-def finish_completion(
-    state: states.State, request: Request, ended: events.StreamEnded
-) -> list[effects.Effect]:
-    """End a completion, or keep it until its caller attaches."""
-    route = request.call.route.name
-    detail = f'{len(request.tokens)} tokens, {request.attempt} attempts'
-    out: list[effects.Effect] = [
-        effects.Count(effects.Counter.ANSWERED, route),
-        build_record(request, effects.Mark.ANSWERED, detail),
-    ]
-    if not request.attached:
-        request.phase = Phase.FINISHED
-        request.finished = ended
-        return out
-    end = effects.SendEnd(
-        request.caller_handle,
-        ended.finish,
-        ended.prompt_tokens,
-        len(request.tokens),
-    )
-    return [*out, end, *remove_request(state, request)]
-
-
-def finish_at_token_limit(
-    state: states.State, request: Request
-) -> list[effects.Effect]:
-    """End a completion that has all its tokens, but no end from an engine."""
-    ended = events.StreamEnded(
-        handle=request.handle,
-        attempt=request.attempt,
-        finish=FINISH_LENGTH,
-        cached_tokens=0,
-        prompt_tokens=0,
-    )
-    return finish_completion(state, request, ended)
-
-
 def attach_caller(
     state: states.State, request: Request, call: calls.Call
 ) -> list[effects.Effect]:
