--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -182,72 +182,60 @@
         assert move is not None
         return move.share
 
-    def report(self, state: states.State, slow: int) -> None:
-        """Report slow answers of the new version to a node."""
-        score = evidence.Score(
-            route='r',
-            old=evidence.Tally(count=50, timed=50),
-            new=evidence.Tally(count=slow, timed=slow, slowed=slow),
-        )
+    def report(
+        self, state: states.State, old: evidence.Tally, new: evidence.Tally
+    ) -> None:
+        """Report outcomes of both versions to a node."""
+        score = evidence.Score(route='r', old=old, new=new)
         message = messages.Scores(
             pool='p', number=40, node='canary', incarnation=1, scores=(score,)
         )
         reports.handle_scores(state, message, samples.instant(10))
 
+    def check_shares(
+        self, old: evidence.Tally, news: dict[evidence.Tally, float]
+    ) -> None:
+        """Check the share after each report to the nodes that take steps.
+
+        :param news: expected share by the reported outcomes of the new
+            version.
+        """
+        candidates = leases.list_candidates(self.states[0], 'p')
+        for new, expected in news.items():
+            for state in self.states:
+                if state.options.me.name in candidates:
+                    self.report(state, old, new)
+                    self.assertEqual(expected, self.step(state))
+
     # Guards against a step by a node that does not know what other nodes have
     # against the new version.
     def test_doubt_of_other_nodes_holds_the_step(self) -> None:
         candidates = leases.list_candidates(self.states[0], 'p')
+        old = evidence.Tally(count=50, timed=50)
+        new = evidence.Tally(count=4, timed=4, slowed=4)
         for state in self.states:
             if state.options.me.name in candidates:
-                self.report(state, 4)
+                self.report(state, old, new)
             self.assertLess(self.step(state), 0.1, state.options.me.name)
 
     # Guards against a bad version that gets half of the traffic unseen, as its
     # servers were down during its trial.
     def test_version_that_has_served_few_requests_gets_no_more(self) -> None:
-        candidates = leases.list_candidates(self.states[0], 'p')
-        for new, expected in ((1, 0.08), (6, 0.5)):
-            score = evidence.Score(
-                route='r',
-                old=evidence.Tally(count=60),
-                new=evidence.Tally(count=new),
-            )
-            message = messages.Scores(
-                pool='p',
-                number=40,
-                node='canary',
-                incarnation=1,
-                scores=(score,),
-            )
-            for state in self.states:
-                if state.options.me.name in candidates:
-                    now = samples.instant(10)
-                    reports.handle_scores(state, message, now)
-                    self.assertEqual(expected, self.step(state))
+        self.check_shares(
+            evidence.Tally(count=60),
+            {evidence.Tally(count=1): 0.08, evidence.Tally(count=6): 0.5},
+        )
 
     # Guards against a slow version that gets half of the traffic unseen, as
     # restarted nodes have no usual times to compare its answers with.
     def test_version_whose_times_are_unknown_gets_no_more(self) -> None:
-        candidates = leases.list_candidates(self.states[0], 'p')
-        for timed, expected in ((1, 0.08), (6, 0.5)):
-            score = evidence.Score(
-                route='r',
-                old=evidence.Tally(count=60, timed=60),
-                new=evidence.Tally(count=12, timed=timed),
-            )
-            message = messages.Scores(
-                pool='p',
-                number=40,
-                node='canary',
-                incarnation=1,
-                scores=(score,),
-            )
-            for state in self.states:
-                if state.options.me.name in candidates:
-                    now = samples.instant(10)
-                    reports.handle_scores(state, message, now)
-                    self.assertEqual(expected, self.step(state))
+        self.check_shares(
+            evidence.Tally(count=60, timed=60),
+            {
+                evidence.Tally(count=12, timed=1): 0.08,
+                evidence.Tally(count=12, timed=6): 0.5,
+            },
+        )
 
     # Guards against a good version that misses its deadline because the nodes
     # that take the steps were restarted during its rollout.
