--- a/bench/soak.py
+++ b/bench/soak.py
@@ -303,10 +303,7 @@
         ) as client:
             while not ended.is_set():
                 try:
-                    response = await client.get(
-                        f'http://{node.callers}{LOOKUP_PATH}',
-                        headers={'authorization': f'Bearer {LOOKUP_KEY}'},
-                    )
+                    response = await _look_up(client, node)
                 except httpx.HTTPError as error:
                     await self._check_lost_connection(node, error)
                     await asyncio.sleep(CALL_INTERVAL_S)
@@ -350,6 +347,15 @@
     return response.is_success
 
 
+async def _look_up(
+    client: httpx.AsyncClient, node: deployment.NodeAddresses
+) -> httpx.Response:
+    return await client.get(
+        f'http://{node.callers}{LOOKUP_PATH}',
+        headers={'authorization': f'Bearer {LOOKUP_KEY}'},
+    )
+
+
 async def _is_served(node: deployment.NodeAddresses) -> bool:
     """Return whether one of a few requests to a node is served."""
     async with httpx.AsyncClient(
@@ -357,10 +363,7 @@
     ) as client:
         for _ in range(round(RECOVERY_TIMEOUT_S)):
             try:
-                response = await client.get(
-                    f'http://{node.callers}{LOOKUP_PATH}',
-                    headers={'authorization': f'Bearer {LOOKUP_KEY}'},
-                )
+                response = await _look_up(client, node)
             except httpx.HTTPError:
                 return False
             if response.status_code == httpx.codes.OK:
