Bound requests to cold servers, and evacuate availability zones

Servers that start or turn cold crash well above the rate that their pool's cold-per-s names, and every node chose them since nothing ran there. An own bucket at each node was ruled out: 63 nodes send a request each before the first report.

op/evacuate/ZONE ends new requests to the servers of a zone until the key is removed; a malformed entry counts. Where neither is configured nothing changes.

--- a/src/teaselbridge/decisions/bounds.py
+++ b/src/teaselbridge/decisions/bounds.py
@@ -19,6 +19,9 @@
     :param tolerance: excess allowed over the rate of a workspace.
     :param usage_window_ms: time covered by one usage report.
     :param duties: duties whose calls the platform accepts.
+    :param cold_excess: factor by which requests to a cold server may exceed
+        the rate that it tolerates, in any one second.
+    :param cold_slack: requests by which they may exceed it in addition.
     :param first_start: whether no node of the deployment has run before.
     """
 
@@ -28,4 +31,6 @@
     tolerance: rates.Tolerance = rates.Tolerance()
     usage_window_ms: int = 5_000
     duties: tuple[str, ...] = ()
+    cold_excess: float = 1.5
+    cold_slack: float = 5
     first_start: bool = False
--- /dev/null
+++ b/src/teaselbridge/decisions/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of availability zones that operators order."""
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -266,6 +266,21 @@
     rows: dict[str, HostRow]
 
 
+class EvacuationsListed(msgspec.Struct, frozen=True, kw_only=True):
+    """Full list of the evacuated availability zones in the store."""
+
+    zones: frozenset[str]
+
+
+class EvacuationsChanged(msgspec.Struct, frozen=True, kw_only=True):
+    """Changes to the evacuated availability zones in the store.
+
+    :param zones: whether a zone is evacuated, by its name.
+    """
+
+    zones: dict[str, bool]
+
+
 class ServersChanged(msgspec.Struct, frozen=True, kw_only=True):
     """Changes to the backend server entries in the store.
 
@@ -583,6 +598,8 @@
     | TermsInvalid
     | ServersListed
     | ServersChanged
+    | EvacuationsListed
+    | EvacuationsChanged
     | NodesListed
     | ConfigurationRead
     | StoreCallEnded
--- a/src/teaselbridge/decisions/knowledge.py
+++ b/src/teaselbridge/decisions/knowledge.py
@@ -14,6 +14,7 @@
 import dataclasses
 import typing
 
+from teaselbridge.decisions.cold import rates as cold_rates
 from teaselbridge.decisions import configuration
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
@@ -110,7 +111,12 @@
         f' {len(known.held)} held'
     )
     record = effects.RecordEntry(mark=effects.Mark.STORE_LISTED, detail=detail)
-    return [record, *_drop_missing(state, now), *_update_servers(state, now)]
+    return [
+        record,
+        *_drop_missing(state, now),
+        *_update_servers(state, now),
+        *cold_rates.handle_rows(state, event.rows.values(), now),
+    ]
 
 
 def handle_servers_changed(
@@ -126,7 +132,8 @@
         else:
             known.removed.pop(row.host, None)
             known.rows[key] = row
-    return _update_servers(state, now)
+    out = _update_servers(state, now)
+    return out + cold_rates.handle_rows(state, event.rows.values(), now)
 
 
 def handle_restore(state: states.State, now: clock.Instant) -> None:
--- a/src/teaselbridge/decisions/limits/owners.py
+++ b/src/teaselbridge/decisions/limits/owners.py
@@ -37,7 +37,7 @@
     owners = state.limits.candidates.names
     if room.is_divided(state, server):
         owners &= frozenset(room.list_owners(state, server))
-    rate = state.limits.terms.get(server.host).rate
+    rate = state.limits.get_rate(server.host)
     if rate is not None:
         owners &= frozenset(shares.list_senders(state, server.host, rate))
     return owners
--- a/src/teaselbridge/decisions/limits/sending.py
+++ b/src/teaselbridge/decisions/limits/sending.py
@@ -29,21 +29,26 @@
     if now.mono < limits.next_refresh_at:
         return []
     limits.next_refresh_at = now.mono + REFRESH_INTERVAL_MS
-    limits.candidates.update(active.list_names(state), now)
+    follow_candidates(state, now)
     listed = {server.host for server in state.servers.all}
     limits.terms.forget_gone(listed, FORGET_MS, now)
-    restricted = limits.terms.restricted_hosts
-    limits.buckets.remove_others(restricted)
-    for host in restricted:
+    limited = limits.limited_hosts
+    limits.buckets.remove_others(limited)
+    for host in sorted(limited):
         update_rate(state, host, now)
     room.refresh(state)
     return []
 
 
+def follow_candidates(state: states.State, now: clock.Instant) -> None:
+    """Update the nodes among which the senders are chosen."""
+    state.limits.candidates.update(active.list_names(state), now)
+
+
 def update_rate(state: states.State, host: str, now: clock.Instant) -> None:
-    """Apply the rate that a server names to this node's bucket."""
+    """Apply the rate that a server takes to this node's bucket."""
     limits = state.limits
-    rate = limits.terms.get(host).rate
+    rate = limits.get_rate(host)
     if rate is None:
         limits.buckets.remove(host)
         return
@@ -81,7 +86,7 @@
 ) -> list[effects.Effect]:
     """Take an attempt off this node's share of the server's rate."""
     limits = state.limits
-    if limits.terms.get(server.host).rate is None:
+    if limits.get_rate(server.host) is None:
         return []
     limits.buckets.spend(server.host)
     counter = effects.Counter.LIMITED_ATTEMPTS
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -9,11 +9,13 @@
 from teaselbridge.decisions import attempts
 from teaselbridge.decisions import capacity
 from teaselbridge.decisions import changes
+from teaselbridge.decisions.cold import rates as cold_rates
 from teaselbridge.decisions import configuration
 from teaselbridge.decisions import confirmation
 from teaselbridge.decisions import dispatch
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
+from teaselbridge.decisions.evacuation import zones
 from teaselbridge.decisions import events
 from teaselbridge.decisions.forwarding import links
 from teaselbridge.decisions import knowledge
@@ -183,6 +185,10 @@
             return knowledge.handle_servers_changed(state, event, now)
         case events.NodesListed():
             return knowledge.nodes(state, event, now)
+        case events.EvacuationsListed():
+            return zones.handle_evacuations_listed(state, event, now)
+        case events.EvacuationsChanged():
+            return zones.handle_evacuations_changed(state, event)
         case events.StoreCallEnded():
             return knowledge.handle_store_call_ended(state, event, now)
         case events.StoreEraSeen():
@@ -229,6 +235,8 @@
     out += confirmation.tick(state, now)
     out += leases.tick(state, now)
     out += loads.tick(state, now)
+    out += cold_rates.tick(state, now)
+    out += zones.tick(state, now)
     out += sending.tick(state, now)
     out += links.tick(state, now)
     out += usage.tick(state, now)
--- a/src/teaselbridge/decisions/scaling.py
+++ b/src/teaselbridge/decisions/scaling.py
@@ -147,14 +147,26 @@
         scaling.refused.clear()
         scaling.surplus_since.clear()
     out: list[effects.Effect] = []
+    closed = state.servers.closed_zones
     for pool in state.index.pools:
         if pool.scaling is not None and state.demands.has_registered_servers(
             pool.name, now
         ):
-            out += _order_servers(state, pool, pool.scaling, lease, now)
+            limits = _exclude_zones(pool.scaling, closed)
+            out += _order_servers(state, pool, limits, lease, now)
     return out
 
 
+def _exclude_zones(
+    limits: model.Scaling, closed: frozenset[str]
+) -> model.Scaling:
+    """Return the limits without zones in which no servers may be used."""
+    if not closed:
+        return limits
+    prices = tuple(item for item in limits.prices if item.zone not in closed)
+    return dataclasses.replace(limits, prices=prices)
+
+
 def handle_server_order_answered(
     state: states.State, event: events.ServerOrderAnswered, now: clock.Instant
 ) -> list[effects.Effect]:
@@ -371,10 +383,9 @@
     now: clock.Instant,
 ) -> PoolStock:
     serving: dict[Place, int] = {}
-    for server in state.servers.in_pool(pool.name):
-        if not server.leaving:
-            place = _place_of(server)
-            serving[place] = serving.get(place, 0) + 1
+    for server in state.servers.staying(pool.name):
+        place = _place_of(server)
+        serving[place] = serving.get(place, 0) + 1
     coming: dict[Place, int] = {}
     for place, order in state.scaling.orders.items():
         late = now.mono - order.sent > limits.boot_ms + START_TIMEOUT_MS
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -149,6 +149,7 @@
         self._by_host: dict[str, Server] = {}
         self._by_pool: dict[str, list[Server]] = {}
         self._leaving_since: dict[str, int] = {}
+        self._closed_zones: frozenset[str] = frozenset()
         self.entries: tuple[events.HostRow, ...] = ()
         self.poll_due = 0
         self.poll_count = 0
@@ -171,9 +172,25 @@
         """Return the servers of a pool."""
         return self._by_pool.get(pool, [])
 
+    @property
+    def closed_zones(self) -> frozenset[str]:
+        """Availability zones whose servers get no new work."""
+        return self._closed_zones
+
+    def set_closed_zones(self, zones: frozenset[str]) -> None:
+        """Set the availability zones whose servers get no new work."""
+        self._closed_zones = zones
+
     def staying(self, pool: str) -> list[Server]:
-        """Return the servers of a pool that are not leaving."""
-        return [server for server in self.in_pool(pool) if not server.leaving]
+        """Return the servers of a pool that remain available for new work.
+
+        They are not leaving, and their availability zone is not closed.
+        """
+        return [
+            server
+            for server in self.in_pool(pool)
+            if not server.leaving and server.row.zone not in self._closed_zones
+        ]
 
     def usable(self, pool: str, now: clock.Instant) -> list[Server]:
         """Return the servers of a pool that may get new work."""
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -12,6 +12,7 @@
 from teaselbridge.decisions import capacity
 from teaselbridge.decisions import changes
 from teaselbridge.decisions import demand
+from teaselbridge.decisions.evacuation import zones
 from teaselbridge.decisions.forwarding import links
 from teaselbridge.decisions import freshness
 from teaselbridge.decisions import knowledge
@@ -101,6 +102,7 @@
         self.latency_estimator = admission.LatencyEstimator()
         self.servers = servers.ServerRegistry()
         self.limits = known.Limits()
+        self.evacuations = zones.Evacuations()
         self.links = links.Links()
         self.rotation = placement.Rotation()
         self.prompts = prompts.SentPrompts()
--- a/src/teaselbridge/platform/documents.py
+++ b/src/teaselbridge/platform/documents.py
@@ -22,6 +22,7 @@
 
 CONFIGURATION_KEY = 'op/config'
 SERVERS_PREFIX = 'servers/'
+EVACUATION_PREFIX = 'op/evacuate/'
 ROLLOUT_PREFIX = 'op/rollout/'
 ROLLOUT_STATUS_PREFIX = 'status/rollout/'
 PARTS_PREFIX = 'teaselbridge/parts/'
@@ -73,6 +74,8 @@
     name: str
     engine: _Engine | None = None
     scaling: _Scaling | None = None
+    # Requests a second that a cold backend server tolerates; 0 for any.
+    cold_per_s: float = 0
 
 
 class _Tenant(msgspec.Struct, frozen=True, rename='kebab'):
@@ -223,6 +226,17 @@
     )
 
 
+def decode_evacuated_zone(key: str) -> str:
+    """Return the availability zone that an entry evacuates.
+
+    :param key: key of the entry, which ends with the name of the zone.
+    :return: empty where the key belongs to another kind of entry.
+    """
+    if not key.startswith(EVACUATION_PREFIX):
+        return ''
+    return key.removeprefix(EVACUATION_PREFIX)
+
+
 def build_rollout_status_key(pool: str) -> str:
     """Return the key of the status entry of a pool's rollout."""
     return ROLLOUT_STATUS_PREFIX + pool
@@ -309,6 +323,7 @@
         zones=(),
         engine=engine,
         scaling=scaling,
+        cold_per_s=max(0.0, document.cold_per_s),
     )
 
 
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -389,6 +389,8 @@
         ),
         usage_window_ms=round(clocks.SECOND_MS * site_bounds.usage_window_s),
         duties=duties_module.known(site_bounds.duties) if site.cloud else (),
+        cold_excess=site_bounds.cold_excess,
+        cold_slack=site_bounds.cold_slack,
     )
 
 
--- a/src/teaselbridge/runtime/watching.py
+++ b/src/teaselbridge/runtime/watching.py
@@ -362,6 +362,7 @@
                 record = self._decode(entry, documents.decode_part)
                 if record is not None:
                     self._loop.post(record)
+        self._post_evacuations(found, whole=whole)
         self._post_rollouts(found)
         if whole:
             known = {key: row for key, row in rows.items() if row is not None}
@@ -374,6 +375,21 @@
             self._loop.post(events.NodesListed(tuple(addresses)))
         return configuration
 
+    def _post_evacuations(self, found: stores.Entries, *, whole: bool) -> None:
+        """Post the evacuated zones, or changes of them.
+
+        :param whole: whether these are all entries of the store.
+        """
+        zones = {
+            zone: entry.data is not None
+            for entry in found.entries
+            if (zone := documents.decode_evacuated_zone(entry.key))
+        }
+        if whole:
+            self._loop.post(events.EvacuationsListed(zones=frozenset(zones)))
+        elif zones:
+            self._loop.post(events.EvacuationsChanged(zones=zones))
+
     def _post_rollouts(self, found: stores.Entries) -> None:
         """Post the ordered rollouts, then the statuses written for them.
 
--- a/src/teaselbridge/settings/model.py
+++ b/src/teaselbridge/settings/model.py
@@ -81,6 +81,9 @@
     :param usage_window_s: time window of one usage report.
     :param duties: duties that the platform accepts calls for, by the
         platform's names.
+    :param cold_excess: factor by which requests to a cold backend server may
+        exceed the rate that it tolerates, in any one second.
+    :param cold_slack: requests by which they may exceed it in addition.
     :param first_start: whether the whole deployment starts for the first
         time, so that there is no earlier state that could have been lost.
     """
@@ -95,6 +98,8 @@
     rate_slack: float = 0
     usage_window_s: float = 5
     duties: tuple[str, ...] = ()
+    cold_excess: float = 1.5
+    cold_slack: float = 5
     first_start: bool = False
 
 
--- a/src/teaselbridge/tables/model.py
+++ b/src/teaselbridge/tables/model.py
@@ -179,6 +179,8 @@
     :param engine: sizes of its model engines, none for plain services.
     :param scaling: autoscaling limits and prices, none if no servers may be
         ordered.
+    :param cold_per_s: requests per second that one of its servers tolerates
+        from all nodes together while it is cold, 0 for any number.
     """
 
     name: Name
@@ -193,6 +195,7 @@
     move_by_ms: Count = 0
     engine: Engine | None = None
     scaling: Scaling | None = None
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/tests/decisions/cold/__init__.py
@@ -0,0 +1,1 @@
+"""Test cold backend servers."""
--- /dev/null
+++ b/tests/decisions/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Test the evacuation of availability zones."""
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -76,6 +76,18 @@
             )
 
 
+class TestEvacuations(testtools.TestCase):
+    """Evacuated zones are named by the keys of their entries."""
+
+    def test_zone(self) -> None:
+        key = 'op/evacuate/zone-a'
+        self.assertEqual('zone-a', documents.decode_evacuated_zone(key))
+
+    def test_other_entries_name_no_zone(self) -> None:
+        for key in ('op/config', 'op/rollout/zone-a', 'servers/zone-a'):
+            self.assertEqual('', documents.decode_evacuated_zone(key))
+
+
 class TestConfiguration(testtools.TestCase):
     """Decoding of the operators' configuration."""
 
--- a/tests/runtime/test_watching.py
+++ b/tests/runtime/test_watching.py
@@ -219,6 +219,41 @@
         self.run_check(check)
 
 
+class TestEvacuations(WatchTestCase):
+    """Entries that evacuate a zone are posted as such."""
+
+    def _check(self, data: bytes | None, ordered: bool) -> None:
+        async def check(
+            loop: _FakeLoop, store: _FakeStore, watch: watching.StoreWatch
+        ) -> None:
+            entry = messages.StoreEntry(
+                key='op/evacuate/zone-a', data=data, revision=6
+            )
+            changes = messages.ChangesSent(
+                era=0,
+                revision=6,
+                since=5,
+                entries=(entry,),
+                asked_at=1,
+                confirmed_ms=0,
+                generation=1,
+            )
+            loop.execute(effects.ApplyChanges(changes))
+            self.assertIn(
+                events.EvacuationsChanged(zones={'zone-a': ordered}),
+                loop.events,
+            )
+
+        self.run_check(check)
+
+    # Guards against a zone that stays in use since its entry is malformed.
+    def test_malformed_entry_evacuates_its_zone(self) -> None:
+        self._check(b'\xff{', ordered=True)
+
+    def test_removed_entry_ends_the_evacuation(self) -> None:
+        self._check(None, ordered=False)
+
+
 class TestReader(WatchTestCase):
     """Nodes that do not watch get the changes from one that does."""
 
