Send usage counts to the nodes that may have to report them

Counts went to 24 random nodes in every fourth load update, and the holder closed a window 3 s after its end, so that reports of 63 hosts were off by 10 to 25%. Each node now pushes its counts to the two candidates for the duties and their two successors, states when a window is final, and answers the holder, which waits for final counts until 7 s after the end of the window.

--- a/src/teaselbridge/decisions/leases.py
+++ b/src/teaselbridge/decisions/leases.py
@@ -279,18 +279,23 @@
     return f'/teaselbridge/lease/{pool}'
 
 
-def list_candidates(state: states.State, pool: str) -> list[str]:
+def list_candidates(
+    state: states.State, pool: str, count: int = CANDIDATE_COUNT
+) -> list[str]:
     """Return the few nodes that may acquire a lease.
 
     They follow from this node's view of the membership. Nodes that callers
     are not sent to come first: they have time, and their loss costs least.
+
+    :param count: number of nodes. With a higher one, those that become
+        candidates when others are lost follow the present ones.
     """
     workers = state.membership.serving_nodes
     names = active.list_names(state)
     idle = [name for name in workers if name not in names]
     if len(idle) >= CANDIDATE_COUNT:
         workers = idle
-    return placement.first(workers, CANDIDATE_COUNT, 'lease', pool)
+    return placement.first(workers, count, 'lease', pool)
 
 
 def is_candidate(state: states.State, pool: str) -> bool:
--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -33,8 +33,8 @@
 # With four messages a second, what the other nodes know is never older than
 # the prefill of one long prompt takes. A message has a few hundred bytes.
 UPDATE_INTERVAL_MS = 250
-# Only every fourth message carries usage counts. They are needed only to
-# recover the usage of a node that was killed.
+# Every fourth message carries usage counts while nodes of an older build are
+# alive, which take them in no other message.
 USAGE_UPDATE_INTERVAL = 4
 # Load of a node that sent no update for this long is ignored.
 UPDATE_STALE_TIMEOUT_MS = 1_500
@@ -282,7 +282,10 @@
 def _report_usage(
     state: states.State, now: clock.Instant
 ) -> list[effects.Effect]:
-    """Report new usage counts of a node that does not take part."""
+    """Report new usage counts of a node that does not take part.
+
+    Only nodes of an older build need this, see `usage_exchange`.
+    """
     loads = state.loads
     loads.next_update_at = now.mono + IDLE_REPORT_INTERVAL_MS
     window = usage.get_window(state, now)
@@ -302,6 +305,7 @@
         effects.SendPeer(member.peers, message)
         for member in state.membership.alive
         if member.name in loads.duty_candidates
+        and not member.takes_usage_counts
     ]
 
 
@@ -333,9 +337,9 @@
 def _make_update(state: states.State, now: clock.Instant) -> messages.Loads:
     """Return the load update of this node."""
     usage_counts: tuple[messages.Usage, ...] = ()
-    if (
-        state.loads.count % USAGE_UPDATE_INTERVAL == 0
-        or state.drain is not None
+    is_due = state.loads.count % USAGE_UPDATE_INTERVAL == 0
+    if (is_due or state.drain is not None) and any(
+        not member.takes_usage_counts for member in state.membership.alive
     ):
         window = usage.get_window(state, now)
         usage_counts = state.usage.list_counts(usage.get_source(state), window)
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -37,6 +37,7 @@
 from teaselbridge.decisions import suspects
 from teaselbridge.decisions import tickets
 from teaselbridge.decisions import usage
+from teaselbridge.decisions import usage_exchange
 from teaselbridge.peers import messages
 
 if typing.TYPE_CHECKING:
@@ -231,6 +232,7 @@
     out += loads.tick(state, now)
     out += sending.tick(state, now)
     out += links.tick(state, now)
+    out += usage_exchange.tick(state, now)
     out += usage.tick(state, now)
     out += scaling.tick(state, now)
     out += rollouts.tick(state, now)
@@ -341,6 +343,10 @@
             return configuration.change(state, message, event.sender, now)
         case messages.Loads() as message:
             return loads.handle_loads(state, message, now)
+        case messages.UsageCounts() as message:
+            return usage_exchange.handle_usage_counts(state, message, now)
+        case messages.UsageAsked() as message:
+            return usage_exchange.handle_usage_asked(state, message, now)
         case messages.ChangesAsked() as message:
             return confirmation.handle_changes_asked(state, message, now)
         case messages.ChangesSent() as message:
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -32,6 +32,7 @@
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import suspects
 from teaselbridge.decisions import usage
+from teaselbridge.decisions import usage_exchange
 from teaselbridge.tables import join
 from teaselbridge.tables import model
 
@@ -124,6 +125,7 @@
             tolerance=effective_bounds.tolerance,
         )
         self.usage = usage.Usage()
+        self.usage_exchange = usage_exchange.UsageExchange()
         self.demands = demand.Demands()
         self.scaling = scaling.Scaling()
         self.rollouts = rollouts.Rollouts()
--- a/src/teaselbridge/decisions/usage.py
+++ b/src/teaselbridge/decisions/usage.py
@@ -1,10 +1,11 @@
 """Counts of started requests by workspace and window, and their reports.
 
 Nodes assign requests to windows by the wall clock, corrected by the median
-offset of the other nodes' clocks. They send each other their counts, so
-that the counts of a node that is killed are not lost. The holder of the
-duties lease writes each report to the store before it sends it, so that its
-successor repeats exactly the same report.
+offset of the other nodes' clocks. They send their counts to the nodes that
+may hold the duties lease (see `usage_exchange`). The holder of that lease
+waits until the counts of all live nodes are final, but not beyond the time at
+which the report is due. It writes each report to the store before it sends
+it, so that its successor repeats exactly the same report.
 
 A restore of the store can take stored reports back, so that a successor does
 not know what was sent. Windows that may have been reported by then are not
@@ -33,9 +34,15 @@
 
 REPORT_KEY = 'teaselbridge/usage'
 DUTY = 'usage'
-# A window is reported this long after its end; the other nodes' counts have
-# arrived by then.
+# A window is reported no sooner after its end; the other nodes' final counts
+# have usually arrived by then.
 SETTLE_DELAY_MS = 3_000
+# A window whose counts are not final at all live nodes is reported this long
+# after its end. The report is due after 10 s; this leaves 3 s for writing and
+# sending it.
+MAX_SETTLE_DELAY_MS = 7_000
+# A new holder waits this long for answers even if a report is overdue.
+ANSWER_TIMEOUT_MS = 1_000
 # Windows whose counts are kept and gossiped, and windows that a holder without
 # a stored report starts with.
 MAX_WINDOWS = 6
@@ -83,26 +90,49 @@
         # Last report of this node's own tenure, kept over a restore.
         self.kept_report: Report | None = None
         self.first_window = 0
+        # Rises with each request that this node counts.
+        self.own_changes = 0
+        # First window of each node whose counts may still rise.
+        self.settled: dict[str, int] = {}
+        # Source of the counts of the present run of each node.
+        self.latest: dict[str, str] = {}
+        # Nodes that a new holder has asked, and since when.
+        self.awaited: set[str] = set()
+        self.asked_from = 0
+        # How complete the counts of the last report were.
+        self.detail = ''
 
     def count_request(self, source: str, window: int, workspace: str) -> None:
-        """Count a started request.
+        """Count a started request of this node.
 
         :param source: name and incarnation of the node.
         """
+        self.own_changes += 1
         windows = self._counts.setdefault(source, {})
         windows.setdefault(window, collections.Counter())[workspace] += 1
 
     def merge_counts(
         self, message: messages.Loads, now: clock.Instant
     ) -> None:
-        """Merge another node's clock offset and counts.
+        """Merge another node's clock offset and counts."""
+        self.merge_clock(message.node, message.wall, now)
+        source = f'{message.node}/{message.incarnation}'
+        self.merge_source(source, message.usage)
+
+    def merge_clock(self, node: str, wall: int, now: clock.Instant) -> None:
+        """Record the wall clock of another node."""
+        self._clock_offsets[node] = (now.mono, wall - now.wall)
+
+    def merge_source(
+        self, source: str, counts: typing.Iterable[messages.Usage]
+    ) -> None:
+        """Merge counts of one run of a node.
 
         The higher count wins, so that late messages change nothing.
+
+        :param source: name and incarnation of the node.
         """
-        offset = message.wall - now.wall
-        self._clock_offsets[message.node] = (now.mono, offset)
-        source = f'{message.node}/{message.incarnation}'
-        for item in message.usage:
+        for item in counts:
             windows = self._counts.setdefault(source, {})
             counter = windows.setdefault(item.window, collections.Counter())
             known = counter[item.workspace]
@@ -133,6 +163,11 @@
             for name, count in counter.items()
         )
 
+    @property
+    def sources(self) -> list[str]:
+        """Names and incarnations of the nodes whose counts are known."""
+        return list(self._counts)
+
     def total(self, window: int) -> dict[str, int]:
         """Return the sum of all nodes' counts by workspace."""
         total: collections.Counter[str] = collections.Counter()
@@ -151,6 +186,10 @@
                     del windows[number]
             if not windows:
                 del self._counts[source]
+        for node, settled in list(self.settled.items()):
+            if settled <= window - 2 * MAX_WINDOWS:
+                del self.settled[node]
+                self.latest.pop(node, None)
 
 
 def get_source(state: states.State) -> str:
@@ -218,8 +257,10 @@
     window = max(newest - INITIAL_WINDOWS + 1, usage.first_window)
     if usage.report is not None:
         window = max(window, usage.report.window + 1)
-    if window > newest:
+    if window > newest or not _is_settled(state, window, now):
         return []
+    missing = list_missing(state, window)
+    usage.detail = f'{len(missing)} nodes not final'
     usage.report = Report(
         window=window,
         counts=usage.total(window),
@@ -237,6 +278,37 @@
     ]
 
 
+def list_missing(state: states.State, window: int) -> list[messages.Member]:
+    """List the live nodes whose counts of a window may still rise.
+
+    Those of an older build do not tell, and are not waited for. A new holder
+    also lacks the counts of lost nodes until the others have answered it.
+    """
+    usage = state.usage
+    return [
+        member
+        for member in state.membership.alive
+        if member.takes_usage_counts
+        and (
+            member.name in usage.awaited
+            or usage.settled.get(member.name, 0) <= window
+        )
+    ]
+
+
+def _is_settled(state: states.State, window: int, now: clock.Instant) -> bool:
+    """Return whether a window need not wait for counts of other nodes."""
+    if not list_missing(state, window):
+        return True
+    usage = state.usage
+    if now.mono - usage.asked_from < ANSWER_TIMEOUT_MS:
+        return False
+    bounds = state.options.bounds
+    assert bounds is not None
+    end = (window + 1) * bounds.usage_window_ms
+    return usage.wall(now) - end >= MAX_SETTLE_DELAY_MS
+
+
 def handle_key_read(
     state: states.State, event: events.KeyRead, now: clock.Instant
 ) -> list[effects.Effect]:
@@ -343,7 +415,7 @@
     else:
         usage.retry_at = now.mono + RETRY_DELAY_MS
     total = 0 if usage.report is None else sum(usage.report.counts.values())
-    detail = f'window {event.window}, {total} requests'
+    detail = f'window {event.window}, {total} requests, {usage.detail}'
     return [effects.RecordEntry(mark=mark, detail=detail)]
 
 
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -42,6 +42,8 @@
     :param forwarding: ``ip:port`` of its HTTP interface for requests that
         other nodes forward, empty for none.
     :param unreachable: pools of which it reaches no server.
+    :param takes_usage_counts: whether it takes `UsageCounts`. Older builds
+        take usage counts in load updates only.
     """
 
     name: str
@@ -56,6 +58,7 @@
     cores: float = 0.0
     forwarding: str = ''
     unreachable: tuple[str, ...] = ()
+    takes_usage_counts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -453,6 +456,52 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UsageSource:
+    """Usage counts of one run of a node.
+
+    :param source: name and incarnation of the node.
+    :param usage: its counts, all of them in the windows from ``since`` on
+        and before ``settled``, elsewhere those that have changed.
+    :param settled: first window whose counts may still rise, 0 for unknown.
+    :param since: first window whose counts are repeated as a whole.
+    """
+
+    source: str
+    usage: tuple[Usage, ...] = ()
+    settled: int = 0
+    since: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UsageCounts:
+    """Usage counts, sent to the nodes that may have to report them.
+
+    :param node: name of the sender.
+    :param wall: wall-clock milliseconds of the sender.
+    :param sources: the sender's counts first, and in an answer also those
+        of runs that have ended.
+    :param answers: whether this answers `UsageAsked`.
+    """
+
+    node: str
+    wall: int
+    sources: tuple[UsageSource, ...]
+    answers: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UsageAsked:
+    """Request of the node that reports usage for the receiver's counts.
+
+    :param node: name of the sender.
+    :param reply_to: ``ip:port`` of the sender's zmq socket.
+    """
+
+    node: str
+    reply_to: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Reading:
     """Prompt tokens that the sender recently sent to a pool.
@@ -594,6 +643,8 @@
     | LedgerTold
     | Scores
     | Loads
+    | UsageAsked
+    | UsageCounts
     | ChangesAsked
     | ChangesSent
 )
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -408,6 +408,7 @@
         draining=True,
         cores=settings.limits.cores,
         forwarding=settings.listen.forwarding,
+        takes_usage_counts=True,
     )
     return states.Options(
         me=me,
--- a/tests/decisions/cluster.py
+++ b/tests/decisions/cluster.py
@@ -125,6 +125,7 @@
     :param servers: backend servers, all of one pool.
     :param seed: seed of all random numbers.
     :param loss: fraction of the messages between nodes that get lost.
+    :param duties: duties that the platform assigns.
 
     Attributes:
 
@@ -143,7 +144,9 @@
         servers: list[Server],
         seed: int = 1,
         loss: float = 0.0,
+        duties: tuple[str, ...] = (),
     ) -> None:
+        self._bounds = bounds.Bounds(duties=duties)
         self._random = random.Random(seed)
         self._loss = loss
         self._numbers = itertools.count(1)
@@ -225,7 +228,7 @@
         self.nodes[name] = Node(name=name, state=self._build(member))
 
     def _build(self, me: messages.Member) -> states.State:
-        state = samples.state(bounds.Bounds())
+        state = samples.state(self._bounds)
         state.options = dataclasses.replace(state.options, me=me)
         state.membership.me = me
         state.random.seed(self._random.random())
@@ -430,4 +433,5 @@
         zone=ZONES[number % len(ZONES)],
         region='r',
         forwarding=f'forwarding-n{number}',
+        takes_usage_counts=True,
     )
