--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -410,6 +410,7 @@
         draining=True,
         cores=settings.limits.cores,
         forwarding=settings.listen.forwarding,
+        takes_usage_counts=True,
     )
     return states.Options(
         me=me,
