--- a/src/teaselbridge/platform/connections.py
+++ b/src/teaselbridge/platform/connections.py
@@ -191,7 +191,14 @@
         )
         exchange.opening = task
         self._opening.add(task)
-        task.add_done_callback(self._opening.discard)
+
+        def handle_opened(opened: asyncio.Task[None]) -> None:
+            self._opening.discard(opened)
+            if opened.cancelled() and exchange.receiver is not None:
+                error = ConnectError('the pool was closed')
+                exchange.receiver.handle_error(error)
+
+        task.add_done_callback(handle_opened)
         return exchange
 
     def drop(self, address: str) -> None:
@@ -514,71 +521,3 @@
     values = names.list_values(head.headers, b'transfer-encoding')
     if values and [value.lower() for value in values] != ['chunked']:
         raise _StopError(f'transfer encoding {values}')
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
-    """Complete answer to a request.
-
-    :param content: decoded body.
-    """
-
-    head: Head
-    content: bytes
-
-
-class _Collector:
-    """Collects an answer for a coroutine.
-
-    :param most: largest body in bytes.
-    """
-
-    def __init__(self, most: int) -> None:
-        self._most = most
-        self._head: Head | None = None
-        self._content = bytearray()
-        loop = asyncio.get_running_loop()
-        self.answer: asyncio.Future[Answer] = loop.create_future()
-
-    def handle_head(self, head: Head) -> None:
-        self._head = head
-
-    def handle_data(self, data: bytes) -> None:
-        self._content += data
-        if len(self._content) > self._most:
-            self.handle_error(CutError(f'more than {self._most} bytes'))
-
-    def handle_end(self) -> None:
-        assert self._head is not None
-        if not self.answer.done():
-            self.answer.set_result(Answer(self._head, bytes(self._content)))
-
-    def handle_error(self, error: Exception) -> None:
-        if not self.answer.done():
-            self.answer.set_exception(error)
-
-
-async def request(
-    pool: Pool,
-    address: str,
-    encoded: bytes,
-    *,
-    timeout_ms: int,
-    max_bytes: int,
-) -> Answer:
-    """Send a request and wait for the complete answer.
-
-    :param timeout_ms: longest time for the connection and the answer.
-    :param max_bytes: largest body.
-    :raises ConnectError: no connection was opened.
-    :raises ResetError: the connection failed.
-    :raises CutError: the answer ended early or is invalid.
-    :raises TimeoutError: there was no answer in time.
-    """
-    collector = _Collector(max_bytes)
-    exchange = pool.send(address, encoded, collector)
-    try:
-        async with asyncio.timeout(clock.seconds(timeout_ms)):
-            return await collector.answer
-    finally:
-        exchange.cancel()
--- a/src/teaselbridge/platform/duties.py
+++ b/src/teaselbridge/platform/duties.py
@@ -8,13 +8,12 @@
 
 import typing
 
-import httpx
 import msgspec
 
-from teaselbridge import clock
 from teaselbridge.decisions import scaling
 from teaselbridge.decisions import usage
 from teaselbridge.platform import names
+from teaselbridge.platform import services
 
 if typing.TYPE_CHECKING:
     from teaselbridge.decisions import effects
@@ -47,21 +46,14 @@
     """
 
     def __init__(self, *, address: str, node: str) -> None:
-        self._base_url = f'http://{address}'
         self._node = node
-        self._client = httpx.AsyncClient(
-            trust_env=False,
-            # All calls are plain HTTP, and loading certificates takes time.
-            verify=False,
-            timeout=httpx.Timeout(
-                clock.seconds(TIMEOUT_MS),
-                connect=clock.seconds(CONNECT_TIMEOUT_MS),
-            ),
+        self._client = services.Client(
+            address=address, connect_timeout_ms=CONNECT_TIMEOUT_MS
         )
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._client.aclose()
+        await self._client.close()
 
     async def report_usage(self, effect: effects.ReportUsage) -> bool:
         """Report the usage of the workspaces in a window of time.
@@ -98,15 +90,16 @@
         :return: the status code, 0 where there was no response.
         """
         try:
-            response = await self._client.post(
-                self._base_url + path,
-                content=msgspec.json.encode(body),
-                headers={
-                    'content-type': 'application/json',
-                    names.DUTY_HOLDER: self._node,
-                    names.FENCING_TOKEN: str(fence),
-                },
+            response = await self._client.call(
+                'POST',
+                path,
+                timeout_ms=TIMEOUT_MS,
+                headers=[
+                    (names.DUTY_HOLDER.encode(), self._node.encode()),
+                    (names.FENCING_TOKEN.encode(), str(fence).encode()),
+                ],
+                body=msgspec.json.encode(body),
             )
-        except httpx.HTTPError:
+        except services.ERRORS:
             return 0
-        return response.status_code
+        return response.status
--- a/src/teaselbridge/platform/store.py
+++ b/src/teaselbridge/platform/store.py
@@ -6,11 +6,11 @@
 import dataclasses
 import typing
 
-import httpx
 import msgspec
 
-from teaselbridge import clock
+from teaselbridge.platform import connections
 from teaselbridge.platform import names
+from teaselbridge.platform import services
 from teaselbridge.ports import keyvalue
 
 if typing.TYPE_CHECKING:
@@ -121,9 +121,8 @@
         self._meter = meter
         self._on_era = on_era
         self._era: int | None = None
-        self._base_url = f'http://{address}'
-        self._client = _build_client()
-        self._watch_client = _build_client()
+        self._address = address
+        self._client = _build_client(address)
 
     @property
     def era(self) -> int:
@@ -136,23 +135,20 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._client.aclose()
-        await self._watch_client.aclose()
+        await self._client.close()
 
     async def reconnect(self) -> None:
         """Replace all open connections, which may no longer respond."""
-        old = (self._client, self._watch_client)
-        self._client = _build_client()
-        self._watch_client = _build_client()
-        for client in old:
-            await client.aclose()
+        old = self._client
+        self._client = _build_client(self._address)
+        await old.close()
 
     async def get(self, key: str, purpose: keyvalue.Purpose) -> keyvalue.Value:
         """Read one key."""
         response = await self._call(
             'GET', '/api/kv-key', purpose, params={'key': key}
         )
-        if response.status_code == NOT_FOUND_STATUS:
+        if response.status == NOT_FOUND_STATUS:
             return keyvalue.Value(None, 0)
         item = _decode(response, _Item, writes=False)
         return keyvalue.Value(base64.b64decode(item.value), item.rev)
@@ -180,7 +176,7 @@
         response = await self._call(
             'POST', '/api/kv-txn', purpose, body=body, writes=True
         )
-        if response.status_code in (CONDITION_FAILED_STATUS, NOT_FOUND_STATUS):
+        if response.status in (CONDITION_FAILED_STATUS, NOT_FOUND_STATUS):
             return keyvalue.SwapResult(False, 0)
         return keyvalue.SwapResult(
             True, _decode(response, _TxnResponse, writes=True).rev
@@ -201,7 +197,7 @@
             body=body,
             writes=True,
         )
-        return response.status_code == OK_STATUS
+        return response.status == OK_STATUS
 
     async def grant_lease(self, ttl_ms: int) -> int:
         """Create a lease and return its number."""
@@ -222,7 +218,7 @@
             keyvalue.Purpose.LEASE,
             writes=True,
         )
-        return response.status_code != NOT_FOUND_STATUS
+        return response.status != NOT_FOUND_STATUS
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease, which deletes its keys."""
@@ -323,7 +319,6 @@
                 'wait-ms': str(wait_ms),
             },
             timeout_ms=wait_ms + WATCH_TIMEOUT_MARGIN_MS,
-            client=self._watch_client,
         )
         answer = _decode(response, _WatchResponse, writes=False)
         if era != self.era:
@@ -342,39 +337,31 @@
         body: object = None,
         writes: bool = False,
         timeout_ms: int = TIMEOUT_MS,
-        client: httpx.AsyncClient | None = None,
-    ) -> httpx.Response:
+    ) -> services.Response:
         kind = 'write' if writes else 'read'
         self._meter.count_keyvalue(kind, purpose.value)
-        content = None if body is None else msgspec.json.encode(body)
-        headers = {} if body is None else {'content-type': 'application/json'}
-        timeout = httpx.Timeout(
-            clock.seconds(timeout_ms),
-            connect=clock.seconds(CONNECT_TIMEOUT_MS),
-        )
         try:
-            response = await (client or self._client).request(
+            response = await self._client.call(
                 method,
-                self._base_url + path,
+                path,
+                timeout_ms=timeout_ms,
                 params=params,
-                content=content,
-                headers=headers,
-                timeout=timeout,
+                body=None if body is None else msgspec.json.encode(body),
             )
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+        except connections.ConnectError as error:
             raise keyvalue.KeyValueError(False, repr(error)) from error
-        except httpx.HTTPError as error:
+        except services.ERRORS as error:
             raise keyvalue.KeyValueError(writes, repr(error)) from error
         self._check_era(response, writes=writes)
         return _check_status(response, writes=writes)
 
-    def _check_era(self, response: httpx.Response, *, writes: bool) -> None:
+    def _check_era(self, response: services.Response, *, writes: bool) -> None:
         """Note the era of an answer.
 
         :raises keyvalue.KeyValueError: the answer is from an earlier era,
             so that what it says may be gone.
         """
-        value = response.headers.get(names.STORE_ERA, '')
+        value = response.get_header(names.STORE_ERA)
         if not (value.isascii() and value.isdigit()):
             return
         if len(value) > MAX_ERA_DIGITS:
@@ -394,14 +381,16 @@
         self._on_era(era, restored)
 
 
-def _build_client() -> httpx.AsyncClient:
-    # All calls are plain HTTP, and loading certificates takes a tenth of a
-    # second.
-    return httpx.AsyncClient(trust_env=False, verify=False)
+def _build_client(address: str) -> services.Client:
+    return services.Client(
+        address=address, connect_timeout_ms=CONNECT_TIMEOUT_MS
+    )
 
 
-def _check_status(response: httpx.Response, *, writes: bool) -> httpx.Response:
-    status = response.status_code
+def _check_status(
+    response: services.Response, *, writes: bool
+) -> services.Response:
+    status = response.status
     if status == COMPACTED_STATUS:
         raise HistoryLostError(False, 'the history is gone')
     if status in (OK_STATUS, NOT_FOUND_STATUS, CONDITION_FAILED_STATUS):
@@ -424,7 +413,7 @@
 T = typing.TypeVar('T')
 
 
-def _decode(response: httpx.Response, kind: type[T], *, writes: bool) -> T:
+def _decode(response: services.Response, kind: type[T], *, writes: bool) -> T:
     try:
         return msgspec.json.decode(response.content, type=kind)
     except msgspec.DecodeError as error:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,9 +5,10 @@
 import asyncio
 import typing
 
-import httpx
 import testtools
 
+from teaselbridge.platform import connections
+from teaselbridge.platform import services
 from teaselbridge.platform import store as stores
 from teaselbridge.ports import keyvalue
 from teaselbridge.telemetry import metrics
@@ -26,20 +27,18 @@
         super().setUp()
         self.seen: list[tuple[int, bool]] = []
         self.answers: list[tuple[int, str, str]] = []
-        self.patch(stores, '_build_client', self._build_client)
+        self.patch(services.Client, 'call', self._call)
         self.client = stores.StoreClient(
             address='127.0.0.1:1',
             meter=metrics.Meter(),
             on_era=lambda era, restored: self.seen.append((era, restored)),
         )
 
-    def _build_client(self) -> httpx.AsyncClient:
-        def answer(_: httpx.Request) -> httpx.Response:
-            status, era, body = self.answers.pop(0)
-            headers = {'Store-Era': era} if era else {}
-            return httpx.Response(status, headers=headers, text=body)
-
-        return httpx.AsyncClient(transport=httpx.MockTransport(answer))
+    async def _call(self, *_: object, **__: object) -> services.Response:
+        status, era, body = self.answers.pop(0)
+        headers = [(b'Store-Era', era.encode('latin-1'))] if era else []
+        head = connections.Head(status, headers)
+        return services.Response(head, body.encode())
 
     def _answer(self, era: str, body: str = ITEM, status: int = 200) -> None:
         self.answers.append((status, era, body))
