Read and share the pace of backend servers

The load header was read as exactly three numbers, so that an answer with a fourth one, the pace of the server's machine, lost its load without a trace. Load updates carry the paces that a node heard itself while they are unusual.

The load of an answer is found by host instead of a search by address; the search is removed, and the test that used it searches itself. The work of other nodes at a server is kept as a sum that each update changes, in place of a sum over all nodes for each server of each update.

--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -586,6 +586,7 @@
     SERVER_GONE = 'server-gone'
     SERVER_BACKOFF = 'server-backoff'
     SERVER_TERMS = 'server-terms'
+    SERVER_LOAD_INVALID = 'server-load-invalid'
     LINKS_LOST = 'links-lost'
     LINKS_RESTORED = 'links-restored'
     SERVER_EJECTED = 'server-ejected'
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -145,13 +145,27 @@
 class AnswerLoadReceived(msgspec.Struct, frozen=True):
     """Load of a backend server, taken from one of its answers.
 
-    :param address: ``ip:port`` of the server.
+    :param host: host of the lifetime that the request was sent to.
+    :param pace: pace of its machine in percent of the usual one, 0 where it
+        states none.
     """
 
-    address: str
+    host: str
     running: int
     waiting: int
     slots: int
+    pace: int = 0
+
+
+class AnswerLoadInvalid(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer whose load cannot be used, or not all of it.
+
+    :param host: host of the lifetime that the request was sent to.
+    :param detail: description of the value.
+    """
+
+    host: str
+    detail: str
 
 
 class ServerNoticed(msgspec.Struct, frozen=True, kw_only=True):
@@ -577,6 +591,7 @@
     | ServerChecked
     | PartRead
     | AnswerLoadReceived
+    | AnswerLoadInvalid
     | LinkProbed
     | ServerNoticed
     | TermsStated
--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -23,6 +23,7 @@
 from teaselbridge.decisions import leases
 from teaselbridge.decisions.limits import exchange
 from teaselbridge.decisions.limits import room
+from teaselbridge.decisions.room import reports
 from teaselbridge.decisions import usage
 from teaselbridge.peers import messages
 
@@ -75,6 +76,7 @@
 
     def __init__(self) -> None:
         self._peers: dict[str, _PeerLoad] = {}
+        self._totals = reports.PeerTotals()
         self._part_sent_at: collections.OrderedDict[tuple[str, str], int] = (
             collections.OrderedDict()
         )
@@ -92,7 +94,12 @@
         self, message: messages.Loads, now: clock.Instant
     ) -> None:
         """Merge the load update of another node."""
+        self.forget_stale(now)
         servers = {item.host: item for item in message.servers}
+        previous = self._peers.get(message.node)
+        if previous is not None:
+            self._totals.remove(previous.servers.values())
+        self._totals.add(servers.values())
         self._peers[message.node] = _PeerLoad(
             now.mono, servers, message.reading, message.takes_part
         )
@@ -113,6 +120,7 @@
         """Remove the updates that are too old to count."""
         for name, peer in list(self._peers.items()):
             if now.mono - peer.received_at >= UPDATE_STALE_TIMEOUT_MS:
+                self._totals.remove(peer.servers.values())
                 del self._peers[name]
 
     def record_part(self, host: str, part: str, now: clock.Instant) -> None:
@@ -175,21 +183,12 @@
             prompts=total.prompts * 1000 // READING_WINDOW_MS,
         )
 
-    def get_peers_load(
-        self, host: str, now: clock.Instant
-    ) -> messages.ServerLoad:
-        """Return the sum of the load of all other nodes on a server."""
-        running = 0
-        prefill = 0
-        for peer in self._peers.values():
-            item = peer.servers.get(host)
-            if (
-                item is not None
-                and now.mono - peer.received_at < UPDATE_STALE_TIMEOUT_MS
-            ):
-                running += item.running
-                prefill += item.prefill
-        return messages.ServerLoad(host=host, running=running, prefill=prefill)
+    def get_peers_load(self, host: str) -> messages.ServerLoad:
+        """Return the sum of the load of all other nodes on a server.
+
+        Updates that became stale since `forget_stale` still count.
+        """
+        return self._totals.get(host)
 
     def _remember_part(self, host: str, part: str, mono: int) -> None:
         """Remember a part as cached, and drop the oldest beyond the limit."""
@@ -220,7 +219,8 @@
     state.rates.merge_report(message, now)
     state.usage.merge_counts(message, now)
     for item in message.servers:
-        _refresh_others_load(state, item.host, now)
+        _refresh_others_load(state, item.host)
+    reports.merge_reports(state, message, now)
     room.merge_full(state, message, now)
     return exchange.merge_updates(state, message, now)
 
@@ -244,7 +244,7 @@
         return _report_usage(state, now)
     loads.count += 1
     for server in state.servers.all:
-        _refresh_others_load(state, server.host, now)
+        _refresh_others_load(state, server.host)
     message = _make_update(state, now)
     chosen = state.random.sample(
         receivers, min(MAX_UPDATE_PEERS, len(receivers))
@@ -344,15 +344,7 @@
         node=me.name,
         incarnation=me.incarnation,
         wall=now.wall,
-        servers=tuple(
-            messages.ServerLoad(
-                host=server.host,
-                running=server.inflight,
-                prefill=server.prefill,
-            )
-            for server in state.servers.all
-            if server.inflight
-        ),
+        servers=reports.build_reports(state, now),
         cached=state.loads.take_unannounced_parts(),
         demand=state.rates.get_demand(),
         usage=usage_counts,
@@ -362,13 +354,11 @@
     )
 
 
-def _refresh_others_load(
-    state: states.State, host: str, now: clock.Instant
-) -> None:
+def _refresh_others_load(state: states.State, host: str) -> None:
     """Set the load of other nodes on a server from their updates."""
     server = state.servers.get(host)
     if server is None:
         return
-    others = state.loads.get_peers_load(host, now)
+    others = state.loads.get_peers_load(host)
     server.other_requests = others.running
     server.other_prefill_tokens = others.prefill
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -26,11 +26,11 @@
 from teaselbridge.decisions import orders
 from teaselbridge.decisions import poison
 from teaselbridge.decisions import prompts
-from teaselbridge.decisions import relays
 from teaselbridge.decisions import reports
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import restores
 from teaselbridge.decisions import rollouts
+from teaselbridge.decisions.room import statements
 from teaselbridge.decisions import scaling
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import steps
@@ -162,7 +162,9 @@
     """Dispatch an event that comes from the deployment platform."""
     match event:
         case events.AnswerLoadReceived():
-            return relays.handle_answer_load_received(state, event, now)
+            return statements.handle_answer_load_received(state, event, now)
+        case events.AnswerLoadInvalid():
+            return statements.handle_answer_load_invalid(state, event, now)
         case events.PartRead():
             return suspects.handle_part_read(state, event, now)
         case events.ServerChecked():
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -311,17 +311,6 @@
     return requests.refuse(state, request, refusal)
 
 
-def handle_answer_load_received(
-    state: states.State, event: events.AnswerLoadReceived, now: clock.Instant
-) -> list[effects.Effect]:
-    """Handle the load that a server reported with an answer."""
-    server = state.servers.at(event.address)
-    if server is not None:
-        server.last_heard_at = now.mono
-        server.slots = max(1, event.slots)
-    return []
-
-
 def tick(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
--- /dev/null
+++ b/src/teaselbridge/decisions/room/__init__.py
@@ -0,0 +1,1 @@
+"""What is known about the pace, speed and memory of backend servers."""
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -7,6 +7,7 @@
 
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions.room import picture as pictures
 from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
@@ -68,6 +69,7 @@
     :param last_heard_at: when it last sent any data.
     :param lag_ms: how much later than predicted its first bytes came.
     :param lag_measured_at: when that lag was measured.
+    :param picture: what is known about its pace, speed and memory.
     """
 
     row: events.HostRow
@@ -94,6 +96,9 @@
     last_heard_at: int = 0
     lag_ms: float = 0.0
     lag_measured_at: int = 0
+    picture: pictures.Picture = dataclasses.field(
+        default_factory=pictures.Picture
+    )
 
     @property
     def host(self) -> str:
@@ -186,13 +191,6 @@
             and server.backoff_until <= now.mono
         ]
 
-    def at(self, address: str) -> Server | None:
-        """Return the server at an address, or none."""
-        for server in self._by_host.values():
-            if server.row.address == address:
-                return server
-        return None
-
     def add(
         self, row: events.HostRow, version: str, now: clock.Instant
     ) -> Server:
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+import msgspec
+
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import claims
 from teaselbridge.decisions import evidence
@@ -399,18 +401,26 @@
     elapsed_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ServerLoad:
-    """In-flight work of the sender at a backend server.
+class ServerLoad(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True
+):
+    """In-flight work of the sender at a backend server, and news of it.
+
+    Fields with their default are not sent, which keeps updates small.
 
     :param host: name of the server's host.
     :param running: number of in-flight requests.
     :param prefill: prompt tokens that are not prefilled yet.
+    :param pace: pace of its machine that the sender heard last, in percent of
+        the usual one, 0 for no news.
+    :param pace_age_ms: time since the sender heard it.
     """
 
     host: str
     running: int
     prefill: int
+    pace: int = 0
+    pace_age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -502,7 +512,7 @@
     :param node: name of the sender.
     :param incarnation: incarnation of the sender at its start.
     :param wall: wall-clock milliseconds of the sender.
-    :param servers: all servers with in-flight work of the sender.
+    :param servers: all servers with in-flight work of the sender, or news.
     :param cached: prompt parts sent to servers since the last message.
     :param demand: cost of admitted requests by workspace.
     :param usage: counts of the latest usage windows, empty in messages that
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -24,6 +24,8 @@
 UNAVAILABLE_STATUS = 503
 # Bounds what a server can add to a log line.
 MAX_DETAIL_CHARS = 200
+# A larger figure is no pace in percent.
+MAX_PACE = 10_000
 # Plain answers are held in memory as a whole.
 MAX_ANSWER_BYTES = 8 << 20
 # Events are small, so that a stream with a larger one is malformed.
@@ -258,18 +260,46 @@
     headers = response.headers.raw
     load = names.first(headers, names.LOAD)
     if load:
-        _post_load(load, effect.address, post)
+        _post_load(load, effect.host, post)
     _post_notice(response, effect.host, post)
     if response.status_code != MISDIRECTED_STATUS:
         _post_terms(headers, effect.host, asked_at, post)
 
 
-def _post_load(load: str, address: str, post: Post) -> None:
+def _post_load(load: str, host: str, post: Post) -> None:
+    """Post the load that a server states: three figures, or four with a pace.
+
+    Further figures are ignored. Where only the pace is invalid, the load
+    counts nevertheless.
+
+    :param host: host of the lifetime that the request was sent to.
+    """
+    figures = load.split(',')[:4]
+    detail = f'invalid load: {load!r}'[:MAX_DETAIL_CHARS]
     try:
-        running, waiting, slots = (int(item) for item in load.split(','))
+        running, waiting, slots = (int(item) for item in figures[:3])
+        if min(running, waiting, slots) < 0:
+            raise ValueError(detail)
     except ValueError:
+        post(events.AnswerLoadInvalid(host=host, detail=detail))
         return
-    post(events.AnswerLoadReceived(address, running, waiting, slots))
+    pace = 0
+    try:
+        pace = _parse_pace(figures[3]) if figures[3:] else 0
+    except ValueError:
+        post(events.AnswerLoadInvalid(host=host, detail=detail))
+    post(events.AnswerLoadReceived(host, running, waiting, slots, pace))
+
+
+def _parse_pace(figure: str) -> int:
+    """Return a pace in percent.
+
+    :raises ValueError: the figure is no pace.
+    """
+    pace = float(figure)
+    if not 0 < pace <= MAX_PACE:
+        raise ValueError(f'no pace: {pace}')
+    return max(1, round(pace))
 
 
 def _post_notice(response: httpx.Response, host: str, post: Post) -> None:
--- /dev/null
+++ b/tests/decisions/room/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits that backend servers set."""
--- a/tests/failures/test_site_bytes.py
+++ b/tests/failures/test_site_bytes.py
@@ -45,8 +45,11 @@
             await site.until(lambda: servers[0].cancelled_count)
             if fault in COMPLETE_FAULTS:
                 return
-            known = trial.nodes[0].loop.state.servers.at(servers[0].address)
-            assert known is not None
+            (known,) = [
+                server
+                for server in trial.nodes[0].loop.state.servers.all
+                if server.row.address == servers[0].address
+            ]
             self.assertGreater(known.failure_ratio, 0.0)
 
     # Guards against bytes without end that fill the memory or hold the
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -186,3 +186,42 @@
     def test_answer_of_another_instance_tells_nothing(self) -> None:
         (event,) = run_whole_attempt(421, ID, ('Server-Limit', '3'))
         self.assertIsInstance(event, events.AttemptFailed)
+
+
+class TestLoads(testtools.TestCase):
+    """Each answer tells the load of its server, some of them its pace."""
+
+    def _get_load(self, value: str) -> list[events.Event]:
+        *found, _ = run_attempt(200, ID, ('Teaselbridge-Runner-Load', value))
+        return found
+
+    def test_three_figures(self) -> None:
+        (event,) = self._get_load('3, 1,16')
+        expected = events.AnswerLoadReceived('i@1', 3, 1, 16, 0)
+        self.assertEqual(expected, event)
+
+    def test_pace_and_further_figures(self) -> None:
+        for value, pace in (
+            ('3,1,16,40', 40),
+            ('3,1,16, 112.6 ', 113),
+            ('3,1,16,40,7,x', 40),
+        ):
+            (event,) = self._get_load(value)
+            expected = events.AnswerLoadReceived('i@1', 3, 1, 16, pace)
+            self.assertEqual(expected, event)
+
+    # Guards against a load that is lost without a trace.
+    def test_invalid_figures(self) -> None:
+        for value in ('3,1', 'x,1,16', '3,1,-16', '3,1,16.5', '9' * 5_000):
+            (event,) = self._get_load(value)
+            assert isinstance(event, events.AnswerLoadInvalid), value
+            self.assertEqual('i@1', event.host)
+            self.assertLessEqual(len(event.detail), runners.MAX_DETAIL_CHARS)
+
+    # Guards against a wrong pace that takes the rest of the load with it.
+    def test_invalid_pace(self) -> None:
+        for value in ('', 'x', '0', '-40', 'nan', 'inf', '1e9'):
+            invalid, event = self._get_load(f'3,1,16,{value}')
+            self.assertIsInstance(invalid, events.AnswerLoadInvalid)
+            expected = events.AnswerLoadReceived('i@1', 3, 1, 16, 0)
+            self.assertEqual(expected, event)
