Learn the speed of single backend servers and predict by it

The pool had one prefill speed, so that a server of half the usual speed was found by late first bytes alone. The speed of each lifetime of a server that states its pace is now learnt from answers to long prompts, corrected by the pace, and samples are shared in load updates for 750 ms. predict_first_ms replaces the terms of the cost in choose_engine; without a stated pace it equals them. The lag of a server and the first-byte timeouts use the same prediction.

The rendezvous hashes of 128 heads are remembered.

--- a/src/teaselbridge/decisions/placement.py
+++ b/src/teaselbridge/decisions/placement.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import typing
 
@@ -30,6 +31,10 @@
 NEARLY_FULL_FRACTION = 0.75
 # Characters at the head of a prompt that decide its placement.
 PREFIX_CHARACTERS = 512
+# Heads whose order is remembered; some 10 KB each with 70 servers.
+MAX_ORDERED_HEADS = 128
+# Hosts that are no candidates any more and are still remembered for a head.
+MAX_GONE_HOSTS = 64
 
 
 class Rotation:
@@ -44,6 +49,38 @@
         return self._position
 
 
+class HeadOrders:
+    """Rendezvous order of the servers for the latest prompt heads.
+
+    A hash of a head and a host never changes, so that none is computed again
+    for the next prompt with this head.
+    """
+
+    def __init__(self) -> None:
+        self._hashes: collections.OrderedDict[str, dict[str, int]] = (
+            collections.OrderedDict()
+        )
+
+    def order(
+        self, candidates: list[servers.Server], head: str
+    ) -> list[servers.Server]:
+        """Sort servers as `order` does for the hash of a prompt's head."""
+        hashes = self._hashes.setdefault(head, {})
+        self._hashes.move_to_end(head)
+        if len(self._hashes) > MAX_ORDERED_HEADS:
+            self._hashes.popitem(last=False)
+        if len(hashes) > 2 * len(candidates) + MAX_GONE_HOSTS:
+            hashes.clear()
+        prefix = ''
+        for server in candidates:
+            if server.host not in hashes:
+                prefix = prefix or str(hash_text(head))
+                hashes[server.host] = hash_text(prefix, server.host)
+        return sorted(
+            candidates, key=lambda server: hashes[server.host], reverse=True
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PolicyInput:
     """Inputs of a policy besides the candidate servers.
--- a/src/teaselbridge/decisions/prefill.py
+++ b/src/teaselbridge/decisions/prefill.py
@@ -17,7 +17,7 @@
 import dataclasses
 import typing
 
-from teaselbridge.decisions import placement
+from teaselbridge.decisions.room import predict
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
@@ -40,23 +40,16 @@
 # Penalty for each later rank in the rendezvous order. It makes nodes that do
 # not know each other's latest requests agree on the same idle engine.
 RANK_PENALTY_MS = 12.0
-# Delay of the first token per running request, which shares the engine's
-# decoding steps.
-RUNNING_PENALTY_MS = 1.2
 # Reading fewer tokens than this is faster than copying them.
 MIN_COPY_TOKENS = 1_000
 # Fixed cost of a copy in addition to the transfer time. It also accounts for
 # the load that a copy puts on the network.
 COPY_OVERHEAD_MS = 120.0
-# Lag is the smoothed delay of first bytes beyond the prediction. It marks a
-# server as slow and halves with every LAG_HALF_LIFE_MS.
+# Lag is the smoothed delay of first bytes beyond the prediction.
 LAG_SMOOTHING = 0.3
-LAG_HALF_LIFE_MS = 3_000
 MAX_LAG_MS = 3_000
 # Lag that counts as much as a full server, for plain services.
 LAG_PER_FULL_LOAD_MS = 200
-# Penalty for a failing server, in milliseconds at a failure rate of 1.
-FAILURE_PENALTY_MS = 4_000.0
 
 
 class PrefillSpeeds:
@@ -75,14 +68,35 @@
         :param tokens: prompt tokens that the engine read.
         :param span_ms: milliseconds until the first token.
         """
-        if tokens < MIN_SAMPLE_TOKENS:
-            return
-        reading_ms = max(1, span_ms - FIRST_STEP_MS)
-        seen = min(
-            MAX_TOKENS_PER_MS, max(MIN_TOKENS_PER_MS, tokens / reading_ms)
-        )
+        seen = measure_speed(tokens, span_ms)
+        if seen is not None:
+            self.merge_sample(pool, seen)
+
+    def merge_sample(self, pool: str, tokens_per_ms: float) -> None:
+        """Update the estimate of a pool with a sample, also another node's."""
         known = self.get_tokens_per_ms(pool)
-        self._per_ms[pool] = known + SPEED_SMOOTHING * (seen - known)
+        self._per_ms[pool] = known + SPEED_SMOOTHING * (tokens_per_ms - known)
+
+
+def measure_speed(
+    tokens: int, span_ms: int, pace: float = 100.0
+) -> float | None:
+    """Return the tokens that an engine reads per millisecond.
+
+    :param tokens: prompt tokens that it read.
+    :param span_ms: milliseconds until the first token.
+    :param pace: pace of the engine meanwhile, in percent of the usual one.
+    :return: the speed at the usual pace, none if the prompt was too short.
+    """
+    if tokens < MIN_SAMPLE_TOKENS:
+        return None
+    reading_ms = max(1, span_ms - FIRST_STEP_MS)
+    return limit_speed(tokens / reading_ms * 100 / pace)
+
+
+def limit_speed(tokens_per_ms: float) -> float:
+    """Return a sample of the read speed within its bounds."""
+    return min(MAX_TOKENS_PER_MS, max(MIN_TOKENS_PER_MS, tokens_per_ms))
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -92,11 +106,13 @@
     :param uncached_tokens: prompt tokens that it has to read.
     :param copied_tokens: prompt tokens that it copies from another server.
     :param source: server to copy from, none if nothing is copied.
+    :param copy_ms: predicted milliseconds that the copy takes.
     """
 
     uncached_tokens: int
     copied_tokens: int = 0
     source: servers.Server | None = None
+    copy_ms: float = 0.0
 
 
 def cached(
@@ -159,14 +175,9 @@
             uncached_tokens=unread - copied,
             copied_tokens=copied,
             source=source,
+            copy_ms=COPY_OVERHEAD_MS + copied / self._copied_per_ms,
         )
 
-    def predict_copy_ms(self, reading: PrefillWork) -> float:
-        """Predict how many milliseconds the copy takes."""
-        if not reading.copied_tokens:
-            return 0.0
-        return COPY_OVERHEAD_MS + reading.copied_tokens / self._copied_per_ms
-
     def _count_cached(self, server: servers.Server) -> int:
         """Return the prompt tokens that a server has cached, memoized."""
         known = self._cached_by_host.get(server.host)
@@ -176,12 +187,6 @@
         return known
 
 
-def current_lag_ms(server: servers.Server, now: clock.Instant) -> float:
-    """Return the lag of a server in milliseconds, decayed by its age."""
-    age = now.mono - server.lag_measured_at
-    return float(server.lag_ms * 0.5 ** (age / LAG_HALF_LIFE_MS))
-
-
 def record_lag(
     server: servers.Server, late_ms: float, now: clock.Instant
 ) -> None:
@@ -190,7 +195,7 @@
     :param late_ms: milliseconds beyond the prediction, negative if the byte
         came earlier.
     """
-    known = current_lag_ms(server, now)
+    known = server.get_lag_ms(now)
     seen = min(MAX_LAG_MS, max(0.0, late_ms))
     server.lag_ms = known + LAG_SMOOTHING * (seen - known)
     server.lag_measured_at = now.mono
@@ -206,11 +211,9 @@
 
     :param candidates: servers that may take the request; not empty.
     """
-    speed = state.prefill_speeds.get_tokens_per_ms(call.route.pool)
     rank_by_host: dict[str, int] = {}
     if call.parts:
-        prefix = placement.hash_text(_shared_head_id(call))
-        ordered = placement.order(candidates, prefix)
+        ordered = state.head_orders.order(candidates, _shared_head_id(call))
         rank_by_host = {
             server.host: rank for rank, server in enumerate(ordered)
         }
@@ -218,16 +221,11 @@
     plan = PrefillPlan(state, call, now)
 
     def cost(server: servers.Server) -> float:
-        reading = plan.get_work(server)
-        waiting = server.prefill + server.other_prefill_tokens
-        running = server.inflight + server.other_requests
+        work = plan.get_work(server)
+        rank = rank_by_host.get(server.host, 0)
         return (
-            (reading.uncached_tokens + waiting) / speed
-            + plan.predict_copy_ms(reading)
-            + RANK_PENALTY_MS * rank_by_host.get(server.host, 0)
-            + RUNNING_PENALTY_MS * running
-            + FAILURE_PENALTY_MS * server.get_failure_ratio(now)
-            + current_lag_ms(server, now)
+            predict.predict_first_ms(state, server, call, work, now)
+            + RANK_PENALTY_MS * rank
         )
 
     return min(candidates, key=cost)
@@ -246,7 +244,7 @@
         candidates,
         key=lambda server: (
             round(server.load + 2 * server.get_failure_ratio(now), 2)
-            + round(current_lag_ms(server, now) / LAG_PER_FULL_LOAD_MS, 1),
+            + round(server.get_lag_ms(now) / LAG_PER_FULL_LOAD_MS, 1),
             state.random.random(),
         ),
     )
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -22,6 +22,7 @@
 from teaselbridge.decisions import prefill
 from teaselbridge.decisions import relay_checks
 from teaselbridge.decisions import requests
+from teaselbridge.decisions.room import speeds
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import silence
 from teaselbridge.decisions import suspects
@@ -93,20 +94,25 @@
     request.is_only_prefill = not (
         server.prefill or server.other_prefill_tokens
     )
+    request.pace = server.picture.get_pace(now)
     server.prefill += unread
     state.loads.record_reading(call.route.pool, unread, call.tokens_in, now)
     for part in call.parts:
         state.loads.record_part(server.host, part.id, now)
-    request.expected_first_byte_ms = silence.expected(state, request, server)
+    request.expected_first_byte_ms = silence.expected(
+        state, request, server, now
+    )
     request.silence_timeout_ms = silence.get_first_byte_timeout_ms(request)
     pool = state.index.pool(call.route.pool)
     uses_urgency = pool is not None and pool.engine is not None
+    usual = state.prefill_speeds.get_tokens_per_ms(call.route.pool)
     load = server.inflight + server.other_requests
     backlog = server.prefill + server.other_prefill_tokens
     detail = (
         f'attempt {request.attempt} at {server.row.instance}'
         f' {server.version}, {load} in flight, {backlog} tokens to prefill,'
-        f' {unread} of it; failure rate {server.get_failure_ratio(now):.2f}'
+        f' {unread} of it; failure rate {server.get_failure_ratio(now):.2f};'
+        f' {server.picture.describe(usual, now)}'
     )
     source = ''
     if reading.source is not None:
@@ -147,9 +153,7 @@
     silence.record_data(state, request, now)
     span = now.mono - request.started_at
     if request.is_only_prefill:
-        state.prefill_speeds.record_sample(
-            request.call.route.pool, request.uncached_tokens, span
-        )
+        speeds.record_answer(state, request, span, now)
     state.latency_estimator.first(request.call.route.name, span)
     finish_prefill(state, request)
     _count_started(state, request, now)
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -60,6 +60,7 @@
     :ivar refused_attempts: failed attempts that provably did not run it.
     :ivar uncached_tokens: prompt tokens that its server has yet to prefill.
     :ivar is_only_prefill: whether its server had no other prefill queued.
+    :ivar pace: pace of its server at the start of the attempt, in percent.
     :ivar silence_timeout_ms: time without data after which it is retried
         elsewhere.
     :ivar expected_first_byte_ms: predicted time to the first byte.
@@ -99,6 +100,7 @@
         self.refused_attempts = 0
         self.uncached_tokens = 0
         self.is_only_prefill = False
+        self.pace = 100.0
         self.silence_timeout_ms = 0
         self.expected_first_byte_ms = 0.0
         self.last_event: int | None = None
--- a/src/teaselbridge/decisions/room/picture.py
+++ b/src/teaselbridge/decisions/room/picture.py
@@ -1,8 +1,14 @@
-"""What a node knows about the pace of one lifetime of a backend server."""
+"""What a node knows about one lifetime of a backend server.
+
+A server whose machine is slow for a moment states its pace. A server whose
+machine is always slower or faster than the others of its pool has another
+speed, which is learnt from its answers. Both apply to all of its steps.
+"""
 
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 if typing.TYPE_CHECKING:
@@ -20,6 +26,21 @@
 # An unusual pace is reported for this long, until a majority of the nodes has
 # had an update, and so is the return to the usual one.
 PACE_REPORT_MS = 1_500
+# Mean duration of a difference that halves every `PACE_HALF_LIFE_MS`.
+PACE_LIFE_MS = PACE_HALF_LIFE_MS / math.log(2)
+# Speeds in a pool differ by less than this factor either way.
+MAX_SPEED_FACTOR = 4.0
+# Fewer samples may all have met a queue that was not known.
+MIN_SPEED_SAMPLES = 3
+# Least weight of a new sample, so that some ten of them count.
+MIN_SAMPLE_WEIGHT = 0.1
+# Factors are used in steps and only beyond a tolerance, so that nodes with
+# different samples agree on them. Speeds that differ less than this cost less
+# than prompts that several servers read because nodes disagree.
+SPEED_STEP_DIGITS = 1
+SPEED_TOLERANCE = 0.15
+# Samples are reported for three updates, in which most nodes get one.
+SAMPLE_REPORT_MS = 750
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -33,7 +54,14 @@
     :param heard_pace: pace that it last stated to this node, 0 for none.
     :param heard_at: when it stated that.
     :param unusual_until: until when that pace is reported to other nodes.
+    :param states_pace: whether it ever stated a pace.
     :param next_invalid_at: when an invalid load may be logged again.
+    :param tokens_per_ms: prompt tokens that it reads per millisecond at the
+        usual pace, as learnt from all nodes' samples.
+    :param sample_count: number of these samples.
+    :param recent_total: sum of the samples of this node that it reports.
+    :param recent_count: number of these samples.
+    :param recent_until: until when they are reported.
     """
 
     pace: int = USUAL_PACE
@@ -41,7 +69,13 @@
     heard_pace: int = 0
     heard_at: int = 0
     unusual_until: int = 0
+    states_pace: bool = False
     next_invalid_at: int = 0
+    tokens_per_ms: float = 0.0
+    sample_count: int = 0
+    recent_total: float = 0.0
+    recent_count: int = 0
+    recent_until: int = 0
 
     def record_pace(self, pace: int, now: clock.Instant) -> None:
         """Record the pace that the server stated to this node."""
@@ -51,11 +85,16 @@
             self.unusual_until = now.mono + PACE_REPORT_MS
         self.merge_pace(pace, now.mono)
 
+    def has_news(self, now: clock.Instant) -> bool:
+        """Return whether other nodes should be told what this one heard."""
+        return max(self.unusual_until, self.recent_until) > now.mono
+
     def merge_pace(self, pace: int, stated_at: int) -> None:
         """Use a stated pace unless a later one is known.
 
         :param stated_at: when the server stated it.
         """
+        self.states_pace = True
         if stated_at < self.pace_at:
             return
         self.pace = min(MAX_PACE, max(MIN_PACE, pace))
@@ -71,3 +110,64 @@
         if abs(left) <= PACE_TOLERANCE:
             return float(USUAL_PACE)
         return float(USUAL_PACE + left)
+
+    def stretch(self, usual_ms: float, now: clock.Instant) -> float:
+        """Return how long a work takes that begins now.
+
+        The pace returns to the usual one meanwhile, so that a long work is
+        delayed by no more than the slow phase lasts.
+
+        :param usual_ms: milliseconds that it takes at the usual pace.
+        """
+        pace = self.get_pace(now) / USUAL_PACE
+        if pace == 1.0:
+            return usual_ms
+        ended = 1 - 0.5 ** (usual_ms / pace / PACE_HALF_LIFE_MS)
+        return float(usual_ms + (1 - pace) * PACE_LIFE_MS * ended)
+
+    def record_speed(
+        self, tokens_per_ms: float, usual: float, now: clock.Instant
+    ) -> None:
+        """Record a sample of this node.
+
+        :param tokens_per_ms: tokens read per millisecond, at the usual pace.
+        :param usual: the same as it is usual for the pool.
+        """
+        if now.mono >= self.recent_until:
+            self.recent_total = 0.0
+            self.recent_count = 0
+        self.recent_total += tokens_per_ms
+        self.recent_count += 1
+        self.recent_until = now.mono + SAMPLE_REPORT_MS
+        self.merge_speed(tokens_per_ms, usual)
+
+    def merge_speed(self, tokens_per_ms: float, usual: float) -> None:
+        """Update the speed with a sample, this node's or another's.
+
+        The usual speed of the pool counts as the first sample.
+        """
+        if not self.sample_count:
+            self.tokens_per_ms = usual
+        weight = max(MIN_SAMPLE_WEIGHT, 1 / (self.sample_count + 2))
+        seen = max(usual / MAX_SPEED_FACTOR, tokens_per_ms)
+        seen = min(usual * MAX_SPEED_FACTOR, seen)
+        self.tokens_per_ms += weight * (seen - self.tokens_per_ms)
+        self.sample_count += 1
+
+    def get_speed_factor(self, usual: float) -> float:
+        """Return the speed as a multiple of the usual one of the pool."""
+        if self.sample_count < MIN_SPEED_SAMPLES:
+            return 1.0
+        factor = self.tokens_per_ms / usual
+        if abs(factor - 1) < SPEED_TOLERANCE:
+            return 1.0
+        factor = max(1 / MAX_SPEED_FACTOR, min(MAX_SPEED_FACTOR, factor))
+        return round(factor, SPEED_STEP_DIGITS)
+
+    def describe(self, usual: float, now: clock.Instant) -> str:
+        """Describe what is known, for the log line of an attempt."""
+        return (
+            f'pace {self.get_pace(now):.0f}%,'
+            f' speed {self.get_speed_factor(usual):.1f}'
+            f' of {self.sample_count} samples'
+        )
--- /dev/null
+++ b/src/teaselbridge/decisions/room/predict.py
@@ -0,0 +1,56 @@
+"""Predictions from what is known about backend servers."""
+
+from __future__ import annotations
+
+import typing
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import calls
+    from teaselbridge.decisions import prefill
+    from teaselbridge.decisions import servers
+    from teaselbridge.decisions import state as states
+
+# Delay of the first token per running request, which shares the engine's
+# decoding steps.
+RUNNING_PENALTY_MS = 1.2
+# Penalty for a failing server, in milliseconds at a failure rate of 1.
+FAILURE_PENALTY_MS = 4_000.0
+
+
+def predict_first_ms(
+    state: states.State,
+    server: servers.Server,
+    call: calls.Call,
+    work: prefill.PrefillWork,
+    now: clock.Instant,
+) -> float:
+    """Predict the milliseconds until the first token of a request.
+
+    :param work: what the server has to do for its prompt.
+    """
+    usual = state.prefill_speeds.get_tokens_per_ms(call.route.pool)
+    backlog = server.prefill + server.other_prefill_tokens
+    running = server.inflight + server.other_requests
+    known = server.picture
+    busy_ms = (
+        work.uncached_tokens + backlog
+    ) / usual + RUNNING_PENALTY_MS * running
+    busy_ms = known.stretch(busy_ms / known.get_speed_factor(usual), now)
+    return (
+        busy_ms
+        + work.copy_ms
+        + FAILURE_PENALTY_MS * server.get_failure_ratio(now)
+        + server.get_lag_ms(now)
+    )
+
+
+def predict_backlog_ms(
+    state: states.State, server: servers.Server, now: clock.Instant
+) -> float:
+    """Predict the milliseconds until a server has read all prompts."""
+    usual = state.prefill_speeds.get_tokens_per_ms(server.row.pool)
+    backlog = server.prefill + server.other_prefill_tokens
+    known = server.picture
+    usual_ms = backlog / usual / known.get_speed_factor(usual)
+    return known.stretch(usual_ms, now)
--- a/src/teaselbridge/decisions/room/reports.py
+++ b/src/teaselbridge/decisions/room/reports.py
@@ -8,6 +8,7 @@
 
 import typing
 
+from teaselbridge.decisions.room import speeds
 from teaselbridge.peers import messages
 
 if typing.TYPE_CHECKING:
@@ -25,7 +26,7 @@
     return tuple(
         _build_report(server, now)
         for server in state.servers.all
-        if server.inflight or server.picture.unusual_until > now.mono
+        if server.inflight or server.picture.has_news(now)
     )
 
 
@@ -43,6 +44,8 @@
         if item.pace:
             age_ms = max(0, item.pace_age_ms)
             server.picture.merge_pace(item.pace, now.mono - age_ms)
+        if item.speed:
+            speeds.merge_report(state, server, item.speed)
 
 
 def _build_report(
@@ -53,12 +56,16 @@
     if known.unusual_until > now.mono:
         pace = known.heard_pace
         age_ms = now.mono - known.heard_at
+    speed = 0
+    if known.recent_until > now.mono:
+        speed = round(1_000 * known.recent_total / known.recent_count)
     return messages.ServerLoad(
         host=server.host,
         running=server.inflight,
         prefill=server.prefill,
         pace=pace,
         pace_age_ms=age_ms,
+        speed=speed,
     )
 
 
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -31,6 +31,8 @@
 FAILURE_SMOOTHING = 0.15
 FAILURE_HALF_LIFE_MS = 5_000
 LEAVING_MARK_RETENTION_MS = 600_000
+# The lag of first bytes marks a server as slow, and halves in this time.
+LAG_HALF_LIFE_MS = 3_000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -115,9 +117,18 @@
 
         A server that is avoided for its failures has none.
         """
+        if not self.failure_ratio:
+            return 0.0
         age = now.mono - self.outcome_at
         return float(self.failure_ratio * 0.5 ** (age / FAILURE_HALF_LIFE_MS))
 
+    def get_lag_ms(self, now: clock.Instant) -> float:
+        """Return the lag in milliseconds, decayed by its age."""
+        if not self.lag_ms:
+            return 0.0
+        age = now.mono - self.lag_measured_at
+        return float(self.lag_ms * 0.5 ** (age / LAG_HALF_LIFE_MS))
+
     def record_outcome(self, *, failed: bool, now: clock.Instant) -> None:
         """Update the failure ratio with the outcome of an attempt."""
         known = self.get_failure_ratio(now)
--- a/src/teaselbridge/decisions/silence.py
+++ b/src/teaselbridge/decisions/silence.py
@@ -12,6 +12,7 @@
 
 from teaselbridge.decisions import prefill
 from teaselbridge.decisions import requests
+from teaselbridge.decisions.room import predict
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
@@ -69,20 +70,32 @@
     server.last_heard_at = now.mono
     if request.first:
         waited_ms = now.mono - request.started_at
-        prefill.record_lag(
-            server, waited_ms - request.expected_first_byte_ms, now
-        )
+        expected_ms = _expected_at_pace(request, server, now)
+        prefill.record_lag(server, waited_ms - expected_ms, now)
 
 
 def expected(
-    state: states.State, request: requests.Request, server: servers.Server
+    state: states.State,
+    request: requests.Request,
+    server: servers.Server,
+    now: clock.Instant,
 ) -> float:
     """Predict the milliseconds until the first byte from a server."""
     call = request.call
     if not call.parts:
         return state.latency_estimator.mean_answer_ms(call.route.name)
-    speed = state.prefill_speeds.get_tokens_per_ms(call.route.pool)
-    return (server.prefill + server.other_prefill_tokens) / speed
+    return predict.predict_backlog_ms(state, server, now)
+
+
+def _expected_at_pace(
+    request: requests.Request, server: servers.Server, now: clock.Instant
+) -> float:
+    """Return the predicted time, longer if the server has slowed since.
+
+    The lag must not remember for seconds what the pace tells exactly.
+    """
+    pace = server.picture.get_pace(now)
+    return request.expected_first_byte_ms * max(1.0, request.pace / pace)
 
 
 def get_first_byte_timeout_ms(request: requests.Request) -> int:
@@ -106,9 +119,10 @@
     server = state.servers.get(request.host)
     if server is None or not request.first:
         return
-    late = now.mono - request.started_at - request.expected_first_byte_ms
+    expected_ms = _expected_at_pace(request, server, now)
+    late = now.mono - request.started_at - expected_ms
     late = min(prefill.MAX_LAG_MS, late - LAG_TOLERANCE_MS)
-    if late > prefill.current_lag_ms(server, now):
+    if late > server.get_lag_ms(now):
         server.lag_ms = late
         server.lag_measured_at = now.mono
 
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -103,6 +103,7 @@
         self.limits = known.Limits()
         self.links = links.Links()
         self.rotation = placement.Rotation()
+        self.head_orders = placement.HeadOrders()
         self.prompts = prompts.SentPrompts()
         self.budgets = retry.RetryBudgets(bounds=options.bounds)
         self.poison = poison.CrashRecords()
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -414,6 +414,8 @@
     :param pace: pace of its machine that the sender heard last, in percent of
         the usual one, 0 for no news.
     :param pace_age_ms: time since the sender heard it.
+    :param speed: prompt tokens per second that the sender recently saw it
+        read, at the usual pace; 0 for no news.
     """
 
     host: str
@@ -421,6 +423,7 @@
     prefill: int
     pace: int = 0
     pace_age_ms: int = 0
+    speed: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
