Merge the pace and speed of backend servers

The fourth figure of the load header says how long work takes, in percent of the usual time, so that 250 is a pace of 40 percent.

--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -589,6 +589,7 @@
     SERVER_COLD = 'server-cold'
     ZONE_EVACUATED = 'zone-evacuated'
     ZONE_RESTORED = 'zone-restored'
+    SERVER_LOAD_INVALID = 'server-load-invalid'
     LINKS_LOST = 'links-lost'
     LINKS_RESTORED = 'links-restored'
     SERVER_EJECTED = 'server-ejected'
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -7,6 +7,7 @@
 
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions.room import picture as pictures
 from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
@@ -30,6 +31,8 @@
 FAILURE_SMOOTHING = 0.15
 FAILURE_HALF_LIFE_MS = 5_000
 LEAVING_MARK_RETENTION_MS = 600_000
+# The lag of first bytes marks a server as slow, and halves in this time.
+LAG_HALF_LIFE_MS = 3_000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -68,6 +71,7 @@
     :param last_heard_at: when it last sent any data.
     :param lag_ms: how much later than predicted its first bytes came.
     :param lag_measured_at: when that lag was measured.
+    :param picture: what is known about its pace, speed and memory.
     """
 
     row: events.HostRow
@@ -94,6 +98,9 @@
     last_heard_at: int = 0
     lag_ms: float = 0.0
     lag_measured_at: int = 0
+    picture: pictures.Picture = dataclasses.field(
+        default_factory=pictures.Picture
+    )
 
     @property
     def host(self) -> str:
@@ -110,9 +117,18 @@
 
         A server that is avoided for its failures has none.
         """
+        if not self.failure_ratio:
+            return 0.0
         age = now.mono - self.outcome_at
         return float(self.failure_ratio * 0.5 ** (age / FAILURE_HALF_LIFE_MS))
 
+    def get_lag_ms(self, now: clock.Instant) -> float:
+        """Return the lag in milliseconds, decayed by its age."""
+        if not self.lag_ms:
+            return 0.0
+        age = now.mono - self.lag_measured_at
+        return float(self.lag_ms * 0.5 ** (age / LAG_HALF_LIFE_MS))
+
     def record_outcome(self, *, failed: bool, now: clock.Instant) -> None:
         """Update the failure ratio with the outcome of an attempt."""
         known = self.get_failure_ratio(now)
@@ -203,13 +219,6 @@
             and server.backoff_until <= now.mono
         ]
 
-    def at(self, address: str) -> Server | None:
-        """Return the server at an address, or none."""
-        for server in self._by_host.values():
-            if server.row.address == address:
-                return server
-        return None
-
     def add(
         self, row: events.HostRow, version: str, now: clock.Instant
     ) -> Server:
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -26,6 +26,8 @@
 UNAVAILABLE_STATUS = 503
 # Bounds what a server can add to a log line.
 MAX_DETAIL_CHARS = 200
+# A larger figure is no time in percent of the usual one.
+MAX_TIME_PERCENT = 10_000
 # Plain answers are held in memory as a whole.
 MAX_ANSWER_BYTES = 8 << 20
 # Events are small, so that a stream with a larger one is malformed.
@@ -354,18 +356,48 @@
     headers = head.headers
     load = names.first(headers, names.LOAD)
     if load:
-        _post_load(load, effect.address, post)
+        _post_load(load, effect.host, post)
     _post_notice(head, effect.host, post)
     if head.status != MISDIRECTED_STATUS:
         _post_terms(headers, effect.host, asked_at, post)
 
 
-def _post_load(load: str, address: str, post: Post) -> None:
+def _post_load(load: str, host: str, post: Post) -> None:
+    """Post the load that a server states: three figures, or four with a pace.
+
+    Further figures are ignored. Where only the pace is invalid, the load
+    counts nevertheless.
+
+    :param host: host of the lifetime that the request was sent to.
+    """
+    figures = load.split(',')[:4]
+    detail = f'invalid load: {load!r}'[:MAX_DETAIL_CHARS]
     try:
-        running, waiting, slots = (int(item) for item in load.split(','))
+        running, waiting, slots = (int(item) for item in figures[:3])
+        if min(running, waiting, slots) < 0:
+            raise ValueError(detail)
     except ValueError:
+        post(events.AnswerLoadInvalid(host=host, detail=detail))
         return
-    post(events.AnswerLoadReceived(address, running, waiting, slots))
+    pace = 0
+    try:
+        pace = _parse_pace(figures[3]) if figures[3:] else 0
+    except ValueError:
+        post(events.AnswerLoadInvalid(host=host, detail=detail))
+    post(events.AnswerLoadReceived(host, running, waiting, slots, pace))
+
+
+def _parse_pace(figure: str) -> int:
+    """Return the pace of a server's machine in percent of the usual one.
+
+    The figure says how long work takes, in percent of the usual time.
+
+    :raises ValueError: the figure is no such time.
+    """
+    taken = float(figure)
+    if not 0 < taken <= MAX_TIME_PERCENT:
+        raise ValueError(f'no time: {taken}')
+    return max(1, round(100 * 100 / taken))
 
 
 def _post_notice(head: connections.Head, host: str, post: Post) -> None:
