Parse requests of callers by a C library

The listeners used h11, whose parser is written in Python. The checks that it made and llhttp does not are made in the protocol: exactly one host, known versions, transfer codings and targets, bounds of headers and of the framing of chunks, no trailers among the headers, nothing read after an upgrade, no refusal in the middle of another response.

--- /dev/null
+++ b/src/teaselbridge/runtime/protocol.py
@@ -0,0 +1,180 @@
+"""HTTP/1.1 of listeners, parsed by a C library."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+import urllib.parse
+
+import httptools
+from uvicorn.protocols.http import httptools_impl
+
+from teaselbridge import clock
+
+# Bounds the request line, the headers and what frames chunks of the body.
+MAX_HEAD_BYTES = 64 << 10
+# Requests that a connection may send before the first one is answered.
+MAX_PIPELINED = 32
+VERSIONS = ('1.0', '1.1')
+
+
+class _RefusedError(Exception):
+    """Stops the parser at a request that another one may read otherwise."""
+
+
+class Protocol(httptools_impl.HttpToolsProtocol):
+    """HTTP/1.1 protocol that aborts connections of slow senders.
+
+    The library accepts requests whose end or whose target others may read
+    differently, so these are checked in addition.
+    """
+
+    # Longest time in which a request must be received.
+    request_ms = 30_000
+
+    _timer: asyncio.TimerHandle | None = None
+    _target = b''
+    _has_head = False
+    # Whether nothing further is read as a request.
+    _is_stopped = False
+    _header_bytes = 0
+    _overhead_bytes = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the timer of the first request."""
+        super().connection_made(typing.cast(asyncio.Transport, transport))
+        self._start_timer()
+
+    def data_received(self, data: bytes) -> None:
+        """Handle received bytes; stop the timer after a whole request."""
+        self._unset_keepalive_if_required()
+        if self._is_stopped:
+            return
+        self._overhead_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # What follows is in another protocol, or in none.
+            self._stop()
+        except httptools.HttpParserError:
+            self._refuse()
+        else:
+            if self._overhead_bytes > MAX_HEAD_BYTES:
+                self._refuse()
+        if self._is_request_complete():
+            self._cancel_timer()
+        elif self._timer is None:
+            self._start_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the timer."""
+        self._cancel_timer()
+        super().connection_lost(exc)
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        super().on_message_begin()
+        self._has_head = False
+        self._header_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Note a header; trailers are ignored."""
+        if self._has_head:
+            return
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > MAX_HEAD_BYTES:
+            raise _RefusedError('too many bytes of headers')
+        super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Check the head of a request and start to serve it."""
+        self._has_head = True
+        target = self.url
+        self._check_head(target)
+        # The target is passed on as it is, whatever its form.
+        self.url = b'/'
+        super().on_headers_complete()
+        path, _, query = target.partition(b'?')
+        self.scope['raw_path'] = path
+        self.scope['path'] = urllib.parse.unquote(path.decode('ascii'))
+        self.scope['query_string'] = query
+
+    def on_body(self, body: bytes) -> None:
+        """Note a part of the body."""
+        self._overhead_bytes = 0
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Note the end of a request."""
+        self._overhead_bytes = 0
+        super().on_message_complete()
+
+    def _check_head(self, target: bytes) -> None:
+        """Check what the library does not.
+
+        :raises _RefusedError: the request is not valid.
+        """
+        if len(self.pipeline) >= MAX_PIPELINED:
+            raise _RefusedError('too many requests before the first answer')
+        version = self.parser.get_http_version()
+        if version not in VERSIONS:
+            raise _RefusedError(f'version {version}')
+        if not target.isascii():
+            raise _RefusedError('target with other than ASCII characters')
+        hosts = codings = 0
+        for name, value in self.headers:
+            if name == b'host':
+                hosts += 1
+            elif name == b'transfer-encoding':
+                codings += 1
+                if value.lower() != b'chunked':
+                    raise _RefusedError('unknown transfer encoding')
+        if hosts > 1 or (not hosts and version != '1.0'):
+            raise _RefusedError('not exactly one host')
+        if codings > 1 or (codings and version == '1.0'):
+            raise _RefusedError('ambiguous transfer encoding')
+
+    def _refuse(self) -> None:
+        """Refuse the request that cannot be parsed, after those before it."""
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            if not cycle.more_body:
+                self._stop()
+                return
+            if self.pipeline or cycle.response_started:
+                self.transport.abort()
+                return
+        self._is_stopped = True
+        self.send_400_response('Invalid HTTP request received.')
+
+    def _stop(self) -> None:
+        """Close the connection after the last request is answered."""
+        self._is_stopped = True
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.close()
+        else:
+            self.cycle.keep_alive = False
+
+    def _is_request_complete(self) -> bool:
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete:
+            return False
+        return not cycle.more_body
+
+    def _start_timer(self) -> None:
+        self._timer = self.loop.call_later(
+            clock.seconds(self.request_ms), self.transport.abort
+        )
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def build(request_ms: int) -> type[Protocol]:
+    """Build a protocol class.
+
+    :param request_ms: longest time in which a request must be received.
+    """
+    return type('Protocol', (Protocol,), {'request_ms': request_ms})
--- a/src/teaselbridge/runtime/web.py
+++ b/src/teaselbridge/runtime/web.py
@@ -9,10 +9,9 @@
 import typing
 
 import uvicorn
-from uvicorn.protocols.http import h11_impl
 
-from teaselbridge import clock
 from teaselbridge.runtime import listening
+from teaselbridge.runtime import protocol
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -33,54 +32,6 @@
         yield
 
 
-def _build_protocol(request_ms: int) -> type[h11_impl.H11Protocol]:
-    """Build a protocol class that aborts connections of slow senders.
-
-    :param request_ms: longest time in which a request must be received.
-    """
-
-    class Protocol(h11_impl.H11Protocol):
-        """HTTP/1.1 protocol with a timeout for receiving a request."""
-
-        _timer: asyncio.TimerHandle | None = None
-
-        def connection_made(self, transport: asyncio.BaseTransport) -> None:
-            """Start the timer of the first request."""
-            super().connection_made(typing.cast(asyncio.Transport, transport))
-            self._start_timer()
-
-        def data_received(self, data: bytes) -> None:
-            """Handle received bytes; stop the timer after a whole request."""
-            super().data_received(data)
-            if self._is_request_complete():
-                self._cancel_timer()
-            elif self._timer is None:
-                self._start_timer()
-
-        def connection_lost(self, exc: Exception | None) -> None:
-            """Cancel the timer."""
-            self._cancel_timer()
-            super().connection_lost(exc)
-
-        def _is_request_complete(self) -> bool:
-            cycle = self.cycle
-            if cycle is None or cycle.response_complete:
-                return False
-            return not cycle.more_body
-
-        def _start_timer(self) -> None:
-            self._timer = self.loop.call_later(
-                clock.seconds(request_ms), self.transport.abort
-            )
-
-        def _cancel_timer(self) -> None:
-            if self._timer is not None:
-                self._timer.cancel()
-                self._timer = None
-
-    return Protocol
-
-
 class HttpListener:
     """HTTP server of a node for one address.
 
@@ -111,7 +62,7 @@
         self._server = SignalFreeServer(
             uvicorn.Config(
                 app,
-                http=_build_protocol(request_ms),
+                http=protocol.build(request_ms),
                 log_config=None,
                 access_log=False,
                 proxy_headers=False,
--- /dev/null
+++ b/tests/runtime/test_web.py
@@ -0,0 +1,322 @@
+"""Tests of the framing of requests, with bytes as received."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import contextlib
+import typing
+
+import testtools
+
+from teaselbridge.gateway import asgi
+from teaselbridge.runtime import protocol
+from teaselbridge.runtime import web
+from teaselbridge.standins import ports
+
+TIMEOUT_S = 20.0
+GET = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+POST = b'POST / HTTP/1.1\r\nHost: h\r\n'
+
+
+class Application:
+    """Application that answers by the body that it received.
+
+    :ivar scopes: scopes of the requests, in their order.
+    :ivar release: set to let the responses go.
+    """
+
+    def __init__(self) -> None:
+        self.scopes: list[asgi.Message] = []
+        self.disconnected_count = 0
+        self.release = asyncio.Event()
+        self.release.set()
+
+    async def __call__(
+        self, scope: asgi.Message, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serve one request."""
+        self.scopes.append(scope)
+        body = b''
+        while True:
+            message = await receive()
+            if message['type'] == 'http.disconnect':
+                self.disconnected_count += 1
+                return
+            body += message['body']
+            if not message['more_body']:
+                break
+        await self.release.wait()
+        await asgi.send_response(send, 200, [], b'<%s>' % body)
+
+
+@contextlib.asynccontextmanager
+async def serve(
+    request_ms: int = 30_000,
+) -> collections.abc.AsyncIterator[tuple[Application, str, int]]:
+    """Run the application; return it with its address."""
+    app = Application()
+    port = ports.find_free_port()
+    server = web.HttpListener(
+        app=typing.cast('typing.Any', app),
+        address=f'127.0.0.1:{port}',
+        request_ms=request_ms,
+        graceful_s=1,
+    )
+    await server.start()
+    try:
+        yield app, '127.0.0.1', port
+    finally:
+        await server.abort()
+
+
+class TestCase(testtools.TestCase):
+    """Base of the tests, which run within a time limit."""
+
+    def run_coroutine(
+        self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        """Run a coroutine within the time limit."""
+
+        async def run() -> None:
+            async with asyncio.timeout(TIMEOUT_S):
+                await work
+
+        asyncio.run(run())
+
+    async def exchange(
+        self, host: str, port: int, *pieces: bytes, until: bytes = b''
+    ) -> bytes:
+        """Send bytes and return what is received.
+
+        :param until: bytes after which to stop, empty to read until the
+            server closes the connection.
+        """
+        reader, writer = await asyncio.open_connection(host, port)
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(0.01)
+        received = b''
+        try:
+            while not until or until not in received:
+                data = await reader.read(1 << 16)
+                if not data:
+                    break
+                received += data
+        except ConnectionError:
+            pass
+        writer.close()
+        return received
+
+    def send(self, *pieces: bytes, until: bytes = b'') -> tuple[bytes, int]:
+        """Return what a new server sends, and how many requests it served."""
+        found: list[tuple[bytes, int]] = []
+
+        async def run() -> None:
+            async with serve() as (app, host, port):
+                answer = await self.exchange(host, port, *pieces, until=until)
+                found.append((answer, len(app.scopes)))
+
+        self.run_coroutine(run())
+        return found[0]
+
+
+class TestFraming(TestCase):
+    """A request whose end others may read differently is refused."""
+
+    # Guards against request smuggling.
+    def test_refused(self) -> None:
+        for request in (
+            POST + b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'0\r\n\r\n',
+            POST + b'Content-Length: 1\r\nContent-Length: 2\r\n\r\nab',
+            POST + b'Content-Length: 1\r\nContent-Length: 1\r\n\r\na',
+            POST + b'Content-Length: 1, 1\r\n\r\na',
+            POST + b'Content-Length: +1\r\n\r\na',
+            POST + b'Content-Length: -1\r\n\r\na',
+            POST + b'Content-Length : 1\r\n\r\na',
+            POST + b'Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n',
+            POST + b'Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n',
+            POST + b'Transfer-Encoding: identity\r\n\r\n',
+            POST + b'Transfer-Encoding: chunked\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            POST + b'Transfer-Encoding: \x0bchunked\r\n\r\n0\r\n\r\n',
+            POST + b'Transfer-Encoding:\n chunked\r\n\r\n0\r\n\r\n',
+            b'POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            b'GET / HTTP/1.1\r\n\r\n',
+            b'GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n',
+            b'GET / HTTP/2.0\r\nHost: h\r\n\r\n',
+            b'GET / HTTP/0.9\r\nHost: h\r\n\r\n',
+            b'GET /\xc3\xa4 HTTP/1.1\r\nHost: h\r\n\r\n',
+            b'GET /a b HTTP/1.1\r\nHost: h\r\n\r\n',
+            b'GET / HTTP/1.1\r\nHost: h\r\nX: a\x00b\r\n\r\n',
+            b'GET / HTTP/1.1\r\nHost: h\r\nX: a\rY: b\r\n\r\n',
+            b'GET / HTTP/1.1\nHost: h\n\n',
+            b'noise\r\n\r\n',
+        ):
+            answer, served_count = self.send(request)
+            self.assertTrue(answer.startswith(b'HTTP/1.1 400 '), request)
+            self.assertIn(b'connection: close', answer.lower())
+            self.assertEqual(0, served_count, request)
+
+    def test_broken_chunks_are_refused(self) -> None:
+        head = POST + b'Transfer-Encoding: chunked\r\n\r\n'
+        for body in (b'zz\r\n', b'1\r\nab\r\n', b'1\nab\r\n', b'-1\r\n'):
+            answer, _ = self.send(head, body)
+            self.assertTrue(answer.startswith(b'HTTP/1.1 400 '), body)
+
+    def test_bodies(self) -> None:
+        for request in (
+            POST + b'Content-Length: 2\r\n\r\nab',
+            POST + b'Transfer-Encoding: Chunked\r\n\r\n'
+            b'1;x=y\r\na\r\n1\r\nb\r\n0\r\nX-Trailer: z\r\n\r\n',
+        ):
+            answer, _ = self.send(request, until=b'<ab>')
+            self.assertTrue(answer.startswith(b'HTTP/1.1 200 OK\r\n'))
+
+    # Guards against trailers that are taken for checked headers.
+    def test_trailers_are_no_headers(self) -> None:
+        async def run() -> None:
+            async with serve() as (app, host, port):
+                await self.exchange(
+                    host,
+                    port,
+                    POST + b'Transfer-Encoding: chunked\r\n\r\n',
+                    b'0\r\nContent-Length: 9\r\nX: y\r\n\r\n',
+                    until=b'<>',
+                )
+                self.assertEqual(
+                    [(b'host', b'h'), (b'transfer-encoding', b'chunked')],
+                    app.scopes[0]['headers'],
+                )
+
+        self.run_coroutine(run())
+
+    # Guards against targets that are normalized on their way.
+    def test_targets_are_kept(self) -> None:
+        async def run() -> None:
+            async with serve() as (app, host, port):
+                for target in (
+                    b'/a/../b//c?x=%2F?y',
+                    b'//a?',
+                    b'/%61%00;p',
+                    b'http://other/a?b',
+                    b'*',
+                ):
+                    await self.exchange(
+                        host,
+                        port,
+                        b'OPTIONS %s HTTP/1.1\r\nHost: h\r\n\r\n' % target,
+                        until=b'<>',
+                    )
+                    scope = app.scopes[-1]
+                    path, _, query = target.partition(b'?')
+                    self.assertEqual(path, scope['raw_path'])
+                    self.assertEqual(query, scope['query_string'])
+
+        self.run_coroutine(run())
+
+
+class TestBounds(TestCase):
+    """Requests without end are given up."""
+
+    def test_endless(self) -> None:
+        most = protocol.MAX_HEAD_BYTES
+        chunked = POST + b'Transfer-Encoding: chunked\r\n\r\n'
+        for head, repeated in (
+            (b'GET /', b'a'),
+            (b'GET / HTTP/1.1\r\nX: ', b'a'),
+            (b'GET / HTTP/1.1\r\n', b'X: y\r\n'),
+            (chunked + b'1;', b'a'),
+            (chunked + b'0\r\n', b'X: y\r\n'),
+        ):
+            data = repeated * (most // len(repeated) + 1)
+            answer, _ = self.send(head + data, data, data)
+            self.assertIn(answer[:13], (b'', b'HTTP/1.1 400 '), head)
+
+    def test_whole_request_with_too_many_headers(self) -> None:
+        headers = b'X: y\r\n' * protocol.MAX_HEAD_BYTES
+        answer, served_count = self.send(GET[:-2] + headers + b'\r\n')
+        self.assertIn(answer[:13], (b'', b'HTTP/1.1 400 '))
+        self.assertEqual(0, served_count)
+
+    def test_slow_sender(self) -> None:
+        async def run() -> None:
+            for head in (GET[:-2], POST + b'Content-Length: 9\r\n\r\na'):
+                async with serve(request_ms=50) as (_, host, port):
+                    answer = await self.exchange(host, port, head)
+                    self.assertEqual(b'', answer)
+
+        self.run_coroutine(run())
+
+    # The timer is for receiving, not for serving.
+    def test_slow_response(self) -> None:
+        async def run() -> None:
+            async with serve(request_ms=50) as (app, host, port):
+                app.release.clear()
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.2, app.release.set)
+                answer = await self.exchange(host, port, GET, until=b'<>')
+                self.assertIn(b' 200 ', answer)
+
+        self.run_coroutine(run())
+
+
+class TestConnections(TestCase):
+    """Requests that share a connection are answered in their order."""
+
+    def test_pipelined(self) -> None:
+        second = POST + b'Content-Length: 1\r\n\r\nb'
+        answer, served_count = self.send(GET + second + GET, until=b'<b>')
+        self.assertLess(answer.index(b'<>'), answer.index(b'<b>'))
+        self.assertGreaterEqual(served_count, 2)
+
+    # Guards against a refusal in the middle of the response before it.
+    def test_invalid_after_a_valid_one(self) -> None:
+        async def run() -> None:
+            async with serve() as (app, host, port):
+                app.release.clear()
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.1, app.release.set)
+                answer = await self.exchange(host, port, GET + b'noise', GET)
+                self.assertTrue(answer.startswith(b'HTTP/1.1 200 '))
+                self.assertTrue(answer.endswith(b'<>'))
+                self.assertEqual(1, len(app.scopes))
+
+        self.run_coroutine(run())
+
+    def test_too_many_pipelined(self) -> None:
+        answer, served_count = self.send(GET * 1_000)
+        self.assertEqual(protocol.MAX_PIPELINED + 1, served_count)
+        self.assertEqual(served_count, answer.count(b' 200 '))
+
+    # Guards against bytes of another protocol that are read as a request.
+    def test_upgrade(self) -> None:
+        for request in (
+            b'GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\n'
+            b'Upgrade: x\r\n\r\n',
+            b'CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n',
+        ):
+            answer, served_count = self.send(request + GET, GET)
+            self.assertIn(b' 200 ', answer)
+            self.assertEqual(1, served_count)
+
+    def test_closing(self) -> None:
+        closing = GET[:-2] + b'Connection: close\r\n\r\n'
+        answer, served_count = self.send(closing + GET)
+        self.assertEqual(1, answer.count(b' 200 '))
+        self.assertEqual(1, served_count)
+
+    # Guards against requests that go on for a caller that has left.
+    def test_disconnect_inside_a_body(self) -> None:
+        async def run() -> None:
+            async with serve() as (app, host, port):
+                _, writer = await asyncio.open_connection(host, port)
+                writer.write(POST + b'Content-Length: 9\r\n\r\na')
+                while not app.scopes:
+                    await asyncio.sleep(0.001)
+                writer.close()
+                while not app.disconnected_count:
+                    await asyncio.sleep(0.001)
+
+        self.run_coroutine(run())
