Count the tokens that requests hold in engines, and plan by speed

Engines may have slots for more long prompts than their memory holds. Each request now holds its unread prompt and its expected output, by the caller's Teaselbridge-Length-Hint or past responses of the route, and nodes report these sums. A relayed request to engines waits at its node where no engine with a free slot has room. The capacity of engines whose kv-capacity is not stated counts as unlimited; 500,000 tokens were assumed before and not used.

A server of half the usual speed counts as half when servers are ordered, and a slow moment of a plain server counts as load.

--- a/src/teaselbridge/decisions/calls.py
+++ b/src/teaselbridge/decisions/calls.py
@@ -178,6 +178,7 @@
         before it is sent to a backend server.
     :param parts: parts of the prompt in order, for relayed engines.
     :param tokens_in: tokens of the prompt, for relayed engines.
+    :param length_hint: output tokens that the caller expects, 0 for unknown.
     :param last_event: id of the last stream event that the caller received.
     :param origin: name of the node that forwarded it, empty where a caller
         sent it to this node.
@@ -204,6 +205,7 @@
     credential: str = ''
     parts: tuple[PromptPart, ...] = ()
     tokens_in: int = 0
+    length_hint: int = 0
     last_event: str = ''
     origin: str = ''
     is_counted: bool = False
--- a/src/teaselbridge/decisions/demand.py
+++ b/src/teaselbridge/decisions/demand.py
@@ -11,6 +11,8 @@
 import math
 import typing
 
+from teaselbridge.decisions import fleetplan
+
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
     from teaselbridge.decisions import state as states
@@ -116,7 +118,12 @@
     """
     demand = state.demands.get(pool.name, now)
     first = demand.first if now.mono - demand.since < WARM_UP_MS else 0
-    speed = 1000 * state.prefill_speeds.get_tokens_per_ms(pool.name)
+    usual = state.prefill_speeds.get_tokens_per_ms(pool.name)
+    factors = [
+        server.picture.measure_factor(usual)
+        for server in state.servers.staying(pool.name)
+    ]
+    speed = 1000 * usual * fleetplan.compute_mean_speed(factors)
     busy = demand.uncached_per_s / speed
     # The remaining servers recompute what the caches of a lost zone held.
     cold = demand.prompts / speed
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -18,6 +18,7 @@
 from teaselbridge.decisions import relay_checks
 from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
+from teaselbridge.decisions.room import predict
 from teaselbridge.decisions import suspects
 from teaselbridge.decisions import versions
 from teaselbridge.tables import model
@@ -79,7 +80,7 @@
             if server is not None:
                 out += _start_attempt(state, request, server, now)
                 continue
-            if not _has_free_server(state, pool, now):
+            if not _has_free_server(state, call, now):
                 break
             state.queue.remove(call.handle)
             set_aside.append(call)
@@ -138,15 +139,30 @@
 
 
 def _has_free_server(
-    state: states.State, pool: str, now: clock.Instant
+    state: states.State, call: calls.Call, now: clock.Instant
 ) -> bool:
+    """Return whether a server has a slot and memory for a request.
+
+    Where none has, those behind it wait too, or small requests would take
+    what becomes free for a large one.
+    """
     nodes = active.count_nodes(state)
     return any(
-        server.has_free_slot(nodes)
-        for server in _list_usable(state, pool, now)
+        server.has_free_slot(nodes) and _has_memory(state, server, call, now)
+        for server in _list_usable(state, call.route.pool, now)
     )
 
 
+def _has_memory(
+    state: states.State,
+    server: servers.Server,
+    call: calls.Call,
+    now: clock.Instant,
+) -> bool:
+    """Return whether an engine's memory has room for a request."""
+    return not call.is_relayed or predict.fits(state, server, call, now)
+
+
 def _list_usable(
     state: states.State, pool: str, now: clock.Instant
 ) -> list[servers.Server]:
@@ -168,7 +184,12 @@
     nodes = active.count_nodes(state)
     usable = _list_usable(state, call.route.pool, now)
     wanted = versions.filter_by_version(state, request, usable)
-    candidates = [server for server in wanted if server.has_free_slot(nodes)]
+    candidates = [
+        server
+        for server in wanted
+        if server.has_free_slot(nodes)
+        and _has_memory(state, server, call, now)
+    ]
     if state.poison.is_suspect(call.fingerprint):
         candidates = [item for item in candidates if not item.suspect_requests]
     candidates = suspects.filter_for_trial(state, request, candidates)
--- a/src/teaselbridge/decisions/fleetplan.py
+++ b/src/teaselbridge/decisions/fleetplan.py
@@ -124,6 +124,21 @@
     return sum(hourly.get(kind, 0.0) * count for kind, count in plan.items())
 
 
+def compute_mean_speed(
+    factors: collections.abc.Collection[float],
+) -> float:
+    """Return how much of a usual host each host counts on average.
+
+    A host of half the usual speed counts as half. Faster ones make up for it,
+    but do not lower the need below that of usual hosts.
+
+    :param factors: speed of each host as a multiple of the usual one.
+    """
+    if not factors:
+        return 1.0
+    return min(1.0, sum(factors) / len(factors))
+
+
 def count_left_after_zone_loss(plan: Plan) -> int:
     """Return the hosts left after the worst loss of one zone."""
     by_zone: collections.Counter[str] = collections.Counter()
--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -183,10 +183,12 @@
             prompts=total.prompts * 1000 // READING_WINDOW_MS,
         )
 
-    def get_peers_load(self, host: str) -> messages.ServerLoad:
+    def get_peers_load(self, host: str) -> tuple[messages.ServerLoad, int]:
         """Return the sum of the load of all other nodes on a server.
 
         Updates that became stale since `forget_stale` still count.
+
+        :return: the sum, and how many of the requests report no held tokens.
         """
         return self._totals.get(host)
 
@@ -359,6 +361,8 @@
     server = state.servers.get(host)
     if server is None:
         return
-    others = state.loads.get_peers_load(host)
+    others, uncounted = state.loads.get_peers_load(host)
     server.other_requests = others.running
     server.other_prefill_tokens = others.prefill
+    guessed = uncounted * state.usual.get_held(server.row.pool)
+    server.picture.other_tokens = others.tokens + round(guessed)
--- a/src/teaselbridge/decisions/placement.py
+++ b/src/teaselbridge/decisions/placement.py
@@ -31,7 +31,7 @@
 NEARLY_FULL_FRACTION = 0.75
 # Characters at the head of a prompt that decide its placement.
 PREFIX_CHARACTERS = 512
-# Heads whose order is remembered; some 10 KB each with 70 servers.
+# Heads whose order is remembered; some 7 KB each with 70 servers.
 MAX_ORDERED_HEADS = 128
 # Hosts that are no candidates any more and are still remembered for a head.
 MAX_GONE_HOSTS = 64
--- a/src/teaselbridge/decisions/prefill.py
+++ b/src/teaselbridge/decisions/prefill.py
@@ -17,6 +17,7 @@
 import dataclasses
 import typing
 
+from teaselbridge.decisions.room import memory
 from teaselbridge.decisions.room import predict
 
 if typing.TYPE_CHECKING:
@@ -115,21 +116,6 @@
     copy_ms: float = 0.0
 
 
-def cached(
-    state: states.State,
-    server: servers.Server,
-    call: calls.Call,
-    now: clock.Instant,
-) -> int:
-    """Count the leading prompt tokens in a server's prefix cache."""
-    tokens = 0
-    for part in call.parts:
-        if not state.loads.has_part(server.host, part.id, now):
-            break
-        tokens += part.tokens
-    return min(tokens, call.tokens_in)
-
-
 class PrefillPlan:
     """Prefill work of one prompt on each server of its pool.
 
@@ -145,6 +131,7 @@
         self._call = call
         self._now = now
         self._cached_by_host: dict[str, int] = {}
+        self._work_by_cached: dict[tuple[int, str], PrefillWork] = {}
         self._source_by_version: dict[str, servers.Server] = {}
         pool = state.index.pool(call.route.pool)
         self._copied_per_ms = 0.0
@@ -166,6 +153,14 @@
         since other versions produce different caches for the same text.
         """
         own = self._count_cached(server)
+        key = (own, server.row.version)
+        known = self._work_by_cached.get(key)
+        if known is None:
+            known = self._work_by_cached[key] = self._compute_work(server, own)
+        return known
+
+    def _compute_work(self, server: servers.Server, own: int) -> PrefillWork:
+        """Return the work for a server that has some tokens cached."""
         unread = self._call.tokens_in - own
         source = self._source_by_version.get(server.row.version)
         copied = 0 if source is None else self._count_cached(source) - own
@@ -182,7 +177,9 @@
         """Return the prompt tokens that a server has cached, memoized."""
         known = self._cached_by_host.get(server.host)
         if known is None:
-            known = cached(self._state, server, self._call, self._now)
+            known = memory.count_cached(
+                self._state, server, self._call, self._now
+            )
             self._cached_by_host[server.host] = known
         return known
 
@@ -243,13 +240,26 @@
     return min(
         candidates,
         key=lambda server: (
-            round(server.load + 2 * server.get_failure_ratio(now), 2)
-            + round(server.get_lag_ms(now) / LAG_PER_FULL_LOAD_MS, 1),
+            _compute_plain_cost(server, now),
             state.random.random(),
         ),
     )
 
 
+def _compute_plain_cost(server: servers.Server, now: clock.Instant) -> float:
+    """Return the cost of a server of a plain service, in full loads.
+
+    On a machine of half the pace a request takes longer by the time of one
+    request, as behind one full load.
+    """
+    slowness = max(0.0, 100 / server.picture.get_pace(now) - 1)
+    return (
+        round(server.load + 2 * server.get_failure_ratio(now), 2)
+        + round(server.get_lag_ms(now) / LAG_PER_FULL_LOAD_MS, 1)
+        + round(slowness, 1)
+    )
+
+
 def _shared_head_id(call: calls.Call) -> str:
     """Return the id of the last part of a prompt that requests may share.
 
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -22,6 +22,7 @@
 from teaselbridge.decisions import prefill
 from teaselbridge.decisions import relay_checks
 from teaselbridge.decisions import requests
+from teaselbridge.decisions.room import memory
 from teaselbridge.decisions.room import speeds
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import silence
@@ -94,6 +95,10 @@
     request.is_only_prefill = not (
         server.prefill or server.other_prefill_tokens
     )
+    pool = state.index.pool(call.route.pool)
+    is_engine = pool is not None and pool.engine is not None
+    if is_engine:
+        memory.hold(state, request, server, reading)
     request.pace = server.picture.get_pace(now)
     server.prefill += unread
     state.loads.record_reading(call.route.pool, unread, call.tokens_in, now)
@@ -103,8 +108,6 @@
         state, request, server, now
     )
     request.silence_timeout_ms = silence.get_first_byte_timeout_ms(request)
-    pool = state.index.pool(call.route.pool)
-    uses_urgency = pool is not None and pool.engine is not None
     usual = state.prefill_speeds.get_tokens_per_ms(call.route.pool)
     load = server.inflight + server.other_requests
     backlog = server.prefill + server.other_prefill_tokens
@@ -128,7 +131,7 @@
             instance=server.row.instance,
             remaining_ms=max(1, request.remaining_ms(now)),
             last_event=request.resume_after,
-            urgency=min(9, call.route.priority) if uses_urgency else None,
+            urgency=min(9, call.route.priority) if is_engine else None,
             new_connection=request.is_at_most_once,
             source=source,
         ),
@@ -220,6 +223,7 @@
         out += poison.suspect_end(
             state, request.call, server, answered_ms, now
         )
+    state.usual.record_output(request.call.route.name, request.event_count)
     out += report_answered(request, 'stream', now)
     out.append(effects.SendFinish(request.caller_handle, True))
     return out + requests.remove_request(state, request)
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -7,6 +7,7 @@
 
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
+from teaselbridge.decisions.room import memory
 from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
@@ -61,6 +62,7 @@
     :ivar uncached_tokens: prompt tokens that its server has yet to prefill.
     :ivar is_only_prefill: whether its server had no other prefill queued.
     :ivar pace: pace of its server at the start of the attempt, in percent.
+    :ivar held_tokens: tokens that it holds in the memory of its server.
     :ivar silence_timeout_ms: time without data after which it is retried
         elsewhere.
     :ivar expected_first_byte_ms: predicted time to the first byte.
@@ -101,6 +103,7 @@
         self.uncached_tokens = 0
         self.is_only_prefill = False
         self.pace = 100.0
+        self.held_tokens = 0
         self.silence_timeout_ms = 0
         self.expected_first_byte_ms = 0.0
         self.last_event: int | None = None
@@ -292,6 +295,7 @@
     server.inflight = max(0, server.inflight - 1)
     server.prefill = max(0, server.prefill - request.uncached_tokens)
     request.uncached_tokens = 0
+    memory.release(server, request)
     if state.poison.is_suspect(request.call.fingerprint):
         server.suspect_requests = max(0, server.suspect_requests - 1)
 
--- a/src/teaselbridge/decisions/room/picture.py
+++ b/src/teaselbridge/decisions/room/picture.py
@@ -62,6 +62,9 @@
     :param recent_total: sum of the samples of this node that it reports.
     :param recent_count: number of these samples.
     :param recent_until: until when they are reported.
+    :param tokens: tokens in its memory that this node's requests hold and
+        will hold.
+    :param other_tokens: the same for the requests of other nodes.
     """
 
     pace: int = USUAL_PACE
@@ -76,6 +79,8 @@
     recent_total: float = 0.0
     recent_count: int = 0
     recent_until: int = 0
+    tokens: int = 0
+    other_tokens: int = 0
 
     def record_pace(self, pace: int, now: clock.Instant) -> None:
         """Record the pace that the server stated to this node."""
@@ -155,19 +160,24 @@
         self.sample_count += 1
 
     def get_speed_factor(self, usual: float) -> float:
+        """Return the speed in steps, as a multiple of the pool's usual one."""
+        factor = self.measure_factor(usual)
+        if abs(factor - 1) < SPEED_TOLERANCE:
+            return 1.0
+        return round(factor, SPEED_STEP_DIGITS)
+
+    def measure_factor(self, usual: float) -> float:
         """Return the speed as a multiple of the usual one of the pool."""
         if self.sample_count < MIN_SPEED_SAMPLES:
             return 1.0
         factor = self.tokens_per_ms / usual
-        if abs(factor - 1) < SPEED_TOLERANCE:
-            return 1.0
-        factor = max(1 / MAX_SPEED_FACTOR, min(MAX_SPEED_FACTOR, factor))
-        return round(factor, SPEED_STEP_DIGITS)
+        return max(1 / MAX_SPEED_FACTOR, min(MAX_SPEED_FACTOR, factor))
 
     def describe(self, usual: float, now: clock.Instant) -> str:
         """Describe what is known, for the log line of an attempt."""
         return (
             f'pace {self.get_pace(now):.0f}%,'
             f' speed {self.get_speed_factor(usual):.1f}'
-            f' of {self.sample_count} samples'
+            f' of {self.sample_count} samples,'
+            f' {self.tokens + self.other_tokens} tokens held'
         )
--- a/src/teaselbridge/decisions/room/predict.py
+++ b/src/teaselbridge/decisions/room/predict.py
@@ -4,6 +4,8 @@
 
 import typing
 
+from teaselbridge.decisions.room import memory
+
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
     from teaselbridge.decisions import calls
@@ -54,3 +56,26 @@
     known = server.picture
     usual_ms = backlog / usual / known.get_speed_factor(usual)
     return known.stretch(usual_ms, now)
+
+
+def fits(
+    state: states.State,
+    server: servers.Server,
+    call: calls.Call,
+    now: clock.Instant,
+) -> bool:
+    """Return whether the memory of a server has room for a request.
+
+    A request that no server could ever hold is left to the server. So is any
+    request to an idle one.
+    """
+    pool = state.index.pool(call.route.pool)
+    if pool is None or pool.engine is None:
+        return True
+    held = server.picture.tokens + server.picture.other_tokens
+    most = pool.engine.cache_tokens
+    needed = call.tokens_in + memory.expect_output(state, call)
+    if not held or held + needed <= most or needed > most:
+        return True
+    cached = memory.count_cached(state, server, call, now)
+    return held + needed - cached <= most
--- a/src/teaselbridge/decisions/room/reports.py
+++ b/src/teaselbridge/decisions/room/reports.py
@@ -66,6 +66,7 @@
         pace=pace,
         pace_age_ms=age_ms,
         speed=speed,
+        tokens=known.tokens,
     )
 
 
@@ -77,23 +78,34 @@
     """
 
     def __init__(self) -> None:
-        # Requests, prompt tokens and number of reports.
+        # Requests, prompt tokens, held tokens, requests of nodes that report
+        # no held tokens, and number of reports.
         self._by_host: dict[str, list[int]] = {}
 
-    def get(self, host: str) -> messages.ServerLoad:
-        """Return the sum of the work of all other nodes at a server."""
-        running, prefill, _ = self._by_host.get(host, (0, 0, 0))
-        return messages.ServerLoad(host=host, running=running, prefill=prefill)
+    def get(self, host: str) -> tuple[messages.ServerLoad, int]:
+        """Return the sum of the work of all other nodes at a server.
+
+        :return: the sum, and how many of the requests are of nodes that do
+            not report the tokens that they hold, as an earlier build.
+        """
+        known = self._by_host.get(host, (0, 0, 0, 0, 0))
+        running, prefill, tokens, uncounted, _ = known
+        load = messages.ServerLoad(
+            host=host, running=running, prefill=prefill, tokens=tokens
+        )
+        return load, uncounted
 
     def add(
         self, reports: collections.abc.Iterable[messages.ServerLoad]
     ) -> None:
         """Add the reports of a node."""
         for item in reports:
-            total = self._by_host.setdefault(item.host, [0, 0, 0])
+            total = self._by_host.setdefault(item.host, [0] * 5)
             total[0] += item.running
             total[1] += item.prefill
-            total[2] += 1
+            total[2] += item.tokens
+            total[3] += 0 if item.tokens else item.running
+            total[4] += 1
 
     def remove(
         self, reports: collections.abc.Iterable[messages.ServerLoad]
@@ -103,6 +115,8 @@
             total = self._by_host[item.host]
             total[0] -= item.running
             total[1] -= item.prefill
-            total[2] -= 1
-            if not total[2]:
+            total[2] -= item.tokens
+            total[3] -= 0 if item.tokens else item.running
+            total[4] -= 1
+            if not total[4]:
                 del self._by_host[item.host]
--- a/src/teaselbridge/decisions/silence.py
+++ b/src/teaselbridge/decisions/silence.py
@@ -83,7 +83,8 @@
     """Predict the milliseconds until the first byte from a server."""
     call = request.call
     if not call.parts:
-        return state.latency_estimator.mean_answer_ms(call.route.name)
+        mean_ms = state.latency_estimator.mean_answer_ms(call.route.name)
+        return server.picture.stretch(mean_ms, now)
     return predict.predict_backlog_ms(state, server, now)
 
 
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -28,6 +28,7 @@
 from teaselbridge.decisions import rates
 from teaselbridge.decisions import retry
 from teaselbridge.decisions import rollouts
+from teaselbridge.decisions.room import memory
 from teaselbridge.decisions import scaling
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import suspects
@@ -119,6 +120,7 @@
         self.active = active.ActiveNodes()
         self.loads = loads.Loads()
         self.prefill_speeds = prefill.PrefillSpeeds()
+        self.usual = memory.Usual()
         effective_bounds = options.bounds or bounds_module.Bounds()
         self.rates = rates.RateLimiter(
             first_start=effective_bounds.first_start,
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -416,6 +416,8 @@
     :param pace_age_ms: time since the sender heard it.
     :param speed: prompt tokens per second that the sender recently saw it
         read, at the usual pace; 0 for no news.
+    :param tokens: tokens in its memory that the sender's requests hold and
+        will hold.
     """
 
     host: str
@@ -424,6 +426,7 @@
     pace: int = 0
     pace_age_ms: int = 0
     speed: int = 0
+    tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/teaselbridge/platform/documents.py
+++ b/src/teaselbridge/platform/documents.py
@@ -31,6 +31,8 @@
     'draining': events.HostState.LEAVING,
 }
 DOCUMENT_SOURCE = 'store'
+# Requests never wait for the memory of engines whose capacity is not stated.
+UNSTATED_CACHE_TOKENS = 1 << 40
 
 
 class _Backend(msgspec.Struct, frozen=True, rename='kebab'):
@@ -55,7 +57,7 @@
 
 class _Engine(msgspec.Struct, frozen=True, rename='kebab'):
     slots: int = 64
-    kv_capacity: int = 500_000
+    kv_capacity: int = UNSTATED_CACHE_TOKENS
     kv_token_bytes: float = 0
     # Rate between two backend servers, not that of a host's network link.
     link_mbps: float = 0
--- a/src/teaselbridge/platform/ingress.py
+++ b/src/teaselbridge/platform/ingress.py
@@ -19,6 +19,8 @@
 
 # Statuses by which callers know that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# A longer output is no sensible hint.
+MAX_LENGTH_HINT = 1_000_000
 STATUS_BY_REASON = {
     **calls.STATUS_BY_REASON,
     calls.Reason.CANNOT_FINISH_IN_TIME: 503,
@@ -125,6 +127,7 @@
         credential=credential,
         parts=_decode_prompt_parts(raw.headers),
         tokens_in=tokens_in,
+        length_hint=_decode_length_hint(raw.headers),
         last_event=names.first(raw.headers, names.LAST_EVENT_ID),
         origin=_get_forwarded(raw, names.FORWARDED_BY),
         is_counted=bool(_get_forwarded(raw, names.IS_COUNTED)),
@@ -213,6 +216,15 @@
     return tokens_in, tokens_out
 
 
+def _decode_length_hint(headers: names.Headers) -> int:
+    """Return the expected output tokens, 0 for unknown."""
+    hint = names.first(headers, names.LENGTH_HINT)
+    try:
+        return min(MAX_LENGTH_HINT, max(0, int(hint)))
+    except ValueError:
+        return 0
+
+
 def _decode_prompt_parts(
     headers: names.Headers,
 ) -> tuple[calls.PromptPart, ...]:
--- a/src/teaselbridge/platform/names.py
+++ b/src/teaselbridge/platform/names.py
@@ -21,6 +21,8 @@
 STORE_ERA = 'Store-Era'
 # Two numbers: tokens of the prompt and the maximum of output tokens.
 TOKEN_COUNTS = b'teaselbridge-token-count'
+# Output tokens that the caller expects.
+LENGTH_HINT = b'teaselbridge-length-hint'
 # Rank among the requests of a backend server; 0 is served first.
 URGENCY = b'teaselbridge-request-urgency'
 CREDENTIAL = b'teaselbridge-credential'
--- a/tests/decisions/room/test_speeds.py
+++ b/tests/decisions/room/test_speeds.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from teaselbridge import clock
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
@@ -18,6 +19,7 @@
 from teaselbridge.decisions.room import picture as pictures
 from teaselbridge.decisions.room import predict
 from teaselbridge.decisions.room import reports
+from teaselbridge.decisions import servers
 from teaselbridge.decisions import state as states
 from tests.decisions.room import test_pace
 from tests.decisions import samples
@@ -301,3 +303,83 @@
         self.assertLessEqual(len(orders._hashes), placement.MAX_ORDERED_HEADS)
         for hashes in orders._hashes.values():
             self.assertLessEqual(len(hashes), placement.MAX_GONE_HOSTS + 3)
+
+
+class TestFormerChoices(testtools.TestCase):
+    """Without a stated pace the choice equals that by one speed per pool."""
+
+    def _get_former_cost(
+        self,
+        state: states.State,
+        server: servers.Server,
+        call: calls.Call,
+        now: clock.Instant,
+    ) -> float:
+        work = prefill.PrefillPlan(state, call, now).get_work(server)
+        speed = state.prefill_speeds.get_tokens_per_ms('p')
+        waiting = server.prefill + server.other_prefill_tokens
+        running = server.inflight + server.other_requests
+        ordered = placement.order(
+            state.servers.in_pool('p'),
+            placement.hash_text(call.parts[0].id),
+        )
+        lag_age = now.mono - server.lag_measured_at
+        outcome_age = now.mono - server.outcome_at
+        return (
+            (work.uncached_tokens + waiting) / speed
+            + 12.0 * ordered.index(server)
+            + 1.2 * running
+            + 4_000.0 * server.failure_ratio * 0.5 ** (outcome_age / 5_000)
+            + server.lag_ms * 0.5 ** (lag_age / 3_000)
+        )
+
+    # Guards against another choice in deployments whose servers state no
+    # pace.
+    def test_equal_choices(self) -> None:
+        generator = random.Random(1)
+        hosts = [f'h{number}' for number in range(20)]
+        state = test_pace.build_state(*hosts)
+        for turn in range(300):
+            now = samples.instant(10_000 + 50 * turn)
+            call = build_prompt(generator.randrange(30))
+            for server in state.servers.in_pool('p'):
+                server.prefill = generator.randrange(20_000)
+                server.other_requests = generator.randrange(10)
+                server.lag_ms = generator.choice((0.0, 300.0))
+                server.lag_measured_at = now.mono - 500
+                server.failure_ratio = generator.choice((0.0, 0.1))
+                server.outcome_at = now.mono - 500
+                test_pace.state_pace(state, server.host, 0, now.mono)
+            host = generator.choice(hosts)
+            state.loads.record_part(host, call.parts[0].id, now)
+            state.prefill_speeds.record_sample(
+                'p', TOKENS, generator.randrange(300, 900)
+            )
+            expected = min(
+                state.servers.in_pool('p'),
+                key=lambda server: self._get_former_cost(
+                    state,
+                    server,
+                    call,
+                    now,
+                ),
+            )
+            chosen = prefill.choose_engine(
+                state, state.servers.in_pool('p'), call, now
+            )
+            self.assertIs(expected, chosen, turn)
+
+    def test_slow_plain_server_is_avoided(self) -> None:
+        state = test_pace.build_state('h', 'i')
+        slow, other = state.servers.in_pool('p')
+        now = samples.instant(5_000)
+        other.other_requests = 6
+        candidates = [slow, other]
+        self.assertIs(
+            slow, prefill.choose_least_loaded(state, candidates, now)
+        )
+        test_pace.state_pace(state, 'h', 40, 5_000)
+        slow.slots = other.slots
+        self.assertIs(
+            other, prefill.choose_least_loaded(state, candidates, now)
+        )
--- a/tests/decisions/test_demand.py
+++ b/tests/decisions/test_demand.py
@@ -97,3 +97,18 @@
         state.servers.mark('a', samples.instant(0))
         need = self.need(state, demand.WARM_UP_MS)
         self.assertEqual(demand.ServerNeed(usual_servers=4, least=4), need)
+
+    # Guards against a pool of slow servers that is planned as if each of them
+    # were a whole one.
+    def test_server_of_half_speed_counts_as_half(self) -> None:
+        usual = prefill.DEFAULT_TOKENS_PER_MS
+        state = self.make(1_000 * 3 * usual)
+        for host in ('a', 'b'):
+            row = samples.row(host)
+            server = state.servers.add(row, 'v', samples.instant(0))
+        whole = self.need(state, demand.WARM_UP_MS)
+        for _ in range(200):
+            server.picture.merge_speed(usual / 2, usual)
+        slow = self.need(state, demand.WARM_UP_MS)
+        self.assertEqual(demand.ServerNeed(usual_servers=8, least=5), whole)
+        self.assertEqual(demand.ServerNeed(usual_servers=10, least=7), slow)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -92,6 +92,20 @@
         self.assertIsNotNone(pools['engines'].engine)
         self.assertIsNone(pools['shop'].engine)
 
+    # Guards against requests that wait for a limit that nobody stated.
+    def test_memory_of_engines(self) -> None:
+        for stated, expected in (
+            ({'kv-capacity': 444_000}, 444_000),
+            ({}, documents.UNSTATED_CACHE_TOKENS),
+        ):
+            services = ({**site.SERVICES[0], 'engine': stated},)
+            decoded = documents.configuration(
+                site.encode_configuration(7, services=services)
+            )
+            (pool,) = decoded.tables.pools
+            assert pool.engine is not None
+            self.assertEqual(expected, pool.engine.cache_tokens)
+
     def test_scaling_and_rates(self) -> None:
         decoded = documents.configuration(
             site.encode_configuration(
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -114,6 +114,26 @@
             call.parts,
         )
 
+    def test_length_hint(self) -> None:
+        for value, expected in (
+            (b'43', 43),
+            (b' 43 ', 43),
+            (b'-1', 0),
+            (b'long', 0),
+            (b'', 0),
+            (b'9' * 5_000, 0),
+            (b'9' * 30, ingress.MAX_LENGTH_HINT),
+        ):
+            hint = (names.LENGTH_HINT, value)
+            call = ingress.decode_request(raw('/stream/1', hint), INDEX)
+            self.assertEqual(expected, call.length_hint, value)
+            self.assertIn(
+                calls.Header('teaselbridge-length-hint', value.decode()),
+                call.headers,
+            )
+        call = ingress.decode_request(raw('/stream/1'), INDEX)
+        self.assertEqual(0, call.length_hint)
+
     def test_malformed_counts_are_left_out(self) -> None:
         call = ingress.decode_request(
             raw(
