Send load updates by turns, and keep quota for urgent ranks

Receivers now take turns, and the limiter derives its timeouts from that period. It predicts what others admitted since their reports, and keeps a reserve for what more urgent ranks ask for.

--- a/src/teaselbridge/decisions/bounds.py
+++ b/src/teaselbridge/decisions/bounds.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from teaselbridge.decisions import rates
+from teaselbridge.decisions.sharing import rates
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/teaselbridge/decisions/calls.py
+++ b/src/teaselbridge/decisions/calls.py
@@ -143,12 +143,14 @@
     :param detail: human-readable explanation.
     :param retry_after_ms: time after which a retry may succeed, 0 where no
         retry is advised.
+    :param log_detail: figures for the log, which the caller does not get.
     """
 
     reason: Reason
     ran: RunStatus
     detail: str
     retry_after_ms: int = 0
+    log_detail: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -23,6 +23,7 @@
 from teaselbridge.decisions import leases
 from teaselbridge.decisions.limits import exchange
 from teaselbridge.decisions.limits import room
+from teaselbridge.decisions.sharing import rotation
 from teaselbridge.decisions import usage
 from teaselbridge.peers import messages
 
@@ -30,22 +31,18 @@
     from teaselbridge import clock
     from teaselbridge.decisions import state as states
 
-# With four messages a second, what the other nodes know is never older than
-# the prefill of one long prompt takes. A message has a few hundred bytes.
-UPDATE_INTERVAL_MS = 250
+UPDATE_INTERVAL_MS = rotation.UPDATE_INTERVAL_MS
 # Only every fourth message carries usage counts. They are needed only to
 # recover the usage of a node that was killed.
 USAGE_UPDATE_INTERVAL = 4
-# Load of a node that sent no update for this long is ignored.
+# Load of a node that sent no update for this long is ignored. Where the nodes
+# get updates by turns, this is at least their period and a delay.
 UPDATE_STALE_TIMEOUT_MS = 1_500
+MAX_UPDATE_DELAY_MS = 500
 # Interval of the reports of a node that does not take part.
 IDLE_REPORT_INTERVAL_MS = 1_000
 # Fraction of each rate limit that the nodes that are not active share.
 IDLE_RATE_FRACTION = 0.05
-# Maximum number of nodes that get one update, chosen at random. An update has
-# some kilobytes, and small hosts have links of a few megabits per second, on
-# which more of them at once hold up the answers of callers.
-MAX_UPDATE_PEERS = 24
 # Window over which prompt tokens are summed.
 READING_WINDOW_MS = 3_000
 # Maximum number of pairs of server and prompt part that are remembered.
@@ -85,6 +82,8 @@
         self.next_update_at = 0
         self.count = 0
         self.is_participant = False
+        self.last_receiver = ''
+        self.stale_timeout_ms = UPDATE_STALE_TIMEOUT_MS
         self.reported_usage: tuple[messages.Usage, ...] = ()
         self.duty_candidates: frozenset[str] = frozenset()
 
@@ -106,13 +105,13 @@
             name
             for name, peer in self._peers.items()
             if peer.is_participant
-            and now.mono - peer.received_at < UPDATE_STALE_TIMEOUT_MS
+            and now.mono - peer.received_at < self.stale_timeout_ms
         ]
 
     def forget_stale(self, now: clock.Instant) -> None:
         """Remove the updates that are too old to count."""
         for name, peer in list(self._peers.items()):
-            if now.mono - peer.received_at >= UPDATE_STALE_TIMEOUT_MS:
+            if now.mono - peer.received_at >= self.stale_timeout_ms:
                 del self._peers[name]
 
     def record_part(self, host: str, part: str, now: clock.Instant) -> None:
@@ -166,7 +165,7 @@
         """Return the prompt tokens per second that all nodes send a pool."""
         readings = list(self.sum_own_readings(now))
         for peer in self._peers.values():
-            if now.mono - peer.received_at < UPDATE_STALE_TIMEOUT_MS:
+            if now.mono - peer.received_at < self.stale_timeout_ms:
                 readings += peer.reading
         total = _sum_readings(pool, readings)
         return messages.Reading(
@@ -185,7 +184,7 @@
             item = peer.servers.get(host)
             if (
                 item is not None
-                and now.mono - peer.received_at < UPDATE_STALE_TIMEOUT_MS
+                and now.mono - peer.received_at < self.stale_timeout_ms
             ):
                 running += item.running
                 prefill += item.prefill
@@ -239,17 +238,57 @@
     loads.forget_stale(now)
     receivers = _list_receivers(state, now)
     loads.next_update_at = now.mono + UPDATE_INTERVAL_MS
-    state.rates.record_start(now, _estimate_others(state, len(receivers)))
+    others = _estimate_others(state, len(receivers))
+    period_ms = rotation.get_period_ms(len(receivers))
+    loads.stale_timeout_ms = max(
+        UPDATE_STALE_TIMEOUT_MS, period_ms + MAX_UPDATE_DELAY_MS
+    )
+    state.rates.record_start(now, others, period_ms)
+    state.rates.forget_peers(_list_gone(state))
     if not loads.is_participant:
         return _report_usage(state, now)
     loads.count += 1
     for server in state.servers.all:
         _refresh_others_load(state, server.host, now)
     message = _make_update(state, now)
-    chosen = state.random.sample(
-        receivers, min(MAX_UPDATE_PEERS, len(receivers))
+    return [
+        effects.SendPeer(member.peers, message)
+        for member in _choose_receivers(state, receivers)
+    ]
+
+
+def _choose_receivers(
+    state: states.State, receivers: list[messages.Member]
+) -> list[messages.Member]:
+    """Choose the nodes that get this update, each of them once a period."""
+    loads = state.loads
+    by_name = {member.name: member for member in receivers}
+    names = rotation.choose_window(
+        sorted(by_name), loads.last_receiver or state.options.me.name
     )
-    return [effects.SendPeer(member.peers, message) for member in chosen]
+    if names:
+        loads.last_receiver = names[-1]
+    return [by_name[name] for name in names]
+
+
+def _list_gone(state: states.State) -> list[str]:
+    """Return the nodes that certainly admit no more requests.
+
+    A node that is only out of reach may admit requests, so that one that
+    the membership takes for dead must have left the host list as well.
+    """
+    listed = {item.address for item in state.servers.entries}
+    gone = []
+    for name in state.rates.list_peers():
+        member = state.membership.get_peer(name)
+        if member is None:
+            continue
+        is_dead = member.status is messages.Status.DEAD
+        if member.status is messages.Status.LEFT or (
+            is_dead and listed and member.peers not in listed
+        ):
+            gone.append(name)
+    return gone
 
 
 def _update_participation(state: states.State, now: clock.Instant) -> None:
@@ -354,7 +393,7 @@
             if server.inflight
         ),
         cached=state.loads.take_unannounced_parts(),
-        demand=state.rates.get_demand(),
+        demand=state.rates.get_demand(now),
         usage=usage_counts,
         reading=state.loads.sum_own_readings(now),
         terms=exchange.take_updates(state, now),
--- a/src/teaselbridge/decisions/relay_checks.py
+++ b/src/teaselbridge/decisions/relay_checks.py
@@ -9,7 +9,7 @@
 from teaselbridge.decisions import freshness
 from teaselbridge.decisions.limits import sending
 from teaselbridge.decisions import notices
-from teaselbridge.decisions import rates
+from teaselbridge.decisions.sharing import rates
 from teaselbridge.decisions import suspects
 from teaselbridge.decisions import versions
 
@@ -59,13 +59,7 @@
         refusal = _check_rates_on_arrival(state, call, now)
     if refusal is not None:
         return refusal
-    wait = 0 if call.origin else rates.check(state, call, now)
-    if wait:
-        detail = 'the workspace exceeds its request rate'
-        return calls.Refusal(
-            calls.Reason.RATE_LIMIT, calls.RunStatus.NOT_RUN, detail, wait
-        )
-    return None
+    return None if call.origin else rates.check(state, call, now)
 
 
 def check_waiting_request(
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -192,6 +192,8 @@
         counter = effects.Counter.LATE
     out.append(effects.Count(counter, f'{route}:{refusal.reason.value}'))
     detail = f'{refusal.reason.value}, ran {refusal.ran.value}'
+    if refusal.log_detail:
+        detail += f': {refusal.log_detail}'
     out.append(build_record(request, effects.Mark.REFUSED, detail))
     if request.attached:
         out.append(effects.SendRefusal(request.caller_handle, refusal))
--- /dev/null
+++ b/src/teaselbridge/decisions/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Shares of workspaces in limited capacity, held by all nodes together."""
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -25,11 +25,11 @@
 from teaselbridge.decisions import poison
 from teaselbridge.decisions import prefill
 from teaselbridge.decisions import prompts
-from teaselbridge.decisions import rates
 from teaselbridge.decisions import retry
 from teaselbridge.decisions import rollouts
 from teaselbridge.decisions import scaling
 from teaselbridge.decisions import servers
+from teaselbridge.decisions.sharing import rates
 from teaselbridge.decisions import suspects
 from teaselbridge.decisions import usage
 from teaselbridge.tables import join
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -429,14 +429,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Demand:
-    """Cost of a workspace's requests admitted by the sender since its start.
+    """Cost of a workspace's requests to the sender.
 
     :param workspace: name of the workspace.
-    :param spent: tokens taken from the workspace's bucket.
+    :param spent: cost of those admitted since the start of the sender.
+    :param asked: cost of all of the last two seconds, by rank from 0 on;
+        empty from senders that do not report it.
     """
 
     workspace: str
     spent: int
+    asked: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -14,7 +14,7 @@
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge.decisions import leases
-from teaselbridge.decisions import rates
+from teaselbridge.decisions.sharing import rates
 from teaselbridge.decisions import state as states
 from teaselbridge import errors
 from teaselbridge.gateway import relay
--- /dev/null
+++ b/tests/decisions/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shares of workspaces in limited capacity."""
