--- a/src/teaselbridge/decisions/sharing/rates.py
+++ b/src/teaselbridge/decisions/sharing/rates.py
@@ -92,6 +92,7 @@
     :param own: cost of the requests to this node.
     :param reported: cost of the requests to other nodes.
     :param silent_peers: number of nodes whose reports have no such costs.
+    :param seen: cost of all requests that were subtracted from the level.
     :param pace: tokens per millisecond that other nodes admit.
     :param pace_moment: sum over these nodes of that times the monotonic
         milliseconds of their last report.
@@ -109,6 +110,7 @@
         default_factory=asked.ReportedCosts
     )
     silent_peers: int = 0
+    seen: int = 0
     pace: float = 0.0
     pace_moment: float = 0.0
 
@@ -122,11 +124,13 @@
         earlier version.
     :param pace: tokens per millisecond that it admitted since the report
         before.
+    :param seen: cost of the requests of all nodes that were known then.
     """
 
     spent: int = 0
     asked: tuple[int, ...] = ()
     pace: float = 0.0
+    seen: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,11 +140,14 @@
     :param incarnation: incarnation of the node, which grows with restarts.
     :param heard_at: monotonic milliseconds at which the report arrived.
     :param reports: what it reported, by workspace.
+    :param presumed: tokens that it is taken to have spent since, by
+        workspace; none while its reports are not late.
     """
 
     incarnation: int
     heard_at: int
     reports: dict[str, _Report]
+    presumed: dict[str, float] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -229,6 +236,7 @@
         counts = known is not None or self._started_no_earlier(message, now)
         if known is None:
             known = _Peer(message.incarnation, now.mono, {})
+        self._return_presumed(known)
         continues = known.incarnation == message.incarnation
         told = {item.workspace: item for item in message.demand}
         reports: dict[str, _Report] = {}
@@ -242,9 +250,11 @@
             pace = 0.0
             if counts and now.mono > known.heard_at:
                 pace = cost / (now.mono - known.heard_at)
-            report = _Report(item.spent, item.asked, pace)
             bucket = self._get_bucket(name, now)
-            bucket.level -= cost if counts else 0
+            if counts:
+                bucket.level -= cost
+                bucket.seen += cost
+            report = _Report(item.spent, item.asked, pace, bucket.seen)
             _replace_report(
                 bucket,
                 known.reports.get(name),
@@ -269,6 +279,8 @@
     def forget_peers(self, names: typing.Iterable[str]) -> None:
         """Remove nodes that certainly admit no more requests."""
         for name in names:
+            if name in self._peers:
+                self._return_presumed(self._peers[name])
             self._forget_peer(name)
 
     def list_peers(self) -> list[str]:
@@ -308,6 +320,7 @@
         if free >= view.needed and self._is_in_turn(view, draw):
             bucket.level -= cost
             bucket.spent += cost
+            bucket.seen += cost
             return 0
         waiting = view.asked_per_s - view.refill_per_s
         return_ms = returns.compute_return_ms(
@@ -492,8 +505,8 @@
 
     def _reachable_fraction(self, now: clock.Instant) -> float:
         """Return the fraction of nodes that report, including this one."""
-        reachable = 1
         known = 1
+        late: list[_Peer] = []
         timeout = self._peer_timeout_ms()
         for node, peer in list(self._peers.items()):
             age = now.mono - peer.heard_at
@@ -501,7 +514,12 @@
                 self._forget_peer(node)
                 continue
             known += 1
-            reachable += age < timeout
+            if age >= timeout:
+                late.append(peer)
+        reachable = known - len(late)
+        for peer in late:
+            if peer.presumed is None:
+                self._presume_spending(peer, reachable, reachable / known)
         if (
             self._started is not None
             and now.mono - self._started < STARTUP_GRACE_MS
@@ -509,6 +527,34 @@
             known = max(known, 1 + self._listed_peers)
         return reachable / known
 
+    def _presume_spending(
+        self, peer: _Peer, reachable: int, fraction: float
+    ) -> None:
+        """Subtract what a node presumably spent since its last report.
+
+        Until both sides of a partition notice it, each of them uses the
+        whole bucket. Each then bears its fraction of what the other side
+        spent, taken to be as much for each node as on its own side.
+
+        :param reachable: number of nodes on this side.
+        :param fraction: fraction of the nodes that they are.
+        """
+        peer.presumed = {}
+        for name, report in peer.reports.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                spent = (bucket.seen - report.seen) / reachable
+                peer.presumed[name] = spent * fraction
+                bucket.level -= spent * fraction
+
+    def _return_presumed(self, peer: _Peer) -> None:
+        """Add again what a node was presumed to have spent."""
+        for name, tokens in (peer.presumed or {}).items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.level += tokens
+        peer.presumed = None
+
     def _forget_peer(self, node: str) -> None:
         """Remove another node and what it reported."""
         peer = self._peers.pop(node, None)
