--- a/src/teaselbridge/platform/connections.py
+++ b/src/teaselbridge/platform/connections.py
@@ -17,6 +17,9 @@
 from teaselbridge import clock
 from teaselbridge.platform import names
 
+if typing.TYPE_CHECKING:
+    import collections.abc
+
 CONNECT_TIMEOUT_MS = 1_000
 KEEP_ALIVE_TIMEOUT_MS = 20_000
 # Bounds interim responses, the status line, all headers and the trailers, so
@@ -140,6 +143,7 @@
 
     :param connect_timeout_ms: timeout for opening a connection.
     :param keep_alive_ms: how long an idle connection is kept.
+    :param on_open: function that is called for each connection opened.
     """
 
     def __init__(
@@ -147,6 +151,7 @@
         *,
         connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
         keep_alive_ms: int = KEEP_ALIVE_TIMEOUT_MS,
+        on_open: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
         self._connect_s = clock.seconds(connect_timeout_ms)
         self._keep_alive_s = clock.seconds(keep_alive_ms)
@@ -154,12 +159,7 @@
         self._open: set[Connection] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self._sweep: asyncio.TimerHandle | None = None
-        self._opened_count = 0
-
-    @property
-    def opened_count(self) -> int:
-        """Number of connections opened so far."""
-        return self._opened_count
+        self._on_open = on_open
 
     def send(
         self,
@@ -223,7 +223,7 @@
 
     def add_open(self, connection: Connection) -> None:
         """Add a connection that was opened."""
-        self._opened_count += 1
+        self._on_open()
         self._open.add(connection)
 
     def add_idle(self, connection: Connection) -> None:
--- a/src/teaselbridge/runtime/relaying.py
+++ b/src/teaselbridge/runtime/relaying.py
@@ -11,6 +11,7 @@
 
 if typing.TYPE_CHECKING:
     from teaselbridge.runtime import loop as loops
+    from teaselbridge.telemetry import metrics
 
 
 class RelayExecutor:
@@ -18,6 +19,7 @@
 
     :param loop: loop that the events are posted to.
     :param tasks: background tasks that checks of servers are added to.
+    :param meter: metrics that count the connections.
     :param connect_timeout_ms: timeout for opening a connection.
     :param keep_alive_ms: how long an idle connection is kept.
     """
@@ -27,12 +29,15 @@
         *,
         loop: loops.Loop,
         tasks: loops.Tasks,
+        meter: metrics.Meter,
         connect_timeout_ms: int,
         keep_alive_ms: int,
     ) -> None:
         self._loop = loop
         self._pool = connections.Pool(
-            connect_timeout_ms=connect_timeout_ms, keep_alive_ms=keep_alive_ms
+            connect_timeout_ms=connect_timeout_ms,
+            keep_alive_ms=keep_alive_ms,
+            on_open=meter.count_connection,
         )
         self._attempts_by_handle: dict[int, runners.Attempt] = {}
         loop.handle(effects.RelayAttempt, self._start_attempt)
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -118,6 +118,7 @@
         self._attempts = relaying.RelayExecutor(
             loop=self._loop,
             tasks=self._tasks,
+            meter=self._meter,
             connect_timeout_ms=SERVER_CONNECT_TIMEOUT_MS,
             keep_alive_ms=SERVER_KEEP_ALIVE_TIMEOUT_MS,
         )
--- a/src/teaselbridge/telemetry/metrics.py
+++ b/src/teaselbridge/telemetry/metrics.py
@@ -47,6 +47,11 @@
             ['direction', 'message'],
             registry=self._registry,
         )
+        self._connections = prometheus_client.Counter(
+            'teaselbridge_server_connections_opened',
+            'Connections opened to backend servers for requests.',
+            registry=self._registry,
+        )
         self._held = prometheus_client.Gauge(
             'teaselbridge_requests_held',
             'Requests that the node holds.',
@@ -127,6 +132,10 @@
             self._bytes_by_label[key] = counter
         counter.inc(size)
 
+    def count_connection(self) -> None:
+        """Count a connection that was opened to a backend server."""
+        self._connections.inc()
+
     def show(
         self,
         *,
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -258,7 +258,11 @@
         counts: list[int] = []
 
         async def run() -> None:
-            pool = connections.Pool(keep_alive_ms=keep_alive_ms)
+            opened: list[None] = []
+            pool = connections.Pool(
+                keep_alive_ms=keep_alive_ms,
+                on_open=lambda: opened.append(None),
+            )
             async with serving.serve(answer, keeps_open=True) as server:
                 for _ in range(3):
                     found = await self.send(pool, server, **options)
@@ -266,7 +270,7 @@
                     self.assertEqual(b'ok', found.body)
                     await asyncio.sleep(0.01)
                 counts.append(server.connection_count)
-                self.assertEqual(server.connection_count, pool.opened_count)
+                self.assertEqual(server.connection_count, len(opened))
             await pool.close()
 
         self.run_coroutine(run())
