Write stream events to a caller that has nothing left to receive

An event went through the queue of its caller, a wake-up of a task and another turn of the event loop. While the task waits and nothing is left in the queue, the event is now written to the transport at once.

--- a/src/teaselbridge/gateway/asgi.py
+++ b/src/teaselbridge/gateway/asgi.py
@@ -11,6 +11,18 @@
     Receive = collections.abc.Callable[[], collections.abc.Awaitable[Message]]
     Send = collections.abc.Callable[[Message], collections.abc.Awaitable[None]]
     Headers = list[tuple[bytes, bytes]]
+    Write = collections.abc.Callable[[bytes], bool]
+
+# Extension of the scope whose ``write`` writes a part of a started response
+# without a coroutine. It returns false where that is not possible now.
+WRITE_EXTENSION = 'teaselbridge.write'
+
+
+def get_write(scope: Message) -> Write | None:
+    """Return the function of `WRITE_EXTENSION`, none where there is none."""
+    extension = scope.get('extensions', {}).get(WRITE_EXTENSION, {})
+    write: Write | None = extension.get('write')
+    return write
 
 
 async def send_start(send: Send, status: int, headers: Headers) -> None:
--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -72,7 +72,7 @@
             _wait_for_disconnect(receive, queue)
         )
         try:
-            await self._send_output(call, queue, send)
+            await self._send_output(call, queue, send, asgi.get_write(scope))
         finally:
             disconnection.cancel()
             self._outlets.close(call.handle)
@@ -125,20 +125,29 @@
     async def _send_output(
         self,
         call: calls.Call,
-        queue: asyncio.Queue[typing.Any],
+        queue: outlets_module.OutputQueue,
         send: asgi.Send,
+        write: asgi.Write | None,
     ) -> None:
-        """Send the output of a request until it ends."""
+        """Send the output of a request until it ends.
+
+        :param write: function that stream events are written by while
+            nothing else is left to send, none to send all by ``send``.
+        """
         pending: collections.deque[typing.Any] = collections.deque()
+        is_started = False
         while True:
             if not pending:
+                queue.write = write if is_started else None
                 pending.append(await queue.get())
+                queue.write = None
             while not queue.empty():
                 pending.append(queue.get_nowait())
             output = pending.popleft()
             match output:
                 case effects.SendHead():
                     await self._send_head(send, output.head)
+                    is_started = True
                 case effects.SendEvents():
                     data = output.data
                     while pending and isinstance(
--- a/src/teaselbridge/runtime/outlets.py
+++ b/src/teaselbridge/runtime/outlets.py
@@ -10,6 +10,8 @@
 from teaselbridge.decisions import events
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from teaselbridge.decisions import calls
     from teaselbridge.runtime import loop as loops
 
@@ -26,6 +28,17 @@
 )
 
 
+class OutputQueue(asyncio.Queue[typing.Any]):
+    """Output to one caller.
+
+    :ivar write: function that takes stream events at once instead of the
+        queue, if it returns true. It is set only while the reader waits for
+        output and has nothing left to send, so that the order is kept.
+    """
+
+    write: collections.abc.Callable[[bytes], bool] | None = None
+
+
 class OutputQueues:
     """Output queues, one per waiting caller, by request handle.
 
@@ -35,7 +48,7 @@
     def __init__(self, *, loop: loops.Loop) -> None:
         self._loop = loop
         self._handles = itertools.count(1)
-        self._queues: dict[int, asyncio.Queue[Output]] = {}
+        self._queues: dict[int, OutputQueue] = {}
         for kind in typing.get_args(Output):
             loop.handle(kind, self._put_output)
 
@@ -43,21 +56,19 @@
         """Return a new handle, which identifies a request in this process."""
         return next(self._handles)
 
-    def submit_call(self, call: calls.Call) -> asyncio.Queue[Output]:
+    def submit_call(self, call: calls.Call) -> OutputQueue:
         """Post a request to the reducer and open its output queue.
 
         :return: the queue; its last item is not a token.
         """
         return self.submit_event(call.handle, events.CallArrived(call))
 
-    def submit_event(
-        self, handle: int, event: events.Event
-    ) -> asyncio.Queue[Output]:
+    def submit_event(self, handle: int, event: events.Event) -> OutputQueue:
         """Post an event and open a queue for the output to its handle.
 
         :return: the output queue.
         """
-        queue: asyncio.Queue[Output] = asyncio.Queue()
+        queue = OutputQueue()
         self._queues[handle] = queue
         self._loop.post(event)
         return queue
@@ -69,5 +80,13 @@
 
     def _put_output(self, output: Output) -> None:
         queue = self._queues.get(output.handle)
-        if queue is not None:
-            queue.put_nowait(output)
+        if queue is None:
+            return
+        if (
+            queue.write is not None
+            and type(output) is effects.SendEvents
+            and queue.empty()
+            and queue.write(output.data)
+        ):
+            return
+        queue.put_nowait(output)
--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import typing
 import urllib.parse
 
@@ -10,6 +11,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from teaselbridge import clock
+from teaselbridge.gateway import asgi
 
 # Bounds the request line, the headers and what frames chunks of the body.
 MAX_HEAD_BYTES = 64 << 10
@@ -98,6 +100,11 @@
         self.scope['raw_path'] = path
         self.scope['path'] = urllib.parse.unquote(path.decode('ascii'))
         self.scope['query_string'] = query
+        self.scope['extensions'] = {
+            asgi.WRITE_EXTENSION: {
+                'write': functools.partial(_write_chunk, self.cycle)
+            }
+        }
 
     def on_body(self, body: bytes) -> None:
         """Note a part of the body."""
@@ -172,6 +179,28 @@
             self._timer = None
 
 
+def _write_chunk(
+    cycle: httptools_impl.RequestResponseCycle, data: bytes
+) -> bool:
+    """Write a chunk of a response that was started, if that is possible now.
+
+    :return: whether it was written, or is not needed as the caller has left.
+    """
+    if cycle.disconnected:
+        return True
+    if (
+        not data
+        or not cycle.response_started
+        or not cycle.chunked_encoding
+        or cycle.response_complete
+        or cycle.flow.write_paused
+        or cycle.scope['method'] == 'HEAD'
+    ):
+        return False
+    cycle.transport.write(b'%x\r\n%s\r\n' % (len(data), data))
+    return True
+
+
 def build(request_ms: int) -> type[Protocol]:
     """Build a protocol class.
 
--- a/tests/runtime/test_web.py
+++ b/tests/runtime/test_web.py
@@ -178,13 +178,14 @@
     def test_trailers_are_no_headers(self) -> None:
         async def run() -> None:
             async with serve() as (app, host, port):
-                await self.exchange(
+                answer = await self.exchange(
                     host,
                     port,
                     POST + b'Transfer-Encoding: chunked\r\n\r\n',
-                    b'0\r\nContent-Length: 9\r\nX: y\r\n\r\n',
+                    b'0\r\nX: y\r\nHost: i\r\nZ: z\r\n\r\n',
                     until=b'<>',
                 )
+                self.assertIn(b'<>', answer)
                 self.assertEqual(
                     [(b'host', b'h'), (b'transfer-encoding', b'chunked')],
                     app.scopes[0]['headers'],
@@ -320,3 +321,61 @@
                     await asyncio.sleep(0.001)
 
         self.run_coroutine(run())
+
+
+class StreamApplication:
+    """Application that sends numbers, some by the extension of the scope.
+
+    :ivar written: whether each write was taken.
+    """
+
+    def __init__(self) -> None:
+        self.written: list[bool] = []
+
+    async def __call__(
+        self, scope: asgi.Message, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serve one request."""
+        write = asgi.get_write(scope)
+        assert write is not None
+        self.written.append(write(b'early'))
+        await asgi.send_start(send, 200, [])
+        self.written.append(write(b''))
+        for number in range(3):
+            self.written.append(write(b'<%d>' % number))
+            await asgi.send_body(send, b'[%d]' % number, more=True)
+        block = b'x' * (1 << 20)
+        while write(block):
+            pass
+        await asgi.send_body(send, b'end', more=False)
+        self.written.append(write(b'late'))
+
+
+class TestWrites(TestCase):
+    """Parts of a response are written at once where that keeps its order."""
+
+    def test_writes(self) -> None:
+        async def run() -> None:
+            app = StreamApplication()
+            port = ports.find_free_port()
+            server = web.HttpListener(
+                app=typing.cast('typing.Any', app),
+                address=f'127.0.0.1:{port}',
+            )
+            await server.start()
+            answer = await self.exchange(
+                '127.0.0.1', port, GET, until=b'0\r\n\r\n'
+            )
+            body = answer.partition(b'\r\n\r\n')[2]
+            begin = b''.join(
+                b'3\r\n<%d>\r\n3\r\n[%d]\r\n' % (number, number)
+                for number in range(3)
+            )
+            self.assertTrue(body.startswith(begin))
+            self.assertTrue(body.endswith(b'3\r\nend\r\n0\r\n\r\n'))
+            self.assertEqual(
+                [False, False, True, True, True, False], app.written
+            )
+            await server.abort()
+
+        self.run_coroutine(run())
