--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import typing
 
 from teaselbridge.decisions import calls
@@ -71,7 +72,7 @@
             _wait_for_disconnect(receive, queue)
         )
         try:
-            await self._send_output(call, queue, send)
+            await self._send_output(call, queue, send, asgi.get_write(scope))
         finally:
             disconnection.cancel()
             self._outlets.close(call.handle)
@@ -124,17 +125,36 @@
     async def _send_output(
         self,
         call: calls.Call,
-        queue: asyncio.Queue[typing.Any],
+        queue: outlets_module.OutputQueue,
         send: asgi.Send,
+        write: asgi.Write | None,
     ) -> None:
-        """Send the output of a request until it ends."""
+        """Send the output of a request until it ends.
+
+        :param write: function that stream events are written by while
+            nothing else is left to send, none to send all by ``send``.
+        """
+        pending: collections.deque[typing.Any] = collections.deque()
+        is_started = False
         while True:
-            output = await queue.get()
+            if not pending:
+                queue.write = write if is_started else None
+                pending.append(await queue.get())
+                queue.write = None
+            while not queue.empty():
+                pending.append(queue.get_nowait())
+            output = pending.popleft()
             match output:
                 case effects.SendHead():
                     await self._send_head(send, output.head)
+                    is_started = True
                 case effects.SendEvents():
-                    await asgi.send_body(send, output.data, more=True)
+                    data = output.data
+                    while pending and isinstance(
+                        pending[0], effects.SendEvents
+                    ):
+                        data += pending.popleft().data
+                    await asgi.send_body(send, data, more=True)
                 case effects.SendFinish():
                     if output.whole:
                         await asgi.send_body(send, b'', more=False)
