List hosts for callers in proportion to what they can carry

All hosts of a zone were listed alike, so that a host of 0.52 cores got as many callers as one of 2.15. In fleets of more than nine hosts, a host is now listed for a fraction of the callers that follows its cores, and falls above half of the load that it can carry; nodes report their arrivals in load updates.

--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -62,12 +62,15 @@
     :param servers: its requests in flight, by host.
     :param reading: prompt tokens that it sent recently, by pool.
     :param is_participant: whether it gets the updates of others.
+    :param arrivals_per_s: requests that arrive at it per second, negative for
+        unknown.
     """
 
     received_at: int
     servers: dict[str, messages.ServerLoad]
     reading: tuple[messages.Reading, ...]
     is_participant: bool
+    arrivals_per_s: float
 
 
 class Loads:
@@ -94,12 +97,27 @@
         """Merge the load update of another node."""
         servers = {item.host: item for item in message.servers}
         self._peers[message.node] = _PeerLoad(
-            now.mono, servers, message.reading, message.takes_part
+            now.mono,
+            servers,
+            message.reading,
+            message.takes_part,
+            message.arrivals_per_s,
         )
         for item in message.cached:
             for part in item.parts:
                 self._remember_part(item.host, part, now.mono)
 
+    def get_arrivals(self, name: str, now: clock.Instant) -> float | None:
+        """Return the requests per second that a node reported recently."""
+        peer = self._peers.get(name)
+        if (
+            peer is None
+            or peer.arrivals_per_s < 0
+            or now.mono - peer.received_at >= UPDATE_STALE_TIMEOUT_MS
+        ):
+            return None
+        return peer.arrivals_per_s
+
     def list_participants(self, now: clock.Instant) -> list[str]:
         """Return the participants whose updates came recently."""
         return [
@@ -363,6 +381,7 @@
         reading=state.loads.sum_own_readings(now),
         terms=exchange.take_updates(state, now),
         full=room.list_full(state, now),
+        arrivals_per_s=round(state.arrivals.get_per_s(now), 1),
     )
 
 
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -107,6 +107,7 @@
         case events.DelayElapsed():
             return orders.apply_step(state, state.ledger.tick(now), now)
         case events.CallArrived():
+            state.arrivals.record(now)
             return arrival.handle_call_arrived(state, event, now)
         case events.CallerDisconnected():
             return requests.handle_caller_disconnected(state, event)
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -10,6 +10,7 @@
 from teaselbridge.decisions import admission
 from teaselbridge.decisions import bounds as bounds_module
 from teaselbridge.decisions import capacity
+from teaselbridge.decisions import carrying
 from teaselbridge.decisions import changes
 from teaselbridge.decisions import demand
 from teaselbridge.decisions.forwarding import links
@@ -118,6 +119,7 @@
         self.store_view = knowledge.StoreView()
         self.active = active.ActiveNodes()
         self.loads = loads.Loads()
+        self.arrivals = carrying.Arrivals()
         self.prefill_speeds = prefill.PrefillSpeeds()
         effective_bounds = options.bounds or bounds_module.Bounds()
         self.rates = rates.RateLimiter(
--- a/src/teaselbridge/gateway/app.py
+++ b/src/teaselbridge/gateway/app.py
@@ -66,7 +66,9 @@
         async def list_addresses(
             zone: litestar.params.FromQuery[str] = '',
         ) -> addresses.Addresses:
-            return addresses.list_addresses(self._loop.state, zone)
+            return addresses.list_addresses(
+                self._loop.state, zone, self._loop.now()
+            )
 
         @litestar.post(
             ['/v1/chat/completions', '/v1/completions'], status_code=200
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -560,6 +560,8 @@
     :param terms: what servers stated, changes first.
     :param full: servers that fail if they refuse many requests, and are full.
     :param takes_part: whether the sender gets the updates of others.
+    :param arrivals_per_s: requests that arrive at the sender per second, -1
+        for unknown.
     """
 
     node: str
@@ -573,6 +575,7 @@
     terms: tuple[StatedTerms, ...] = ()
     full: tuple[FullServer, ...] = ()
     takes_part: bool = True
+    arrivals_per_s: float = -1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/teaselbridge/platform/directory.py
+++ b/src/teaselbridge/platform/directory.py
@@ -41,7 +41,7 @@
         self._handlers: dict[
             str,
             collections.abc.Callable[
-                [asgi.Send, bytes], collections.abc.Awaitable[None]
+                [asgi.Send, asgi.Message], collections.abc.Awaitable[None]
             ],
         ] = {
             '/api/ready': self._respond_ready,
@@ -59,24 +59,34 @@
         if answer is None or scope['method'] != 'GET':
             await asgi.send_response(send, 404, [], b'')
             return
-        await answer(send, scope['query_string'])
+        await answer(send, scope)
 
-    async def _respond_ready(self, send: asgi.Send, query: bytes) -> None:
+    async def _respond_ready(
+        self, send: asgi.Send, scope: asgi.Message
+    ) -> None:
         ready = freshness.is_ready(self._loop.state, self._loop.now())
         await asgi.send_response(send, 200 if ready else 503, [], b'')
 
-    async def _respond_metrics(self, send: asgi.Send, query: bytes) -> None:
+    async def _respond_metrics(
+        self, send: asgi.Send, scope: asgi.Message
+    ) -> None:
         await asgi.send_response(
             send, 200, [TEXT_HEADER], self._meter.export()
         )
 
-    async def _respond_addresses(self, send: asgi.Send, query: bytes) -> None:
-        parameters = urllib.parse.parse_qs(query.decode('latin-1'))
+    async def _respond_addresses(
+        self, send: asgi.Send, scope: asgi.Message
+    ) -> None:
+        query = scope['query_string'].decode('latin-1')
+        parameters = urllib.parse.parse_qs(query)
         (zone,) = parameters.get('zone', [''])[:1]
         state = self._loop.state
-        selection = addresses.list_addresses(state, zone)
+        caller, _ = scope.get('client') or ('', 0)
+        selection = addresses.list_addresses(
+            state, zone, self._loop.now(), caller
+        )
         usable = [
-            item.address
+            item
             for item in selection.addresses
             if item.node != state.options.me.name
             or freshness.is_ready(state, self._loop.now())
@@ -84,9 +94,11 @@
         if not usable:
             await asgi.send_response(send, 503, [], b'')
             return
+        listed = usable[:MAX_ADDRESSES]
+        self._meter.count_listed(item.node for item in listed)
         body = msgspec.json.encode(
             {
-                'addresses': usable[:MAX_ADDRESSES],
+                'addresses': [item.address for item in listed],
                 'ttl-s': selection.ttl_ms / clock.SECOND_MS,
             }
         )
--- a/src/teaselbridge/telemetry/metrics.py
+++ b/src/teaselbridge/telemetry/metrics.py
@@ -47,6 +47,12 @@
             ['direction', 'message'],
             registry=self._registry,
         )
+        self._listed = prometheus_client.Counter(
+            'teaselbridge_listed',
+            'Answers to callers that list a node, by node.',
+            ['node'],
+            registry=self._registry,
+        )
         self._held = prometheus_client.Gauge(
             'teaselbridge_requests_held',
             'Requests that the node holds.',
@@ -102,6 +108,14 @@
         """
         self._keyvalue.labels(kind, purpose).inc()
 
+    def count_listed(self, nodes: typing.Iterable[str]) -> None:
+        """Count an answer that lists nodes.
+
+        :param nodes: their names.
+        """
+        for node in nodes:
+            self._listed.labels(node).inc()
+
     def count_bytes(self, direction: str, message: str, size: int) -> None:
         """Count the bytes of a message between nodes.
 
--- a/tests/decisions/test_active.py
+++ b/tests/decisions/test_active.py
@@ -152,7 +152,8 @@
     """Callers are told of active nodes, of their own zone if possible."""
 
     def _list(self, state: states.State, zone: str) -> list[addresses.Address]:
-        return list(addresses.list_addresses(state, zone).addresses)
+        now = samples.instant(0)
+        return list(addresses.list_addresses(state, zone, now).addresses)
 
     def test_large_fleet(self) -> None:
         state = build_state(300)
