Level the load that other nodes reported as it ages

Nodes chose the least predicted cost from reports that are 200 to 800 ms old on average, so prompts left cached heads for servers whose queue had gone, and plain servers were full in turn. What others reported is now drawn towards its mean by its age, and the choice is drawn among servers that hardly differ, where more than one node takes part.

--- a/src/teaselbridge/cli/experiment.py
+++ b/src/teaselbridge/cli/experiment.py
@@ -12,6 +12,7 @@
 from teaselbridge.experiment import report
 from teaselbridge.experiment import run as runs
 from teaselbridge.experiment import scenario as scenarios
+from teaselbridge.experiment import spreading
 
 
 @dataclasses.dataclass(eq=False)
@@ -42,6 +43,7 @@
     experiment.add_command(_list_command())
     experiment.add_command(_run_command())
     experiment.add_command(_compare_command())
+    experiment.add_command(_spreading_command())
     return experiment
 
 
@@ -127,6 +129,37 @@
     return compare
 
 
+def _spreading_command() -> click.Command:
+    @click.command('spreading')
+    @click.option('--seeds', default=1, help='Number of seeds.')
+    @click.option('--load', default=0.8, help='Demand relative to capacity.')
+    @click.option('--plain', is_flag=True, help='Servers without prompts.')
+    @click.option(
+        '--hosts',
+        type=click.Choice([str(size.hosts) for size in spreading.SIZES]),
+        help='Only this number of hosts.',
+    )
+    @click.option('--json', 'json_path', default='', help='Report file.')
+    def compare_spreading(
+        seeds: int, load: float, plain: bool, hosts: str, json_path: str
+    ) -> None:
+        """Compare methods to spread load by information out of date."""
+        sizes = spreading.PLAIN_SIZES if plain else spreading.SIZES
+        figures = [
+            spreading.run(name, size, load, seed, is_plain=plain)
+            for size in sizes
+            if not hosts or size.hosts == int(hosts)
+            for name in spreading.METHODS
+            for seed in range(1, seeds + 1)
+        ]
+        for line in spreading.format_table(figures):
+            click.echo(line)
+        if json_path:
+            report.write_json(figures, json_path)
+
+    return compare_spreading
+
+
 def _write_results(
     outcomes: list[runs.Outcome], json_path: str, plot_path: str
 ) -> None:
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -544,17 +544,26 @@
 
 
 class Span(enum.Enum):
-    """Latencies that are exported as histograms."""
+    """Durations that are exported as histograms.
+
+    ``LOAD_AGE`` is the age of what was known of other nodes' load when a
+    server was chosen. ``PREDICTED`` and ``OBSERVED`` are the predicted and
+    the actual time from there to the first byte, of the same attempts.
+    """
 
     FIRST = 'first'
     WHOLE = 'whole'
+    LOAD_AGE = 'load-age'
+    PREDICTED = 'predicted-wait'
+    OBSERVED = 'observed-wait'
 
 
 class ObserveLatency(msgspec.Struct, frozen=True):
     """Command to add a value to a histogram.
 
     :param label: route that it is exported under.
-    :param elapsed_ms: milliseconds since the arrival of the request.
+    :param elapsed_ms: milliseconds, for ``FIRST`` and ``WHOLE`` since the
+        arrival of the request.
     """
 
     span: Span
--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -71,7 +71,11 @@
 
 
 class Loads:
-    """Load of other nodes, and prompt parts that servers have cached."""
+    """Load of other nodes, and prompt parts that servers have cached.
+
+    ``age_ms`` is the mean age of what is known of the load of the other
+    participants, as of the last tick, and 0 where no updates are exchanged.
+    """
 
     def __init__(self) -> None:
         self._peers: dict[str, _PeerLoad] = {}
@@ -82,6 +86,7 @@
         self._recent_readings: collections.deque[
             tuple[int, messages.Reading]
         ] = collections.deque()
+        self.age_ms = 0.0
         self.next_update_at = 0
         self.count = 0
         self.is_participant = False
@@ -109,6 +114,23 @@
             and now.mono - peer.received_at < UPDATE_STALE_TIMEOUT_MS
         ]
 
+    def update_age(self, others: int, now: clock.Instant) -> None:
+        """Update the mean age of what is known of other participants.
+
+        Those that were not heard of recently count as long as an update
+        does, since nothing is known of what they sent after that.
+
+        :param others: number of other participants.
+        """
+        ages = [
+            min(UPDATE_STALE_TIMEOUT_MS, now.mono - peer.received_at)
+            for peer in self._peers.values()
+            if peer.is_participant
+        ]
+        missing = max(0, others - len(ages))
+        total = sum(ages) + missing * UPDATE_STALE_TIMEOUT_MS
+        self.age_ms = total / max(1, missing + len(ages))
+
     def forget_stale(self, now: clock.Instant) -> None:
         """Remove the updates that are too old to count."""
         for name, peer in list(self._peers.items()):
@@ -237,6 +259,8 @@
         return []
     _update_participation(state, now)
     loads.forget_stale(now)
+    names = active.list_names(state) - {state.options.me.name}
+    loads.update_age(len(names), now)
     receivers = _list_receivers(state, now)
     loads.next_update_at = now.mono + UPDATE_INTERVAL_MS
     state.rates.record_start(now, _estimate_others(state, len(receivers)))
--- a/src/teaselbridge/decisions/prefill.py
+++ b/src/teaselbridge/decisions/prefill.py
@@ -17,7 +17,9 @@
 import dataclasses
 import typing
 
+from teaselbridge.decisions import active
 from teaselbridge.decisions import placement
+from teaselbridge.decisions.spreading import choice
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
@@ -55,6 +57,11 @@
 MAX_LAG_MS = 3_000
 # Lag that counts as much as a full server, for plain services.
 LAG_PER_FULL_LOAD_MS = 200
+# Wait at a full server of a plain service, whose next free slot is a sixth of
+# an answer of 100 ms or less away. Only its relation to `choice.DRAW_MS`
+# matters: half of it gave the same tail latency, and four times as much a
+# tail longer by a third.
+FULL_LOAD_MS = 12.0
 # Penalty for a failing server, in milliseconds at a failure rate of 1.
 FAILURE_PENALTY_MS = 4_000.0
 
@@ -138,7 +145,7 @@
             return
         for server in state.servers.in_pool(call.route.pool):
             best = self._source_by_version.get(server.row.version)
-            if best is None or self._count_cached(server) > self._count_cached(
+            if best is None or self.count_cached(server) > self.count_cached(
                 best
             ):
                 self._source_by_version[server.row.version] = server
@@ -149,10 +156,10 @@
         Caches are copied only between servers of the same model version,
         since other versions produce different caches for the same text.
         """
-        own = self._count_cached(server)
+        own = self.count_cached(server)
         unread = self._call.tokens_in - own
         source = self._source_by_version.get(server.row.version)
-        copied = 0 if source is None else self._count_cached(source) - own
+        copied = 0 if source is None else self.count_cached(source) - own
         if copied < MIN_COPY_TOKENS:
             return PrefillWork(uncached_tokens=unread)
         return PrefillWork(
@@ -167,7 +174,7 @@
             return 0.0
         return COPY_OVERHEAD_MS + reading.copied_tokens / self._copied_per_ms
 
-    def _count_cached(self, server: servers.Server) -> int:
+    def count_cached(self, server: servers.Server) -> int:
         """Return the prompt tokens that a server has cached, memoized."""
         known = self._cached_by_host.get(server.host)
         if known is None:
@@ -202,10 +209,22 @@
     call: calls.Call,
     now: clock.Instant,
 ) -> servers.Server:
-    """Choose the server with the lowest predicted time to first token.
+    """Choose a server by its predicted time to first token.
 
     :param candidates: servers that may take the request; not empty.
     """
+    options = describe_engines(state, candidates, call, now)
+    nodes = active.count_nodes(state)
+    return choice.choose(options, nodes, state.random).server
+
+
+def describe_engines(
+    state: states.State,
+    candidates: list[servers.Server],
+    call: calls.Call,
+    now: clock.Instant,
+) -> list[choice.Candidate[servers.Server]]:
+    """Return what the choice of an engine depends on, for each server."""
     speed = state.prefill_speeds.get_tokens_per_ms(call.route.pool)
     rank_by_host: dict[str, int] = {}
     if call.parts:
@@ -230,7 +249,17 @@
             + current_lag_ms(server, now)
         )
 
-    return min(candidates, key=cost)
+    return [
+        choice.Candidate(
+            server=server,
+            cost_ms=cost(server),
+            age_ms=state.loads.age_ms,
+            cached_tokens=plan.count_cached(server),
+            others_ms=server.other_prefill_tokens / speed
+            + RUNNING_PENALTY_MS * server.other_requests,
+        )
+        for server in candidates
+    ]
 
 
 def choose_least_loaded(
@@ -238,18 +267,41 @@
     candidates: list[servers.Server],
     now: clock.Instant,
 ) -> servers.Server:
-    """Choose the least loaded server of a plain service.
+    """Choose one of the least loaded servers of a plain service."""
+    options = describe_plain_servers(state, candidates, now)
+    nodes = active.count_nodes(state)
+    return choice.choose(options, nodes, state.random).server
+
 
-    Ties are broken at random, so that nodes do not all choose the same one.
+def describe_plain_servers(
+    state: states.State,
+    candidates: list[servers.Server],
+    now: clock.Instant,
+) -> list[choice.Candidate[servers.Server]]:
+    """Return what the choice of a plain server depends on, for each one.
+
+    Their order is random, so that nodes do not all choose the same one of
+    several with equal costs.
     """
-    return min(
-        candidates,
-        key=lambda server: (
-            round(server.load + 2 * server.get_failure_ratio(now), 2)
-            + round(current_lag_ms(server, now) / LAG_PER_FULL_LOAD_MS, 1),
-            state.random.random(),
-        ),
-    )
+
+    def cost(server: servers.Server) -> float:
+        load = round(server.load + 2 * server.get_failure_ratio(now), 2)
+        lag = round(current_lag_ms(server, now) / LAG_PER_FULL_LOAD_MS, 1)
+        return FULL_LOAD_MS * (load + lag)
+
+    options = [
+        choice.Candidate(
+            server=server,
+            cost_ms=cost(server),
+            age_ms=state.loads.age_ms,
+            others_ms=FULL_LOAD_MS
+            * server.other_requests
+            / max(1, server.slots),
+        )
+        for server in candidates
+    ]
+    options.sort(key=lambda _: state.random.random())
+    return options
 
 
 def _shared_head_id(call: calls.Call) -> str:
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -11,6 +11,7 @@
 import dataclasses
 import typing
 
+from teaselbridge.decisions import active
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
@@ -108,11 +109,21 @@
         f' {server.version}, {load} in flight, {backlog} tokens to prefill,'
         f' {unread} of it; failure rate {server.get_failure_ratio(now):.2f}'
     )
+    out: list[effects.Effect] = []
+    if active.count_nodes(state) > 1:
+        age_ms = round(state.loads.age_ms)
+        detail += f', load of other nodes {age_ms} ms old'
+        out.append(
+            effects.ObserveLatency(
+                effects.Span.LOAD_AGE, call.route.name, age_ms
+            )
+        )
     source = ''
     if reading.source is not None:
         source = reading.source.row.address
         detail += f', {reading.copied_tokens} tokens copied from {source}'
     return [
+        *out,
         requests.build_record(request, effects.Mark.ATTEMPT, detail),
         effects.RelayAttempt(
             call=call,
@@ -160,8 +171,12 @@
     if request.streaming:
         return []
     request.streaming = True
+    route = request.call.route.name
+    predicted_ms = round(request.expected_first_byte_ms)
     return [
         _observe_latency(request, effects.Span.FIRST, now),
+        effects.ObserveLatency(effects.Span.PREDICTED, route, predicted_ms),
+        effects.ObserveLatency(effects.Span.OBSERVED, route, span),
         effects.SendHead(request.caller_handle, event.head),
     ]
 
--- a/src/teaselbridge/experiment/report.py
+++ b/src/teaselbridge/experiment/report.py
@@ -47,9 +47,7 @@
     return rows
 
 
-def write_json(
-    outcomes: collections.abc.Sequence[run.Outcome], path: str
-) -> None:
+def write_json(outcomes: collections.abc.Sequence[object], path: str) -> None:
     """Write outcomes as JSON to a file."""
     text = msgspec.json.format(msgspec.json.encode(list(outcomes)), indent=2)
     pathlib.Path(path).write_bytes(text)
--- a/src/teaselbridge/telemetry/metrics.py
+++ b/src/teaselbridge/telemetry/metrics.py
@@ -30,7 +30,8 @@
         )
         self._spans = prometheus_client.Histogram(
             'teaselbridge_request_seconds',
-            'Time from arrival to the first byte and to the whole answer.',
+            'Time from arrival to the first byte and to the whole answer, '
+            'age of the load at the choice of a server, and wait for it.',
             ['span', 'route'],
             buckets=BUCKETS_S,
             registry=self._registry,
