--- a/src/teaselbridge/admin/app.py
+++ b/src/teaselbridge/admin/app.py
@@ -1,7 +1,7 @@
 """HTTP interface for operators.
 
-It serves health checks, metrics, the status of the node, the timeline and
-rollouts, and takes new tables and orders to drain.
+It serves health checks, metrics, the status of the node, the timeline,
+rollouts and explanations of choices, and takes new tables and orders to drain.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 from teaselbridge.admin import status
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions.spreading import explanation
 from teaselbridge import documents
 from teaselbridge import errors
 from teaselbridge.gateway import headers as names
@@ -120,6 +121,15 @@
             known = self._loop.state.moves
             return models.MovesReply(moves=known.all, verdicts=known.verdicts)
 
+        @litestar.get('/v1/explain')
+        async def explain(request: Request) -> explanation.Explanation:
+            text = request.query_params.get('request', '')
+            return explanation.explain(
+                self._loop.state,
+                explanation.parse_question(text.encode()),
+                self._loop.now(),
+            )
+
         @litestar.post('/v1/drain', status_code=202)
         async def drain() -> models.NodeStatus:
             now = self._loop.now()
@@ -136,6 +146,7 @@
                 apply_config,
                 show_timeline,
                 show_moves,
+                explain,
                 drain,
             ],
             guards=[self._check_operator_key],
--- a/src/teaselbridge/cli/main.py
+++ b/src/teaselbridge/cli/main.py
@@ -20,6 +20,7 @@
     'config',
     'drain',
     'experiment',
+    'explain',
     'load',
     'moves',
     'serve',
--- a/src/teaselbridge/decisions/arrival.py
+++ b/src/teaselbridge/decisions/arrival.py
@@ -42,7 +42,7 @@
     ]
     if drain.is_closed_to_new_requests(state, now) and not call.is_relayed:
         return out + drain.redirect_or_refuse(state, request)
-    refusal = _check_new_request(state, call, now)
+    refusal = check_new_request(state, call, now)
     if refusal is not None:
         return out + requests.refuse(state, request, refusal)
     if request.has_all_tokens:
@@ -65,9 +65,13 @@
     return f'workspace {call.key.workspace}, forwarded by {call.origin}'
 
 
-def _check_new_request(
+def check_new_request(
     state: states.State, call: calls.Call, now: clock.Instant
 ) -> calls.Refusal | None:
+    """Check whether a new request is accepted.
+
+    :return: the refusal, none where it is accepted.
+    """
     refusal = helper.check(state, call) if call.origin else None
     if refusal is not None:
         return refusal
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -68,7 +68,7 @@
             if refused:
                 out += refused
                 continue
-            if _needs_other_node(state, request):
+            if needs_other_node(state, request):
                 passed = _pass_on(state, request, now)
                 out += passed
                 if not passed:
@@ -88,7 +88,7 @@
     return out
 
 
-def _needs_other_node(state: states.State, request: requests.Request) -> bool:
+def needs_other_node(state: states.State, request: requests.Request) -> bool:
     """Return whether this node cannot send a request to any server."""
     pool = request.call.route.pool
     if state.links.is_cut(pool):
@@ -142,14 +142,14 @@
 ) -> bool:
     nodes = active.count_nodes(state)
     return any(
-        server.has_free_slot(nodes)
-        for server in _list_usable(state, pool, now)
+        server.has_free_slot(nodes) for server in list_usable(state, pool, now)
     )
 
 
-def _list_usable(
+def list_usable(
     state: states.State, pool: str, now: clock.Instant
 ) -> list[servers.Server]:
+    """Return the servers of a pool that take a request of this node now."""
     usable = state.servers.usable(pool, now)
     if state.limits.is_empty:
         return usable
@@ -165,17 +165,7 @@
     :return: the server, none where no server may take the request now.
     """
     call = request.call
-    nodes = active.count_nodes(state)
-    usable = _list_usable(state, call.route.pool, now)
-    wanted = versions.filter_by_version(state, request, usable)
-    candidates = [server for server in wanted if server.has_free_slot(nodes)]
-    if state.poison.is_suspect(call.fingerprint):
-        candidates = [item for item in candidates if not item.suspect_requests]
-    candidates = suspects.filter_for_trial(state, request, candidates)
-    untried = [
-        server for server in candidates if server.host not in request.tried
-    ]
-    candidates = untried or candidates
+    candidates = list_candidates(state, request, now)
     if not candidates:
         return None
     if call.is_relayed:
@@ -188,6 +178,24 @@
     return state.options.policy(candidates, view)
 
 
+def list_candidates(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[servers.Server]:
+    """Return the servers among which one is chosen for a request."""
+    call = request.call
+    nodes = active.count_nodes(state)
+    usable = list_usable(state, call.route.pool, now)
+    wanted = versions.filter_by_version(state, request, usable)
+    candidates = [server for server in wanted if server.has_free_slot(nodes)]
+    if state.poison.is_suspect(call.fingerprint):
+        candidates = [item for item in candidates if not item.suspect_requests]
+    candidates = suspects.filter_for_trial(state, request, candidates)
+    untried = [
+        server for server in candidates if server.host not in request.tried
+    ]
+    return untried or candidates
+
+
 def _start_attempt(
     state: states.State,
     request: requests.Request,
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -341,7 +341,11 @@
             )
 
     def _build_directory_app(self) -> typing.Any:
-        return directory.NodeEndpoints(loop=self._loop, meter=self._meter)
+        return directory.NodeEndpoints(
+            loop=self._loop,
+            meter=self._meter,
+            operator_key=self._settings.operator_key,
+        )
 
     def _build_request_listeners(self) -> list[web.HttpListener]:
         """Build the listeners for callers and for other nodes."""
--- a/tests/failures/test_bad_input.py
+++ b/tests/failures/test_bad_input.py
@@ -130,6 +130,32 @@
 
         self.run_coroutine(run())
 
+    def test_invalid_question_names_the_field(self) -> None:
+        async def run() -> None:
+            async with base.running() as trial:
+                admin = f'http://{trial.settings[0].listen.admin}'
+                headers = {'authorization': f'Bearer {base.OPERATOR_KEY}'}
+                state = trial.nodes[0].loop.state
+                route = state.index.configuration.tables.routes[0].name
+                async with httpx.AsyncClient(trust_env=False) as client:
+
+                    async def ask(question: str) -> httpx.Response:
+                        return await client.get(
+                            f'{admin}/v1/explain',
+                            params={'request': question},
+                            headers=headers,
+                        )
+
+                    bad = await ask('{"route": "r", "tokens": "x"}')
+                    good = await ask(f'{{"route": "{route}"}}')
+                self.assertEqual(400, bad.status_code)
+                self.assertIn('$.tokens', bad.text)
+                self.assertEqual(200, good.status_code, good.text)
+                self.assertTrue(good.json()['admitted'], good.text)
+                self.assertTrue(good.json()['chosen'], good.text)
+
+        self.run_coroutine(run())
+
     def test_invalid_tables_are_not_applied(self) -> None:
         async def run() -> None:
             async with base.running() as trial:
