--- a/src/teaselbridge/decisions/prefill.py
+++ b/src/teaselbridge/decisions/prefill.py
@@ -57,10 +57,10 @@
 MAX_LAG_MS = 3_000
 # Lag that counts as much as a full server, for plain services.
 LAG_PER_FULL_LOAD_MS = 200
-# Wait at a full server of a plain service, whose next free slot is a sixth of
-# an answer of 100 ms or less away. Only its relation to `choice.DRAW_MS`
-# matters: half of it gave the same tail latency, and four times as much a
-# tail longer by a third.
+# Cost of a full server of a plain service, about the time until one of six
+# slots with answers of 100 ms is free. Only its relation to `choice.DRAW_MS`
+# matters: half of it gave the same tail latency with 64 hosts, and four times
+# as much a tail longer by a third (trials).
 FULL_LOAD_MS = 12.0
 # Penalty for a failing server, in milliseconds at a failure rate of 1.
 FAILURE_PENALTY_MS = 4_000.0
--- a/src/teaselbridge/decisions/spreading/choice.py
+++ b/src/teaselbridge/decisions/spreading/choice.py
@@ -25,13 +25,13 @@
 ServerT = typing.TypeVar('ServerT')
 
 # Age at which a reported difference between servers still counts as 1 / e of
-# it. With 64 hosts and 45 servers, 150 ms gave a 95th percentile of 1,551 ms
-# to the first event, 250 ms 1,381 ms and 400 ms 1,498 ms; see
-# docs/design/spreading.md.
+# it. With 64 hosts and 45 servers, 150, 250 and 400 ms gave a 95th percentile
+# of 1,551, 1,381 and 1,498 ms to the first event (trials at 80% load; see
+# docs/design/spreading.md).
 LEVELLING_MS = 250.0
 # Cost that divides the probability of a server by e if nothing is known of
-# the others. With 10 ms or more, a second node often misses the engine that
-# caches a head.
+# the others. With 195 hosts, 10 ms raised the shared tokens that are read
+# again from 22.0 to 24.6%, as a second node missed the engine of a head.
 DRAW_MS = 5.0
 # Servers that cost so many times that more are not drawn.
 MAX_DRAW_FACTOR = 8.0
