--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -69,7 +69,7 @@
             if refused:
                 out += refused
                 continue
-            if _needs_other_node(state, request):
+            if needs_other_node(state, request):
                 passed = _pass_on(state, request, now)
                 out += passed
                 if not passed:
@@ -89,7 +89,7 @@
     return out
 
 
-def _needs_other_node(state: states.State, request: requests.Request) -> bool:
+def needs_other_node(state: states.State, request: requests.Request) -> bool:
     """Return whether this node cannot send a request to any server."""
     pool = request.call.route.pool
     if state.links.is_cut(pool):
@@ -149,7 +149,7 @@
     nodes = active.count_nodes(state)
     return any(
         server.has_free_slot(nodes) and _has_memory(state, server, call, now)
-        for server in _list_usable(state, call.route.pool, now)
+        for server in list_usable(state, call.route.pool, now)
     )
 
 
@@ -163,9 +163,10 @@
     return not call.is_relayed or predict.fits(state, server, call, now)
 
 
-def _list_usable(
+def list_usable(
     state: states.State, pool: str, now: clock.Instant
 ) -> list[servers.Server]:
+    """Return the servers of a pool that take a request of this node now."""
     usable = state.servers.usable(pool, now)
     if state.limits.is_empty:
         return usable
@@ -181,8 +182,26 @@
     :return: the server, none where no server may take the request now.
     """
     call = request.call
+    candidates = list_candidates(state, request, now)
+    if not candidates:
+        return None
+    if call.is_relayed:
+        if call.parts:
+            return prefill.choose_engine(state, candidates, call, now)
+        return prefill.choose_least_loaded(state, candidates, now)
+    view = placement.PolicyInput(
+        call, state.random, state.rotation, state.options.me.zone
+    )
+    return state.options.policy(candidates, view)
+
+
+def list_candidates(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[servers.Server]:
+    """Return the servers among which one is chosen for a request."""
+    call = request.call
     nodes = active.count_nodes(state)
-    usable = _list_usable(state, call.route.pool, now)
+    usable = list_usable(state, call.route.pool, now)
     wanted = versions.filter_by_version(state, request, usable)
     candidates = [
         server
@@ -196,17 +215,7 @@
     untried = [
         server for server in candidates if server.host not in request.tried
     ]
-    candidates = untried or candidates
-    if not candidates:
-        return None
-    if call.is_relayed:
-        if call.parts:
-            return prefill.choose_engine(state, candidates, call, now)
-        return prefill.choose_least_loaded(state, candidates, now)
-    view = placement.PolicyInput(
-        call, state.random, state.rotation, state.options.me.zone
-    )
-    return state.options.policy(candidates, view)
+    return untried or candidates
 
 
 def _start_attempt(
--- a/src/teaselbridge/decisions/prefill.py
+++ b/src/teaselbridge/decisions/prefill.py
@@ -17,8 +17,10 @@
 import dataclasses
 import typing
 
+from teaselbridge.decisions import active
 from teaselbridge.decisions.room import memory
 from teaselbridge.decisions.room import predict
+from teaselbridge.decisions.spreading import choice
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
@@ -51,6 +53,11 @@
 MAX_LAG_MS = 3_000
 # Lag that counts as much as a full server, for plain services.
 LAG_PER_FULL_LOAD_MS = 200
+# Cost of a full server of a plain service, about the time until one of six
+# slots with answers of 100 ms is free. Only its relation to `choice.DRAW_MS`
+# matters: half of it gave the same tail latency with 64 hosts, and four times
+# as much a tail longer by a third (trials).
+FULL_LOAD_MS = 12.0
 
 
 class PrefillSpeeds:
@@ -141,7 +148,7 @@
             return
         for server in state.servers.in_pool(call.route.pool):
             best = self._source_by_version.get(server.row.version)
-            if best is None or self._count_cached(server) > self._count_cached(
+            if best is None or self.count_cached(server) > self.count_cached(
                 best
             ):
                 self._source_by_version[server.row.version] = server
@@ -152,7 +159,7 @@
         Caches are copied only between servers of the same model version,
         since other versions produce different caches for the same text.
         """
-        own = self._count_cached(server)
+        own = self.count_cached(server)
         key = (own, server.row.version)
         known = self._work_by_cached.get(key)
         if known is None:
@@ -163,7 +170,7 @@
         """Return the work for a server that has some tokens cached."""
         unread = self._call.tokens_in - own
         source = self._source_by_version.get(server.row.version)
-        copied = 0 if source is None else self._count_cached(source) - own
+        copied = 0 if source is None else self.count_cached(source) - own
         if copied < MIN_COPY_TOKENS:
             return PrefillWork(uncached_tokens=unread)
         return PrefillWork(
@@ -173,7 +180,7 @@
             copy_ms=COPY_OVERHEAD_MS + copied / self._copied_per_ms,
         )
 
-    def _count_cached(self, server: servers.Server) -> int:
+    def count_cached(self, server: servers.Server) -> int:
         """Return the prompt tokens that a server has cached, memoized."""
         known = self._cached_by_host.get(server.host)
         if known is None:
@@ -204,10 +211,22 @@
     call: calls.Call,
     now: clock.Instant,
 ) -> servers.Server:
-    """Choose the server with the lowest predicted time to first token.
+    """Choose a server by its predicted time to first token.
 
     :param candidates: servers that may take the request; not empty.
     """
+    options = describe_engines(state, candidates, call, now)
+    nodes = active.count_nodes(state)
+    return choice.choose(options, nodes, state.random).server
+
+
+def describe_engines(
+    state: states.State,
+    candidates: list[servers.Server],
+    call: calls.Call,
+    now: clock.Instant,
+) -> list[choice.Candidate[servers.Server]]:
+    """Return what the choice of an engine depends on, for each server."""
     rank_by_host: dict[str, int] = {}
     if call.parts:
         ordered = state.head_orders.order(candidates, _shared_head_id(call))
@@ -225,7 +244,16 @@
             + RANK_PENALTY_MS * rank
         )
 
-    return min(candidates, key=cost)
+    return [
+        choice.Candidate(
+            server=server,
+            cost_ms=cost(server),
+            age_ms=state.loads.age_ms,
+            cached_tokens=plan.count_cached(server),
+            others_ms=predict.predict_others_ms(state, server, now),
+        )
+        for server in candidates
+    ]
 
 
 def choose_least_loaded(
@@ -233,17 +261,35 @@
     candidates: list[servers.Server],
     now: clock.Instant,
 ) -> servers.Server:
-    """Choose the least loaded server of a plain service.
+    """Choose one of the least loaded servers of a plain service."""
+    options = describe_plain_servers(state, candidates, now)
+    nodes = active.count_nodes(state)
+    return choice.choose(options, nodes, state.random).server
 
-    Ties are broken at random, so that nodes do not all choose the same one.
+
+def describe_plain_servers(
+    state: states.State,
+    candidates: list[servers.Server],
+    now: clock.Instant,
+) -> list[choice.Candidate[servers.Server]]:
+    """Return what the choice of a plain server depends on, for each one.
+
+    Their order is random, so that nodes do not all choose the same one of
+    several with equal costs.
     """
-    return min(
-        candidates,
-        key=lambda server: (
-            _compute_plain_cost(server, now),
-            state.random.random(),
-        ),
-    )
+    options = [
+        choice.Candidate(
+            server=server,
+            cost_ms=FULL_LOAD_MS * _compute_plain_cost(server, now),
+            age_ms=state.loads.age_ms,
+            others_ms=FULL_LOAD_MS
+            * server.other_requests
+            / max(1, server.slots),
+        )
+        for server in candidates
+    ]
+    options.sort(key=lambda _: state.random.random())
+    return options
 
 
 def _compute_plain_cost(server: servers.Server, now: clock.Instant) -> float:
--- a/src/teaselbridge/decisions/room/predict.py
+++ b/src/teaselbridge/decisions/room/predict.py
@@ -47,6 +47,19 @@
     )
 
 
+def predict_others_ms(
+    state: states.State, server: servers.Server, now: clock.Instant
+) -> float:
+    """Predict the part of that time which other nodes' requests cause."""
+    usual = state.prefill_speeds.get_tokens_per_ms(server.row.pool)
+    known = server.picture
+    usual_ms = (
+        server.other_prefill_tokens / usual
+        + RUNNING_PENALTY_MS * server.other_requests
+    )
+    return known.stretch(usual_ms / known.get_speed_factor(usual), now)
+
+
 def predict_backlog_ms(
     state: states.State, server: servers.Server, now: clock.Instant
 ) -> float:
