--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -236,6 +236,16 @@
             data = head + repeated * (most // len(repeated) + 1)
             found = self.answer(data, repeated, repeated)
             self.assertIsInstance(found.error, connections.CutError, head)
+            # The node gives up before the server closes the connection.
+            self.assertNotIn('closed', str(found.error), head)
+
+    def test_too_many_interim_responses(self) -> None:
+        interim = b'HTTP/1.1 102 Any\r\n\r\n'
+        most = connections.MAX_INTERIM_RESPONSES
+        found = self.answer(interim * most + OK)
+        self.assertEqual('end', found.calls[-1])
+        found = self.answer(interim * (most + 1) + OK)
+        self.assertEqual(['error'], found.calls)
 
     def test_chunks_of_a_long_stream_are_not_headers(self) -> None:
         chunk = b'1\r\na\r\n'
