--- a/src/teaselbridge/platform/connections.py
+++ b/src/teaselbridge/platform/connections.py
@@ -385,7 +385,7 @@
     def abort(self, exchange: Exchange) -> None:
         """Close the connection if it still serves an exchange."""
         if self._exchange is exchange:
-            self._exchange = self._receiver = None
+            self._release()
             self.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -405,7 +405,7 @@
         elif self._head is None or self._head.is_framed:
             self._fail(CutError('the server closed the connection'))
         else:
-            self._exchange = self._receiver = None
+            self._release()
             receiver.handle_end()
 
     def data_received(self, data: bytes) -> None:
@@ -492,12 +492,21 @@
                 CutError(f'more than {MAX_HEAD_BYTES} bytes of headers')
             )
 
+    def _release(self) -> None:
+        """Let go of the exchange and the answer.
+
+        No cycle of references is left to the garbage collector.
+        """
+        if self._exchange is not None:
+            self._exchange.receiver = self._exchange.connection = None
+        self._exchange = self._receiver = None
+        self._clear()
+
     def _finish(self) -> None:
         """Keep the connection after an answer, or close it."""
-        self._exchange = self._receiver = None
+        self._release()
         transport = self._transport
         assert transport is not None
-        self._clear()
         if self.is_reusable and not transport.get_write_buffer_size():
             self._pool.add_idle(self)
         else:
@@ -508,7 +517,7 @@
         receiver = self._receiver
         if receiver is None:
             return
-        self._exchange = self._receiver = None
+        self._release()
         self.close()
         receiver.handle_error(error)
 
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -57,14 +57,15 @@
 
     :param effect: request to forward.
     :param post: function that passes an event to the reducer.
-    :param on_end: function that is called when no event can follow.
+    :param on_end: function that is called with the attempt before its last
+        event.
     """
 
     def __init__(
         self,
         effect: effects.RelayAttempt,
         post: Post,
-        on_end: collections.abc.Callable[[], None],
+        on_end: collections.abc.Callable[[Attempt], None],
     ) -> None:
         self._effect = effect
         self._post = post
@@ -77,6 +78,11 @@
         self._buffer = bytearray()
         self._first_byte_at: int | None = None
 
+    @property
+    def handle(self) -> int:
+        """Number of the request within this process."""
+        return self._effect.call.handle
+
     def start(self, pool: connections.Pool) -> None:
         """Send the request.
 
@@ -149,7 +155,7 @@
             _select_forwarded_headers(head.headers),
             bytes(self._buffer),
         )
-        self._on_end()
+        self._on_end(self)
         self._post(
             events.AnswerReceived(call.handle, self._effect.attempt, answer)
         )
@@ -163,7 +169,7 @@
 
     def _finish(self, fault: calls.Fault) -> None:
         effect = self._effect
-        self._on_end()
+        self._on_end(self)
         self._post(
             events.AttemptFailed(effect.call.handle, effect.attempt, fault)
         )
@@ -232,7 +238,7 @@
         if self._first_byte_at is None:
             self._post_stream_head()
         effect = self._effect
-        self._on_end()
+        self._on_end(self)
         self._post(
             events.RelayEnded(
                 effect.call.handle, effect.attempt, head.is_framed
--- a/src/teaselbridge/runtime/relaying.py
+++ b/src/teaselbridge/runtime/relaying.py
@@ -53,16 +53,14 @@
         await self._pool.close()
 
     def _start_attempt(self, effect: effects.RelayAttempt) -> None:
-        handle = effect.call.handle
-
-        def remove_ended() -> None:
-            if self._attempts_by_handle.get(handle) is attempt:
-                del self._attempts_by_handle[handle]
-
-        attempt = runners.Attempt(effect, self._loop.post, remove_ended)
-        self._attempts_by_handle[handle] = attempt
+        attempt = runners.Attempt(effect, self._loop.post, self._remove_ended)
+        self._attempts_by_handle[attempt.handle] = attempt
         attempt.start(self._pool)
 
+    def _remove_ended(self, attempt: runners.Attempt) -> None:
+        if self._attempts_by_handle.get(attempt.handle) is attempt:
+            del self._attempts_by_handle[attempt.handle]
+
     def _cancel_attempt(self, effect: effects.CancelAttempt) -> None:
         attempt = self._attempts_by_handle.pop(effect.handle, None)
         if attempt is not None:
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import collections.abc
+import gc
 import socket
 import struct
 import typing
+import weakref
 
 import testtools
 
@@ -449,3 +451,30 @@
             await pool.close()
 
         self.run_coroutine(run())
+
+
+class TestReferences(TestCase):
+    """What an exchange held is freed without the garbage collector."""
+
+    def test_receiver_is_freed(self) -> None:
+        async def run() -> None:
+            pool = connections.Pool()
+            broken = OK[:-1]
+            for answer in (OK, broken):
+                async with serving.serve(answer) as server:
+                    receiver = Receiver()
+                    receiver.exchange = pool.send(  # type: ignore
+                        server.address, REQUEST, receiver
+                    )
+                    await receiver.ended.wait()
+                    await asyncio.sleep(0)
+                    reference = weakref.ref(receiver)
+                    gc.disable()
+                    self.addCleanup(gc.enable)
+                    del receiver
+                    await asyncio.sleep(0)
+                    self.assertIsNone(reference(), answer)
+                    gc.enable()
+            await pool.close()
+
+        self.run_coroutine(run())
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -66,7 +66,7 @@
             attempt = runners.Attempt(
                 msgspec.structs.replace(effect, address=server.address),
                 found.append,
-                ended.set,
+                lambda _: ended.set(),
             )
             attempt.start(pool)
             async with asyncio.timeout(serving.TIMEOUT_S):
