--- a/src/teaselbridge/platform/connections.py
+++ b/src/teaselbridge/platform/connections.py
@@ -349,7 +349,8 @@
         self._receiver = receiver
         self._is_bodiless = is_head
         self._parser = httptools.HttpResponseParser(self)
-        # Lines that end without a carriage return are common enough.
+        # Lines may end without a carriage return, as HTTP allows recipients
+        # to accept; servers that send such lines were served before.
         self._parser.set_dangerous_leniencies(
             lenient_optional_cr_before_lf=True
         )
--- a/tests/runtime/test_web.py
+++ b/tests/runtime/test_web.py
@@ -153,6 +153,7 @@
             b'GET / HTTP/1.1\r\nHost: h\r\nX: a\rY: b\r\n\r\n',
             b'GET / HTTP/1.1\nHost: h\n\n',
             b'noise\r\n\r\n',
+            b'FOO / HTTP/1.1\r\nHost: h\r\n\r\n',
         ):
             answer, served_count = self.send(request)
             self.assertTrue(answer.startswith(b'HTTP/1.1 400 '), request)
