--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import collections.abc
+import gc
 import socket
 import struct
 import typing
+import weakref
 
 import testtools
 
@@ -236,6 +238,16 @@
             data = head + repeated * (most // len(repeated) + 1)
             found = self.answer(data, repeated, repeated)
             self.assertIsInstance(found.error, connections.CutError, head)
+            # The node gives up before the server closes the connection.
+            self.assertNotIn('closed', str(found.error), head)
+
+    def test_too_many_interim_responses(self) -> None:
+        interim = b'HTTP/1.1 102 Any\r\n\r\n'
+        most = connections.MAX_INTERIM_RESPONSES
+        found = self.answer(interim * most + OK)
+        self.assertEqual('end', found.calls[-1])
+        found = self.answer(interim * (most + 1) + OK)
+        self.assertEqual(['error'], found.calls)
 
     def test_chunks_of_a_long_stream_are_not_headers(self) -> None:
         chunk = b'1\r\na\r\n'
@@ -439,3 +451,30 @@
             await pool.close()
 
         self.run_coroutine(run())
+
+
+class TestReferences(TestCase):
+    """What an exchange held is freed without the garbage collector."""
+
+    def test_receiver_is_freed(self) -> None:
+        async def run() -> None:
+            pool = connections.Pool()
+            broken = OK[:-1]
+            for answer in (OK, broken):
+                async with serving.serve(answer) as server:
+                    receiver = Receiver()
+                    receiver.exchange = pool.send(  # type: ignore
+                        server.address, REQUEST, receiver
+                    )
+                    await receiver.ended.wait()
+                    await asyncio.sleep(0)
+                    reference = weakref.ref(receiver)
+                    gc.disable()
+                    self.addCleanup(gc.enable)
+                    del receiver
+                    await asyncio.sleep(0)
+                    self.assertIsNone(reference(), answer)
+                    gc.enable()
+            await pool.close()
+
+        self.run_coroutine(run())
