--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -30,6 +30,7 @@
 from teaselbridge.decisions import retry
 from teaselbridge.decisions import rollouts
 from teaselbridge.decisions.room import memory
+from teaselbridge.decisions.room import speeds
 from teaselbridge.decisions import scaling
 from teaselbridge.decisions import servers
 from teaselbridge.decisions.sharing import rates
@@ -125,6 +126,7 @@
         self.loads = loads.Loads()
         self.arrivals = carrying.Arrivals()
         self.prefill_speeds = prefill.PrefillSpeeds()
+        self.speeds = speeds.Speeds()
         self.usual = memory.Usual()
         effective_bounds = options.bounds or bounds_module.Bounds()
         self.rates = rates.RateLimiter(
