--- a/src/teaselbridge/decisions/spreading/explanation.py
+++ b/src/teaselbridge/decisions/spreading/explanation.py
@@ -51,7 +51,7 @@
 class PartOfPrompt:
     """A part of a prompt.
 
-    :param id: its id, as in ``Teaselbridge-Prompt-Prefix``.
+    :param id: its id, as callers state it.
     :param tokens: its length.
     """
 
