--- a/src/teaselbridge/decisions/active.py
+++ b/src/teaselbridge/decisions/active.py
@@ -116,5 +116,5 @@
     return available
 
 
-def _rank(member: messages.Member) -> tuple[int, int]:
-    return -int(member.cores), placement.hash_text('active', member.name)
+def _rank(member: messages.Member) -> tuple[float, int]:
+    return -member.cores, placement.hash_text('active', member.name)
--- a/tests/decisions/test_active.py
+++ b/tests/decisions/test_active.py
@@ -134,6 +134,17 @@
             set(), {f'n{number}' for number in range(18)} - chosen
         )
 
+    def test_parts_of_a_core_count(self) -> None:
+        """Guards against hosts of 0.39 cores before those of 0.52."""
+        nodes = [
+            member(number, cores=0.52 if number < 60 else 0.39)
+            for number in range(120)
+        ]
+        chosen = active.choose_nodes(nodes)
+        self.assertEqual(
+            60, sum(item.cores == 0.52 for item in chosen), len(chosen)
+        )
+
     def test_nodes_that_take_no_callers_are_not_chosen(self) -> None:
         state = build_state(300)
         leaving = sorted(active.list_names(state) - {'n0'})[:2]
--- a/tests/decisions/test_usage_exchange.py
+++ b/tests/decisions/test_usage_exchange.py
@@ -97,8 +97,13 @@
         return total
 
     def get_report(self, window: int) -> collections.Counter[str]:
-        """Return the content of the only report of a window."""
-        ((_, counts),) = self.reports[window]
+        """Return the content of the report of a window.
+
+        A successor repeats the last report, with the same content.
+        """
+        (_, counts), *repeated = self.reports[window]
+        for _, other in repeated:
+            assert other == counts, (window, other, counts)
         return collections.Counter(counts)
 
     def _build(self, me: messages.Member) -> states.State:
@@ -145,6 +150,8 @@
                 if is_valid:
                     self._lease_ends[effect.number] = self.now + LEASE.ttl_ms
                 return events.LeaseRenewed(effect.ticket, is_valid)
+            case effects.RevokeLease():
+                self._lease_ends[effect.number] = self.now
         return None
 
     def _get_key(self, name: str) -> Key | None:
@@ -169,7 +176,7 @@
         for window in windows:
             with self.subTest(window=window):
                 self.assertEqual(model.count(window), model.get_report(window))
-                ((at, _),) = model.reports[window]
+                at, _ = model.reports[window][0]
                 end = (window + 1 - FIRST_WINDOW) * WINDOW_MS
                 self.assertLessEqual(at, end + DUE_MS)
 
@@ -230,6 +237,19 @@
         self.assertEqual(collections.Counter(), missing - unsent)
         self._check(model, range(window + 1, window + 3))
 
+    def test_hosts_that_stop_gracefully(self) -> None:
+        """Guards against counts that end with a process."""
+        model = build(24)
+        model.run(12_000, per_s=200)
+        holder = model.find_holder()
+        others = [name for name in model.nodes if name != holder]
+        stopping = [holder, *others[:5]]
+        model.post(stopping, events.DrainRequested(by=14_950))
+        model.run(24_500, per_s=200)
+        running = [node.name for node in model.nodes.values() if node.is_up]
+        self.assertEqual(set(), set(running) & set(stopping))
+        self._check(model, range(FIRST_WINDOW + 1, FIRST_WINDOW + 4))
+
     def test_killed_host_that_restarts_at_once(self) -> None:
         """Guards against counts of the earlier run that are left out."""
         model = build(6)
