Let callers over a quota return within half of their goal time

Refused callers were spread over the time in which the refill covers all that waits, up to a third of the time that they have left.

--- a/src/teaselbridge/decisions/sharing/rates.py
+++ b/src/teaselbridge/decisions/sharing/rates.py
@@ -329,11 +329,15 @@
             bucket.spent += cost
             bucket.seen += cost
             return 0
-        waiting = view.asked_per_s - view.refill_per_s
+        needed = view.needed - free
+        excess_per_s = view.asked_per_s - view.refill_per_s
+        waiting = excess_per_s * asked.WINDOW_MS / clocks.SECOND_MS
         return_ms = returns.compute_return_ms(
-            view.needed - free,
+            needed,
             view.refill_per_s,
-            waiting * asked.WINDOW_MS / clocks.SECOND_MS,
+            returns.limit_waiting(
+                waiting, needed, view.refill_per_s, call.route.goal_ms
+            ),
             draw,
         )
         return returns.cap_return_ms(return_ms, call.deadline - now.mono)
--- a/tests/decisions/sharing/test_returns.py
+++ b/tests/decisions/sharing/test_returns.py
@@ -35,3 +35,32 @@
         self.assertEqual(500, returns.cap_return_ms(500, 6_000))
         self.assertEqual(2_000, returns.cap_return_ms(5_000, 6_000))
         self.assertEqual(1, returns.cap_return_ms(5_000, 0))
+
+
+class TestGoals(testtools.TestCase):
+    """Callers return while they can still be served in time."""
+
+    REFILL_PER_S = 40_000.0
+
+    def _compute(self, needed: float, goal_ms: int, draw: float) -> int:
+        waiting = returns.limit_waiting(
+            400_000.0, needed, self.REFILL_PER_S, goal_ms
+        )
+        return returns.compute_return_ms(
+            needed, self.REFILL_PER_S, waiting, draw
+        )
+
+    # Guards against callers of a workspace with several times its rate that
+    # are told to return when their answer is late in any case.
+    def test_return_is_within_half_of_the_goal(self) -> None:
+        times = [self._compute(10_000, 1_000, draw / 10) for draw in range(11)]
+        self.assertEqual((250, 500), (times[0], times[-1]))
+        self.assertEqual(sorted(set(times)), times)
+
+    # Guards against a return before the tokens of the request are there.
+    def test_request_whose_tokens_come_later(self) -> None:
+        self.assertEqual(750, self._compute(30_000, 1_000, 0.0))
+        self.assertEqual(10_750, self._compute(30_000, 1_000, 1.0))
+
+    def test_route_without_a_goal(self) -> None:
+        self.assertEqual(10_250, self._compute(10_000, 0, 1.0))
