Count what a removed node spent only once

A node that had left was removed from the rate limiter, and the next of its late reports was taken for its first one: all that it had ever spent was subtracted from the level again. What removed nodes had spent is remembered now.

--- a/src/teaselbridge/decisions/sharing/rates.py
+++ b/src/teaselbridge/decisions/sharing/rates.py
@@ -46,6 +46,8 @@
 # A node that sent no report for this long is gone, or is partitioned from
 # the store too and refuses requests, as it cannot confirm workspace keys.
 PEER_FORGET_TIMEOUT_MS = 10_000
+# Nodes that are remembered after their removal.
+MAX_FORGOTTEN = 1_000
 # Nodes that start together have got reports from each other by then.
 STARTUP_GRACE_MS = 2_000
 # After a failure of all nodes, they restart within this span of each other.
@@ -205,6 +207,9 @@
         self._tolerance = tolerance
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
+        # What nodes that were removed had spent, with their incarnation: a
+        # late report must not count again what was subtracted before.
+        self._forgotten: dict[str, tuple[int, dict[str, int]]] = {}
         self._started: int | None = None
         self._listed_peers = 0
         self._period_ms = rotation.UPDATE_INTERVAL_MS
@@ -238,18 +243,27 @@
     ) -> None:
         """Subtract the cost of the requests that another node reports."""
         known = self._peers.get(message.node)
+        forgotten = self._forgotten.pop(message.node, None)
         # The first report of a node that started earlier may include requests
         # from before this node started, so it only sets the baseline.
-        counts = known is not None or self._started_no_earlier(message, now)
+        counts = (
+            known is not None
+            or forgotten is not None
+            or self._started_no_earlier(message, now)
+        )
         if known is None:
             known = _Peer(message.incarnation, now.mono, {})
         self._return_presumed(known)
-        continues = known.incarnation == message.incarnation
+        spent = {name: item.spent for name, item in known.reports.items()}
+        incarnation = known.incarnation
+        if forgotten is not None:
+            incarnation, spent = forgotten
+        if incarnation != message.incarnation:
+            spent = {}
         told = {item.workspace: item for item in message.demand}
         reports: dict[str, _Report] = {}
         for name in told.keys() | known.reports.keys():
-            before = known.reports.get(name, _Report())
-            base = before.spent if continues else 0
+            base = spent.get(name, 0)
             item = told.get(name) or messages.Demand(
                 workspace=name, spent=base, asked=(0,)
             )
@@ -576,6 +590,12 @@
         peer = self._peers.pop(node, None)
         if peer is None:
             return
+        self._forgotten[node] = (
+            peer.incarnation,
+            {name: item.spent for name, item in peer.reports.items()},
+        )
+        if len(self._forgotten) > MAX_FORGOTTEN:
+            del self._forgotten[next(iter(self._forgotten))]
         for name, report in peer.reports.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
--- a/tests/decisions/sharing/test_rates.py
+++ b/tests/decisions/sharing/test_rates.py
@@ -245,3 +245,56 @@
         self.assertEqual(0, limiter.admit(call, RATE, samples.instant(0)))
         wait = limiter.admit(call, RATE, samples.instant(100))
         self.assertEqual(2_000, wait)
+
+
+class TestRemovedNodes(testtools.TestCase):
+    """A node that is removed counts once, whatever it still reports.
+
+    Load pattern: nodes that are stopped one after the other report until
+    they have ended, after the others have removed them.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.limiter = rates.RateLimiter(first_start=True)
+        self.limiter.record_start(samples.instant(0), 1)
+        self._admit(1, 0)
+
+    def _admit(self, handle: int, at: int, tokens: int = 1_000) -> int:
+        call = samples.relayed(handle, tokens_in=tokens)
+        return self.limiter.admit(call, RATE, samples.instant(at))
+
+    def _report(self, spent: int, at: int, incarnation: int = 1) -> None:
+        demand = messages.Demand(workspace='w', spent=spent, asked=(0,))
+        report = messages.Loads(
+            node='other',
+            incarnation=incarnation,
+            wall=0,
+            servers=(),
+            demand=(demand,),
+        )
+        self.limiter.merge_report(report, samples.instant(at))
+
+    def _remove_node(self, spent: int) -> None:
+        """Let the other node report once, and remove it when all is full."""
+        self._report(spent, 3_000)
+        self.limiter.forget_peers(['other'])
+        self._admit(2, 19_999)
+
+    # Guards against a bucket that is overdrawn by all that a stopping node
+    # ever spent, so that its workspace is refused for seconds.
+    def test_late_report_is_not_counted_again(self) -> None:
+        self._remove_node(200_000)
+        self._report(201_000, 20_000)
+        self.assertEqual(0, self._admit(3, 20_001))
+
+    def test_late_report_counts_what_is_new(self) -> None:
+        self._remove_node(10_000)
+        self._report(210_000, 20_000)
+        self.assertGreater(self._admit(3, 20_001), 0)
+
+    # Guards against a restarted node that may spend without being counted.
+    def test_restarted_node_counts_from_its_start(self) -> None:
+        self._remove_node(10_000)
+        self._report(200_000, 20_000, incarnation=2)
+        self.assertGreater(self._admit(3, 20_001), 0)
