--- a/src/teaselbridge/decisions/demand.py
+++ b/src/teaselbridge/decisions/demand.py
@@ -120,7 +120,7 @@
     first = demand.first if now.mono - demand.since < WARM_UP_MS else 0
     usual = state.speeds.get_usual(state, pool.name)
     factors = [
-        server.picture.measure_factor(usual)
+        server.profile.measure_factor(usual)
         for server in state.servers.staying(pool.name)
     ]
     speed = 1000 * state.prefill_speeds.get_tokens_per_ms(pool.name)
--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -470,4 +470,4 @@
     server.other_requests = others.running
     server.other_prefill_tokens = others.prefill
     guessed = uncounted * state.usual.get_held(server.row.pool)
-    server.picture.other_tokens = others.tokens + round(guessed)
+    server.profile.other_tokens = others.tokens + round(guessed)
--- a/src/teaselbridge/decisions/prefill.py
+++ b/src/teaselbridge/decisions/prefill.py
@@ -295,7 +295,7 @@
     On a machine of half the pace a request takes longer by the time of one
     request, as behind one full load.
     """
-    slowness = max(0.0, 100 / server.picture.get_pace(now) - 1)
+    slowness = max(0.0, 100 / server.profile.get_pace(now) - 1)
     return (
         round(server.load + 2 * server.get_failure_ratio(now), 2)
         + round(server.get_lag_ms(now) / LAG_PER_FULL_LOAD_MS, 1)
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -100,7 +100,7 @@
     is_engine = pool is not None and pool.engine is not None
     if is_engine:
         memory.hold(state, request, server, reading)
-    request.pace = server.picture.get_pace(now)
+    request.pace = server.profile.get_pace(now)
     server.prefill += unread
     state.loads.record_reading(call.route.pool, unread, call.tokens_in, now)
     for part in call.parts:
@@ -116,7 +116,7 @@
         f'attempt {request.attempt} at {server.row.instance}'
         f' {server.version}, {load} in flight, {backlog} tokens to prefill,'
         f' {unread} of it; failure rate {server.get_failure_ratio(now):.2f};'
-        f' {server.picture.describe(usual, now)}'
+        f' {server.profile.describe(usual, now)}'
     )
     out: list[effects.Effect] = []
     if active.count_nodes(state) > 1:
--- a/src/teaselbridge/decisions/room/memory.py
+++ b/src/teaselbridge/decisions/room/memory.py
@@ -91,12 +91,12 @@
     tokens = work.uncached_tokens + work.copied_tokens
     tokens += expect_output(state, call)
     request.held_tokens = tokens
-    server.picture.tokens += tokens
+    server.profile.tokens += tokens
     state.usual.record_held(call.route.pool, tokens)
 
 
 def release(server: servers.Server, request: requests.Request) -> None:
     """Subtract the tokens of a request that left its server."""
-    known = server.picture
+    known = server.profile
     known.tokens = max(0, known.tokens - request.held_tokens)
     request.held_tokens = 0
--- a/src/teaselbridge/decisions/room/predict.py
+++ b/src/teaselbridge/decisions/room/predict.py
@@ -34,7 +34,7 @@
     usual = state.speeds.get_usual(state, call.route.pool)
     backlog = server.prefill + server.other_prefill_tokens
     running = server.inflight + server.other_requests
-    known = server.picture
+    known = server.profile
     busy_ms = (
         work.uncached_tokens + backlog
     ) / usual + RUNNING_PENALTY_MS * running
@@ -52,7 +52,7 @@
 ) -> float:
     """Predict the part of that time which other nodes' requests cause."""
     usual = state.prefill_speeds.get_tokens_per_ms(server.row.pool)
-    known = server.picture
+    known = server.profile
     usual_ms = (
         server.other_prefill_tokens / usual
         + RUNNING_PENALTY_MS * server.other_requests
@@ -66,7 +66,7 @@
     """Predict the milliseconds until a server has read all prompts."""
     usual = state.speeds.get_usual(state, server.row.pool)
     backlog = server.prefill + server.other_prefill_tokens
-    known = server.picture
+    known = server.profile
     usual_ms = backlog / usual / known.get_speed_factor(usual)
     return known.stretch(usual_ms, now)
 
@@ -85,7 +85,7 @@
     pool = state.index.pool(call.route.pool)
     if pool is None or pool.engine is None:
         return True
-    held = server.picture.tokens + server.picture.other_tokens
+    held = server.profile.tokens + server.profile.other_tokens
     most = pool.engine.cache_tokens
     needed = call.tokens_in + memory.expect_output(state, call)
     if not held or held + needed <= most or needed > most:
--- a/src/teaselbridge/decisions/room/picture.py
+++ b/src/teaselbridge/decisions/room/profile.py
@@ -48,7 +48,7 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Picture:
+class Profile:
     """What is known about a server, as of its latest statements.
 
     Times are monotonic milliseconds.
--- a/src/teaselbridge/decisions/room/reports.py
+++ b/src/teaselbridge/decisions/room/reports.py
@@ -26,7 +26,7 @@
     return tuple(
         _build_report(server, now)
         for server in state.servers.all
-        if server.inflight or server.picture.has_news(now)
+        if server.inflight or server.profile.has_news(now)
     )
 
 
@@ -43,7 +43,7 @@
             continue
         if item.pace:
             age_ms = max(0, item.pace_age_ms)
-            server.picture.merge_pace(item.pace, now.mono - age_ms)
+            server.profile.merge_pace(item.pace, now.mono - age_ms)
         if item.speed:
             speeds.merge_report(state, server, item.speed)
 
@@ -51,7 +51,7 @@
 def _build_report(
     server: servers.Server, now: clock.Instant
 ) -> messages.ServerLoad:
-    known = server.picture
+    known = server.profile
     pace = age_ms = 0
     if known.unusual_until > now.mono:
         pace = known.heard_pace
--- a/src/teaselbridge/decisions/room/speeds.py
+++ b/src/teaselbridge/decisions/room/speeds.py
@@ -10,7 +10,7 @@
 import typing
 
 from teaselbridge.decisions import prefill
-from teaselbridge.decisions.room import picture as pictures
+from teaselbridge.decisions.room import profile as pictures
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
@@ -40,7 +40,7 @@
 
     def merge(self, server: servers.Server) -> None:
         """Update the usual speed with that of a server with a new sample."""
-        known = server.picture
+        known = server.profile
         if known.sample_count < pictures.MIN_SPEED_SAMPLES:
             return
         pool = server.row.pool
@@ -64,13 +64,13 @@
         request.call.route.pool, tokens, span_ms
     )
     server = state.servers.get(request.host)
-    if server is None or not server.picture.states_pace:
+    if server is None or not server.profile.states_pace:
         return
-    pace = server.picture.get_pace(now)
+    pace = server.profile.get_pace(now)
     seen = prefill.measure_speed(tokens, span_ms, pace)
     if seen is None or abs(pace - request.pace) > MAX_PACE_CHANGE:
         return
-    server.picture.record_speed(seen, now)
+    server.profile.record_speed(seen, now)
     state.speeds.merge(server)
 
 
@@ -78,5 +78,5 @@
     state: states.State, server: servers.Server, tokens_per_s: int
 ) -> None:
     """Merge the speed of a server that another node measured."""
-    server.picture.merge_speed(prefill.limit_speed(tokens_per_s / 1_000))
+    server.profile.merge_speed(prefill.limit_speed(tokens_per_s / 1_000))
     state.speeds.merge(server)
--- a/src/teaselbridge/decisions/room/statements.py
+++ b/src/teaselbridge/decisions/room/statements.py
@@ -29,7 +29,7 @@
     server.last_heard_at = now.mono
     server.slots = max(1, event.slots)
     if event.pace:
-        server.picture.record_pace(event.pace, now)
+        server.profile.record_pace(event.pace, now)
     return []
 
 
@@ -38,9 +38,9 @@
 ) -> list[effects.Effect]:
     """Record figures that cannot be used; what is known remains."""
     server = state.servers.get(event.host)
-    if server is None or now.mono < server.picture.next_invalid_at:
+    if server is None or now.mono < server.profile.next_invalid_at:
         return []
-    server.picture.next_invalid_at = now.mono + INVALID_LOG_INTERVAL_MS
+    server.profile.next_invalid_at = now.mono + INVALID_LOG_INTERVAL_MS
     return [
         effects.RecordEntry(
             mark=effects.Mark.SERVER_LOAD_INVALID,
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -7,7 +7,7 @@
 
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
-from teaselbridge.decisions.room import picture as pictures
+from teaselbridge.decisions.room import profile as pictures
 from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
@@ -71,7 +71,7 @@
     :param last_heard_at: when it last sent any data.
     :param lag_ms: how much later than predicted its first bytes came.
     :param lag_measured_at: when that lag was measured.
-    :param picture: what is known about its pace, speed and memory.
+    :param profile: what is known about its pace, speed and memory.
     """
 
     row: events.HostRow
@@ -98,8 +98,8 @@
     last_heard_at: int = 0
     lag_ms: float = 0.0
     lag_measured_at: int = 0
-    picture: pictures.Picture = dataclasses.field(
-        default_factory=pictures.Picture
+    profile: pictures.Profile = dataclasses.field(
+        default_factory=pictures.Profile
     )
 
     @property
--- a/src/teaselbridge/decisions/silence.py
+++ b/src/teaselbridge/decisions/silence.py
@@ -84,7 +84,7 @@
     call = request.call
     if not call.parts:
         mean_ms = state.latency_estimator.mean_answer_ms(call.route.name)
-        return server.picture.stretch(mean_ms, now)
+        return server.profile.stretch(mean_ms, now)
     return predict.predict_backlog_ms(state, server, now)
 
 
@@ -95,7 +95,7 @@
 
     The lag must not remember for seconds what the pace tells exactly.
     """
-    pace = server.picture.get_pace(now)
+    pace = server.profile.get_pace(now)
     return request.expected_first_byte_ms * max(1.0, request.pace / pace)
 
 
--- a/src/teaselbridge/decisions/spreading/explanation.py
+++ b/src/teaselbridge/decisions/spreading/explanation.py
@@ -295,9 +295,9 @@
             others=item.server.other_requests,
             slots=item.server.slots,
             cached_tokens=item.cached_tokens,
-            pace=round(item.server.picture.get_pace(now)),
-            held_tokens=item.server.picture.tokens
-            + item.server.picture.other_tokens,
+            pace=round(item.server.profile.get_pace(now)),
+            held_tokens=item.server.profile.tokens
+            + item.server.profile.other_tokens,
             age_ms=round(item.age_ms, 1),
         )
         for item, cost in zip(options, costs, strict=True)
--- a/src/teaselbridge/platform/connections.py
+++ b/src/teaselbridge/platform/connections.py
@@ -9,7 +9,6 @@
 import asyncio
 import dataclasses
 import select
-import time
 import typing
 
 import httptools
@@ -30,6 +29,8 @@
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset({204, 304})
 
+_CLOCK = clock.Clock()
+
 
 class ConnectError(Exception):
     """No connection was opened, so nothing was sent."""
@@ -154,7 +155,7 @@
         on_open: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
         self._connect_s = clock.seconds(connect_timeout_ms)
-        self._keep_alive_s = clock.seconds(keep_alive_ms)
+        self._keep_alive_ms = keep_alive_ms
         self._idle_by_address: dict[str, list[Connection]] = {}
         self._open: set[Connection] = set()
         self._opening: set[asyncio.Task[None]] = set()
@@ -228,7 +229,7 @@
 
     def add_idle(self, connection: Connection) -> None:
         """Keep a connection for the next request."""
-        connection.idle_since = time.monotonic()
+        connection.idle_since = _CLOCK.now().mono
         idle = self._idle_by_address.setdefault(connection.address, [])
         idle.append(connection)
         if self._sweep is None:
@@ -247,7 +248,7 @@
     def _take_idle(self, address: str) -> Connection | None:
         """Take the idle connection that was used last."""
         idle = self._idle_by_address.get(address)
-        oldest = time.monotonic() - self._keep_alive_s
+        oldest = _CLOCK.now().mono - self._keep_alive_ms
         while idle:
             connection = idle.pop()
             if connection.idle_since >= oldest and connection.is_quiet():
@@ -257,10 +258,12 @@
 
     def _schedule_sweep(self) -> None:
         loop = asyncio.get_running_loop()
-        self._sweep = loop.call_later(self._keep_alive_s, self._close_expired)
+        self._sweep = loop.call_later(
+            clock.seconds(self._keep_alive_ms), self._close_expired
+        )
 
     def _close_expired(self) -> None:
-        oldest = time.monotonic() - self._keep_alive_s
+        oldest = _CLOCK.now().mono - self._keep_alive_ms
         self._sweep = None
         for address, idle in list(self._idle_by_address.items()):
             kept = [item for item in idle if item.idle_since >= oldest]
@@ -317,7 +320,7 @@
         self._pool = pool
         self.address = address
         self.is_reusable = is_reusable
-        self.idle_since = 0.0
+        self.idle_since = 0
         self._transport: asyncio.Transport | None = None
         self._poll: select.poll | None = None
         self._exchange: Exchange | None = None
--- a/tests/decisions/room/test_memory.py
+++ b/tests/decisions/room/test_memory.py
@@ -99,7 +99,7 @@
     """Tokens count from the start of an attempt to its end."""
 
     def _get(self, state: states.State, host: str = 'h') -> int:
-        return test_pace.get_server(state, host).picture.tokens
+        return test_pace.get_server(state, host).profile.tokens
 
     def test_from_start_to_end(self) -> None:
         state = build_state('h')
@@ -153,7 +153,7 @@
     """A request goes where the memory has room for it."""
 
     def _fill(self, state: states.State, host: str, tokens: int) -> None:
-        test_pace.get_server(state, host).picture.other_tokens = tokens
+        test_pace.get_server(state, host).profile.other_tokens = tokens
 
     def test_goes_where_it_fits(self) -> None:
         for full in ('h', 'i'):
@@ -232,7 +232,7 @@
     """Nodes tell each other the tokens that their requests hold."""
 
     def _get_others(self, state: states.State) -> int:
-        return test_pace.get_server(state, 'h').picture.other_tokens
+        return test_pace.get_server(state, 'h').profile.other_tokens
 
     def _merge(
         self, state: states.State, at: int, *items: messages.ServerLoad
@@ -271,7 +271,7 @@
         state.servers.remove('h@1')
         state.servers.add(samples.row('h@2'), 'v', samples.instant(1_500))
         end(state, 1)
-        self.assertEqual(0, self._get(state).picture.tokens)
+        self.assertEqual(0, self._get(state).profile.tokens)
 
     def _get(self, state: states.State) -> servers.Server:
         return test_pace.get_server(state, 'h@2')
--- a/tests/decisions/room/test_pace.py
+++ b/tests/decisions/room/test_pace.py
@@ -9,7 +9,7 @@
 from teaselbridge.decisions import events
 from teaselbridge.decisions import loads
 from teaselbridge.decisions import reducer
-from teaselbridge.decisions.room import picture as pictures
+from teaselbridge.decisions.room import profile as pictures
 from teaselbridge.decisions.room import reports
 from teaselbridge.decisions.room import statements
 from teaselbridge.decisions import servers
@@ -51,7 +51,7 @@
 
     def _get_pace(self, state: states.State, at: int) -> int:
         server = get_server(state, 'h')
-        return round(server.picture.get_pace(samples.instant(at)))
+        return round(server.profile.get_pace(samples.instant(at)))
 
     def test_halves_and_ends(self) -> None:
         state = build_state('h')
@@ -81,7 +81,7 @@
         state = build_state('h@2')
         state_pace(state, 'h@1', 40, 5_000)
         self.assertEqual(0, get_server(state, 'h@2').last_heard_at)
-        self.assertEqual(100, get_server(state, 'h@2').picture.pace)
+        self.assertEqual(100, get_server(state, 'h@2').profile.pace)
 
     def test_invalid_loads_are_logged_once_a_second(self) -> None:
         state = build_state('h', 'i')
@@ -109,7 +109,7 @@
         sender, receiver = build_state('h'), build_state('h')
         state_pace(sender, 'h', 40, 5_000)
         self._exchange(sender, receiver, 5_600)
-        known = get_server(receiver, 'h').picture
+        known = get_server(receiver, 'h').profile
         self.assertEqual(70, round(known.get_pace(samples.instant(5_600))))
 
     def test_usual_paces_are_not_reported(self) -> None:
@@ -123,7 +123,7 @@
         self._exchange(sender, receiver, 5_000)
         state_pace(sender, 'h', 100, 5_100)
         self._exchange(sender, receiver, 5_200)
-        self.assertEqual(100, get_server(receiver, 'h').picture.pace)
+        self.assertEqual(100, get_server(receiver, 'h').profile.pace)
         self.assertEqual((), self._exchange(sender, receiver, 6_600))
 
     # Guards against an update that was held up and undoes later knowledge.
@@ -134,7 +134,7 @@
             host='h', running=0, prefill=0, pace=40, pace_age_ms=900
         )
         loads.handle_loads(state, build_update(late), samples.instant(5_500))
-        self.assertEqual(100, get_server(state, 'h').picture.pace)
+        self.assertEqual(100, get_server(state, 'h').profile.pace)
 
     # Guards against nodes that pass reports on, so that a pace would seem
     # recent for as long as they do.
@@ -171,7 +171,7 @@
             loads.handle_loads(receiver, update, now)
         later = samples.instant(5_000 + pictures.PACE_HALF_LIFE_MS)
         for host in hosts:
-            known = get_server(receiver, host).picture
+            known = get_server(receiver, host).profile
             self.assertEqual(70, round(known.get_pace(later)))
 
 
--- a/tests/decisions/room/test_speeds.py
+++ b/tests/decisions/room/test_speeds.py
@@ -16,8 +16,8 @@
 from teaselbridge.decisions import reducer
 from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
-from teaselbridge.decisions.room import picture as pictures
 from teaselbridge.decisions.room import predict
+from teaselbridge.decisions.room import profile as pictures
 from teaselbridge.decisions.room import reports
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import state as states
@@ -80,7 +80,7 @@
 def get_speed(state: states.State, host: str) -> float:
     """Return the speed of a server by which a node predicts."""
     usual = state.speeds.get_usual(state, 'p')
-    known = test_pace.get_server(state, host).picture
+    known = test_pace.get_server(state, host).profile
     return usual * known.get_speed_factor(usual)
 
 
@@ -131,7 +131,7 @@
         state = test_pace.build_state('h')
         answer(state, 'h', speed=USUAL, at=5_000)
         server = test_pace.get_server(state, 'h')
-        self.assertEqual(1, server.picture.sample_count)
+        self.assertEqual(1, server.profile.sample_count)
         call = build_prompt(7)
         request = requests.Request(call=call, now=samples.instant(9_000))
         request.host = 'h'
@@ -142,7 +142,7 @@
         test_pace.state_pace(state, 'h', 40, 9_900)
         event = events.HeadReceived(7, 0, HEAD)
         reducer.reduce(state, event, samples.instant(9_900))
-        self.assertEqual(1, server.picture.sample_count)
+        self.assertEqual(1, server.profile.sample_count)
 
     # Guards against another choice where servers state no pace.
     def test_servers_without_a_pace_are_equal(self) -> None:
@@ -162,13 +162,13 @@
         server = test_pace.get_server(state, 'h')
         return server.get_lag_ms(samples.instant(at))
 
-    def _get(self, state: states.State, host: str) -> pictures.Picture:
-        return test_pace.get_server(state, host).picture
+    def _get(self, state: states.State, host: str) -> pictures.Profile:
+        return test_pace.get_server(state, host).profile
 
     # Guards against one sample that met an unknown queue, and against figures
     # beyond any machine.
     def test_few_or_absurd_samples(self) -> None:
-        known = pictures.Picture()
+        known = pictures.Profile()
         for _ in range(pictures.MIN_SPEED_SAMPLES - 1):
             known.merge_speed(1.0)
             self.assertEqual(1.0, known.get_speed_factor(USUAL))
@@ -185,7 +185,7 @@
         state.servers.remove('h@1')
         row = samples.row('h@2')
         server = state.servers.add(row, 'v', samples.instant(60_000))
-        self.assertEqual(0, server.picture.sample_count)
+        self.assertEqual(0, server.profile.sample_count)
         usual = state.speeds.get_usual(state, 'p')
         self.assertEqual(usual, get_speed(state, 'h@2'))
 
@@ -194,7 +194,7 @@
     def test_unknown_queues(self) -> None:
         generator = random.Random(1)
         for _ in range(20):
-            known = pictures.Picture()
+            known = pictures.Profile()
             for _ in range(200):
                 queued = generator.choice((0.0, 0.5, 1.0, 2.0))
                 known.merge_speed(USUAL / (1 + queued))
@@ -283,7 +283,7 @@
         self.assertEqual(expected, predict_ms(state, 'h', 1_000))
 
     def test_short_work_takes_the_whole_delay(self) -> None:
-        known = pictures.Picture()
+        known = pictures.Profile()
         known.merge_pace(40, 1_000)
         now = samples.instant(1_000)
         self.assertTrue(24.5 < known.stretch(10.0, now) < 25.0)
@@ -291,7 +291,7 @@
 
     # Guards against a long queue that is predicted to stay slow throughout.
     def test_long_work_outlasts_the_slow_phase(self) -> None:
-        known = pictures.Picture()
+        known = pictures.Profile()
         known.merge_pace(40, 1_000)
         longest = 10_000 + 0.6 * pictures.PACE_LIFE_MS
         found = known.stretch(10_000.0, samples.instant(1_000))
--- a/tests/decisions/test_demand.py
+++ b/tests/decisions/test_demand.py
@@ -108,7 +108,7 @@
             server = state.servers.add(row, 'v', samples.instant(0))
         whole = self.need(state, demand.WARM_UP_MS)
         for _ in range(200):
-            server.picture.merge_speed(usual / 2)
+            server.profile.merge_speed(usual / 2)
         slow = self.need(state, demand.WARM_UP_MS)
         self.assertEqual(demand.ServerNeed(usual_servers=8, least=5), whole)
         self.assertEqual(demand.ServerNeed(usual_servers=10, least=7), slow)
