Share a choice, a header look-up and a member of the tests

The choices of engines and of plain servers ended in the same lines, the client of the platform's services looked up headers by a loop of its own beside names.first, and the tests of addresses built members like those of the model of nodes. Each is one piece now, and a leftover import alias is renamed.

--- a/src/teaselbridge/decisions/prefill.py
+++ b/src/teaselbridge/decisions/prefill.py
@@ -213,8 +213,7 @@
     :param candidates: servers that may take the request; not empty.
     """
     options = describe_engines(state, candidates, call, now)
-    nodes = active.count_nodes(state)
-    return choice.choose(options, nodes, state.random).server
+    return _choose(state, options)
 
 
 def describe_engines(
@@ -260,8 +259,7 @@
 ) -> servers.Server:
     """Choose one of the least loaded servers of a plain service."""
     options = describe_plain_servers(state, candidates, now)
-    nodes = active.count_nodes(state)
-    return choice.choose(options, nodes, state.random).server
+    return _choose(state, options)
 
 
 def describe_plain_servers(
@@ -289,6 +287,13 @@
     return options
 
 
+def _choose(
+    state: states.State, options: list[choice.Candidate[servers.Server]]
+) -> servers.Server:
+    nodes = active.count_nodes(state)
+    return choice.choose(options, nodes, state.random).server
+
+
 def _compute_plain_cost(server: servers.Server, now: clock.Instant) -> float:
     """Return the cost of a server of a plain service, in full loads.
 
--- a/src/teaselbridge/decisions/room/speeds.py
+++ b/src/teaselbridge/decisions/room/speeds.py
@@ -10,7 +10,7 @@
 import typing
 
 from teaselbridge.decisions import prefill
-from teaselbridge.decisions.room import profile as pictures
+from teaselbridge.decisions.room import profile as profiles
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
@@ -41,7 +41,7 @@
     def merge(self, server: servers.Server) -> None:
         """Update the usual speed with that of a server with a new sample."""
         known = server.profile
-        if known.sample_count < pictures.MIN_SPEED_SAMPLES:
+        if known.sample_count < profiles.MIN_SPEED_SAMPLES:
             return
         pool = server.row.pool
         usual = self._per_ms.get(pool, known.tokens_per_ms)
--- a/src/teaselbridge/decisions/servers.py
+++ b/src/teaselbridge/decisions/servers.py
@@ -7,7 +7,7 @@
 
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
-from teaselbridge.decisions.room import profile as pictures
+from teaselbridge.decisions.room import profile as profiles
 from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
@@ -98,8 +98,8 @@
     last_heard_at: int = 0
     lag_ms: float = 0.0
     lag_measured_at: int = 0
-    profile: pictures.Profile = dataclasses.field(
-        default_factory=pictures.Profile
+    profile: profiles.Profile = dataclasses.field(
+        default_factory=profiles.Profile
     )
 
     @property
--- a/src/teaselbridge/platform/services.py
+++ b/src/teaselbridge/platform/services.py
@@ -8,12 +8,11 @@
 
 from teaselbridge import clock
 from teaselbridge.platform import connections
+from teaselbridge.platform import names
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from teaselbridge.platform import names
-
 # Shorter than the idle timeout of usual servers.
 KEEP_ALIVE_MS = 5_000
 # A page of the store's entries has far less.
@@ -80,10 +79,7 @@
     def get_header(self, name: str) -> str:
         """Return the first value of a header, empty where there is none."""
         wanted = name.lower().encode('latin-1')
-        for key, value in self._head.headers:
-            if key.lower() == wanted:
-                return value.decode('latin-1')
-        return ''
+        return names.first(self._head.headers, wanted)
 
 
 class Client:
--- a/tests/decisions/cluster.py
+++ b/tests/decisions/cluster.py
@@ -156,7 +156,7 @@
         self.can_reach: typing.Callable[[str, str], bool] = _is_connected
         self.can_serve: typing.Callable[[str, str], bool] = _is_connected
         self.servers = {server.host: server for server in servers}
-        self.members = [_build_member(number) for number in range(nodes)]
+        self.members = [build_member(number) for number in range(nodes)]
         self.nodes = {
             member.name: Node(name=member.name, state=self._build(member))
             for member in self.members
@@ -422,7 +422,8 @@
     return True
 
 
-def _build_member(number: int) -> messages.Member:
+def build_member(number: int) -> messages.Member:
+    """Return a node; they are spread over the zones in turn."""
     return messages.Member(
         name=f'n{number}',
         incarnation=1,
--- a/tests/decisions/room/test_pace.py
+++ b/tests/decisions/room/test_pace.py
@@ -9,7 +9,7 @@
 from teaselbridge.decisions import events
 from teaselbridge.decisions import loads
 from teaselbridge.decisions import reducer
-from teaselbridge.decisions.room import profile as pictures
+from teaselbridge.decisions.room import profile as profiles
 from teaselbridge.decisions.room import reports
 from teaselbridge.decisions.room import statements
 from teaselbridge.decisions import servers
@@ -169,7 +169,7 @@
             self.assertLess(len(msgspec.msgpack.encode(found)), 600)
             update = build_update(*found, node=f'n{number}')
             loads.handle_loads(receiver, update, now)
-        later = samples.instant(5_000 + pictures.PACE_HALF_LIFE_MS)
+        later = samples.instant(5_000 + profiles.PACE_HALF_LIFE_MS)
         for host in hosts:
             known = get_server(receiver, host).profile
             self.assertEqual(70, round(known.get_pace(later)))
--- a/tests/decisions/room/test_speeds.py
+++ b/tests/decisions/room/test_speeds.py
@@ -17,7 +17,7 @@
 from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
 from teaselbridge.decisions.room import predict
-from teaselbridge.decisions.room import profile as pictures
+from teaselbridge.decisions.room import profile as profiles
 from teaselbridge.decisions.room import reports
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import state as states
@@ -162,14 +162,14 @@
         server = test_pace.get_server(state, 'h')
         return server.get_lag_ms(samples.instant(at))
 
-    def _get(self, state: states.State, host: str) -> pictures.Profile:
+    def _get(self, state: states.State, host: str) -> profiles.Profile:
         return test_pace.get_server(state, host).profile
 
     # Guards against one sample that met an unknown queue, and against figures
     # beyond any machine.
     def test_few_or_absurd_samples(self) -> None:
-        known = pictures.Profile()
-        for _ in range(pictures.MIN_SPEED_SAMPLES - 1):
+        known = profiles.Profile()
+        for _ in range(profiles.MIN_SPEED_SAMPLES - 1):
             known.merge_speed(1.0)
             self.assertEqual(1.0, known.get_speed_factor(USUAL))
         for speed, expected in ((0.001, 0.2), (1e9, 4.0)):
@@ -194,7 +194,7 @@
     def test_unknown_queues(self) -> None:
         generator = random.Random(1)
         for _ in range(20):
-            known = pictures.Profile()
+            known = profiles.Profile()
             for _ in range(200):
                 queued = generator.choice((0.0, 0.5, 1.0, 2.0))
                 known.merge_speed(USUAL / (1 + queued))
@@ -283,7 +283,7 @@
         self.assertEqual(expected, predict_ms(state, 'h', 1_000))
 
     def test_short_work_takes_the_whole_delay(self) -> None:
-        known = pictures.Profile()
+        known = profiles.Profile()
         known.merge_pace(40, 1_000)
         now = samples.instant(1_000)
         self.assertTrue(24.5 < known.stretch(10.0, now) < 25.0)
@@ -291,9 +291,9 @@
 
     # Guards against a long queue that is predicted to stay slow throughout.
     def test_long_work_outlasts_the_slow_phase(self) -> None:
-        known = pictures.Profile()
+        known = profiles.Profile()
         known.merge_pace(40, 1_000)
-        longest = 10_000 + 0.6 * pictures.PACE_LIFE_MS
+        longest = 10_000 + 0.6 * profiles.PACE_LIFE_MS
         found = known.stretch(10_000.0, samples.instant(1_000))
         self.assertTrue(0.99 * longest < found <= longest, found)
 
--- a/tests/gateway/test_addresses.py
+++ b/tests/gateway/test_addresses.py
@@ -17,6 +17,7 @@
 from teaselbridge.decisions import state as states
 from teaselbridge.gateway import addresses
 from teaselbridge.peers import messages
+from tests.decisions import cluster
 from tests.decisions import samples
 
 ZONES = ('a', 'b', 'c', 'd')
@@ -32,17 +33,7 @@
 def build_members(cores: typing.Iterable[float]) -> list[messages.Member]:
     """Return nodes with some numbers of cores, spread over the zones."""
     return [
-        messages.Member(
-            name=f'n{number}',
-            incarnation=1,
-            status=messages.Status.ALIVE,
-            peers=f'peers-n{number}',
-            callers=f'callers-n{number}',
-            admin='',
-            zone=ZONES[number % len(ZONES)],
-            region='r',
-            cores=item,
-        )
+        dataclasses.replace(cluster.build_member(number), cores=item)
         for number, item in enumerate(cores)
     ]
 
