--- a/review/common/bridge.py
+++ b/review/common/bridge.py
@@ -417,8 +417,10 @@
         version: str = 'v1',
         slots: int = 6,
         work_s: float = 0.02,
+        line_end: str = '\n',
     ) -> None:
         super().__init__(host)
+        self.line_end = line_end
         self.instance = instance
         self.service = service
         self.zone = zone
@@ -502,7 +504,8 @@
         writer.write('\r\n'.join(lines).encode())
         first = 1 + int(request.header('Last-Event-Id') or 0)
         for number in range(first, int(request.query['events']) + 1):
-            event = f'id: {number}\ndata: piece {number}\n\n'.encode()
+            end = self.line_end
+            event = f'id: {number}{end}data: piece {number}{end}{end}'.encode()
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             await writer.drain()
             await asyncio.sleep(float(request.query['gap']))
