Keep the second answers of case 4 inside the dose of the site file

Cause: 6 second answers beside 185 others were slightly more than 3 in 100.

Change: a runner is full after each 80 requests in place of 70.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -24,8 +24,8 @@
 # went on at another one.
 ALLOWED_S = 0.4
 # A faulty runner is full for a moment after each so many requests, so that
-# about 3 in 100 of the faulty runners' answers are sent twice.
-FULL_EVERY = 70
+# fewer than 3 in 100 of the faulty runners' answers are sent twice.
+FULL_EVERY = 80
 REQUESTS = 400
 PAUSE_S = 0.04
 
