--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'common'))
 
-import bridge  # noqa: E402
+import bridge
 
 HOST = 'ficu95.example'
 SERVICE = 'wuno96b'
@@ -139,7 +139,9 @@
         traffic = Traffic(record, nodes)
         await asyncio.sleep(4)
         ids = await traffic.play(3)
-        record.say(f'at first: {traffic.count_served(ids)} of {len(ids)} served')
+        record.say(
+            f'at first: {traffic.count_served(ids)} of {len(ids)} served'
+        )
         if traffic.count_served(ids) < 0.9 * len(ids):
             raise bridge.CannotRun('the calm deployment does not serve')
 
@@ -167,7 +169,9 @@
                 f'DRAIN: {sum(name == node.name for _, name in late)} requests'
                 f' of {node.name} reached them later than drain-ms'
             )
-        record.say(f'meanwhile {traffic.count_served(ids)} of {len(ids)} served')
+        record.say(
+            f'meanwhile {traffic.count_served(ids)} of {len(ids)} served'
+        )
 
         for runner in (drains, leaves):
             await runner.stop()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'common'))
 
-import bridge  # noqa: E402
+import bridge
 
 HOST = 'ficu95.example'
 ZONES = ('olomouc-a', 'olomouc-b', 'brno-a')
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import json
 import pathlib
 import sys
@@ -11,7 +12,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'common'))
 
-import bridge  # noqa: E402
+import bridge
 
 HOST = 'ficu95.example'
 SERVICE = 'huvo11a'
@@ -219,9 +220,7 @@
     found = []
     for attempt, items in works.items():
         items.sort(key=lambda item: item[0].began)
-        for (before, first), (after, second) in zip(
-            items, items[1:], strict=False
-        ):
+        for (before, first), (after, second) in itertools.pairwise(items):
             span = before.ended - after.began
             if span > ALLOWED_S:
                 found.append((attempt, first, second, span))
--- a/review/common/bridge.py
+++ b/review/common/bridge.py
@@ -345,9 +345,7 @@
     def _range(self, query: dict[str, str]) -> dict:
         prefix, after = query.get('path-prefix', ''), query.get('after', '')
         keys = sorted(
-            key
-            for key in self.items
-            if key.startswith(prefix) and key > after
+            key for key in self.items if key.startswith(prefix) and key > after
         )
         page, size = [], 0
         for key in keys[:500]:
@@ -483,7 +481,6 @@
         await writer.drain()
         return True
 
-
     async def _answer_stream(
         self,
         request: Request,
@@ -921,7 +918,7 @@
     except CannotRun as error:
         record.say(f'could not run: {error}')
         code = 2
-    except Exception as error:  # noqa: BLE001
+    except Exception as error:
         record.say(f'could not run: {error!r}')
         code = 2
     record.close()
