--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,12 +1,12 @@
-"""A full runner answers a refusal twice, the second time late."""
+"""All machines are stopped in turn while they answer requests."""
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
-import itertools
 import json
 import pathlib
+import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -18,36 +18,43 @@
 SERVICE = 'huvo11a'
 KEY = 'i9n73hh2b9wu3fexd9dn'
 ZONES = ('olomouc-a', 'olomouc-b', 'brno-a')
-RUNNERS, FAULTY_RUNNERS = 4, 2
-# Time to the first event of a stream, and the events that follow.
-FIRST_S, EVENTS, GAP_S = 1.0, 10, 0.05
-# Longest time for which a request may still be worked on at a runner after it
-# went on at another one.
-ALLOWED_S = 0.4
-# A faulty runner is full for a moment after each so many requests, so that
-# fewer than 3 in 100 of the faulty runners' answers are sent twice.
-FULL_EVERY = 80
-REQUESTS = 400
-PAUSE_S = 0.04
+GRACE_S = bridge.CONTRACT_PARAMS['grace-s']
+# The pause between two stops, as in the site file's roll_term.
+GAP_S = 1.0
+# A node may still break off a request that was sent this long after its stop
+# signal at most, if the runner is at work in the last sixth of the grace time.
+EXCUSED_S = 3.0
+# The streams that a machine answers when it is stopped last until shortly
+# before the last sixth of the grace time.
+HELD_EVENTS, HELD_GAP_S = 64, 0.1
+# The stream that a consumer sends on a kept channel, and when.
+LATE_EVENTS, LATE_GAP_S = 30, 0.1
+LATE_AT_S = (3.5, 5.0, 5.3, 5.6)
+
+
+def build_route(name: str, prefix: str, **more: object) -> dict:
+    """Return a streaming route like those of the sheet."""
+    return {
+        'name': name,
+        'host': HOST,
+        'path-prefix': prefix,
+        'route-kind': 'streaming',
+        'timeout-ms': 8000,
+        'goal-ms': 1000,
+        'priority': 1,
+        'service': SERVICE,
+        'public': False,
+        'sticky': True,
+        'gap-target-ms': 500,
+        **more,
+    }
+
 
 CONFIG = {
     'version': 7,
     'routes': [
-        {
-            'name': 'feast',
-            'host': HOST,
-            'path-prefix': '/lohu930/',
-            'route-kind': 'streaming',
-            'timeout-ms': 8000,
-            'goal-ms': 3000,
-            'priority': 1,
-            'service': SERVICE,
-            'attempts': 2,
-            'public': False,
-            'sticky': True,
-            'resumable': True,
-            'gap-target-ms': 500,
-        },
+        build_route('feast', '/lohu930/', attempts=2, resumable=True),
+        build_route('blend', '/pufi791/', attempts=1, resumable=False),
     ],
     'services': [
         {
@@ -56,12 +63,6 @@
             'max-conns': 360,
             'protocol': 'h1',
             'tls': False,
-            'engine': {
-                'slots': 64,
-                'kv-capacity': 508285,
-                'kv-token-bytes': 18432,
-                'link-mbps': 370000.0,
-            },
         }
     ],
     'limits': {
@@ -76,213 +77,209 @@
             'api-keys': [KEY],
             'unit': 'tokens',
             'plain-tokens': 200,
-            'rate-per-s': 1000000,
-            'burst': 1000000,
+            'rate-per-s': 100000,
+            'burst': 100000,
         }
     ],
 }
-REFUSAL = bridge.encode_response(503, [('Teaselbridge-Not-Run', '1')], b'')
 
 
 @dataclasses.dataclass
-class Work:
-    """Work of a runner on a request."""
+class Sent:
+    """One request and how it ended for its consumer."""
 
+    node: str
     attempt: str
-    began: float
-    ended: float = 0.0
+    at: float
+    since_stop: float
+    outcome: str = ''
+    is_cut: bool = False
 
 
-class FullRunner(bridge.Runner):
-    """A runner that is full at times.
+class Consumer:
+    """A consumer with a kept channel to each machine and an address list.
 
-    A refusal has no id, as in the examples of the wire. A faulty one sends it
-    a second time at the point where the next response is expected.
+    It keeps the list for its time to live, and longer while it cannot obtain
+    a new one. It uses no channel to an address that is not listed.
     """
 
-    is_faulty = False
-    refusals_left = 0
-    repeated = 0
-
-    def __init__(self, **more: object) -> None:
-        super().__init__(**more)
-        self.works: list[Work] = []
-        # Channels on which a second copy is due.
-        self._due: set[asyncio.StreamWriter] = set()
+    def __init__(
+        self, record: bridge.Record, nodes: list[bridge.Node], zone: str
+    ) -> None:
+        self._record = record
+        self._nodes = nodes
+        self._zone = zone
+        self.listed: list[str] = []
+        self.channels: dict[str, bridge.Channel] = {}
 
-    async def answer(self, request, reader, writer) -> bool:
-        attempt = request.header('Teaselbridge-Attempt-Id')
-        expected = request.header('Teaselbridge-Expect-Instance')
-        if expected and expected != self.instance:
-            writer.write(bridge.encode_response(421, [], b''))
-            await writer.drain()
-            return True
-        if self.refusals_left:
-            self.refusals_left -= 1
-            self.record.add(f'{self.instance} refuses {attempt}')
-            writer.write(REFUSAL)
-            await writer.drain()
-            if self.is_faulty:
-                self._due.add(writer)
-            return True
-        if writer in self._due:
-            self._due.discard(writer)
-            self.repeated += 1
-            self.record.add(
-                f'{self.instance} repeats its refusal before it answers'
-                f' {attempt}'
-            )
-            writer.write(REFUSAL)
-            await writer.drain()
-        return await self._work(attempt, request, reader, writer)
+    async def follow(self) -> None:
+        """Ask for the addresses once a second, at up to three machines."""
+        while True:
+            for node in self._nodes:
+                found = await bridge.resolve(node, HOST, self._zone)
+                if found:
+                    if sorted(found) != sorted(self.listed):
+                        self._record.add(f'consumer is told {sorted(found)}')
+                    self.listed = found
+                    break
+            await asyncio.sleep(1.0)
 
-    async def _work(self, attempt, request, reader, writer) -> bool:
-        """Run a request, until its channel is closed at the latest."""
-        work = Work(attempt, self.record.now())
-        self.works.append(work)
-        self.record.add(f'{self.instance} begins {attempt}')
-        try:
-            await self._wait(FIRST_S, reader)
-            lines = (
-                'HTTP/1.1 200 OK',
-                f'Teaselbridge-Attempt-Id: {attempt}',
-                f'Teaselbridge-Reply-Stamp: {self.instance}.{attempt}',
-                f'Teaselbridge-Runner-Load: 1,0,{self.slots}',
-                'Content-Type: text/event-stream',
-                'Transfer-Encoding: chunked',
-                '',
-                '',
-            )
-            writer.write('\r\n'.join(lines).encode())
-            first = 1 + int(request.header('Last-Event-Id') or 0)
-            for number in range(first, EVENTS + 1):
-                event = f'id: {number}\ndata: piece {number}\n\n'.encode()
-                writer.write(b'%x\r\n%s\r\n' % (len(event), event))
-                await writer.drain()
-                await self._wait(GAP_S, reader)
-            writer.write(b'0\r\n\r\n')
-            await writer.drain()
-            return True
-        finally:
-            work.ended = self.record.now()
-            self.record.add(f'{self.instance} ends {attempt}')
+    def build_headers(self) -> tuple[str, list[tuple[str, str]]]:
+        """Return a new attempt id and the headers of a request."""
+        attempt = bridge.create_attempt_id()
+        return attempt, [
+            ('Host', HOST),
+            ('Teaselbridge-Attempt-Id', attempt),
+            ('Teaselbridge-Model', 'm'),
+            ('Teaselbridge-Token-Count', '1460,80'),
+            ('Teaselbridge-Prompt-Prefix', f'5c1e07a2:800,{attempt}:660'),
+            ('Teaselbridge-Deadline-Ms', '8000'),
+            ('Teaselbridge-Credential', KEY),
+        ]
 
-    async def _wait(self, span_s: float, reader) -> None:
-        """Wait, but stop work as soon as the channel is closed."""
-        until = self.record.now() + span_s
-        while self.record.now() < until:
-            if reader.at_eof() or reader.exception() is not None:
-                raise ConnectionError('the channel was closed')
-            await asyncio.sleep(0.01)
+    async def open_channels(self, count: int) -> None:
+        """Open channels to all machines and use each once."""
+        for node in self._nodes:
+            for number in range(count):
+                channel = bridge.Channel(node.front)
+                await channel.open()
+                _, headers = self.build_headers()
+                target = '/pufi791/2f?events=2&gap=0.01'
+                status, _, _ = await channel.call(
+                    'POST', target, headers, b'x'
+                )
+                if status != 200:
+                    raise bridge.CannotRun(f'{node.name} answers {status}')
+                self.channels[f'{node.name}/{number}'] = channel
 
+    async def send(
+        self,
+        channel: bridge.Channel,
+        node: bridge.Node,
+        target: str,
+        stop: float,
+    ) -> Sent | None:
+        """Send a stream on a kept channel if the consumer may still use it."""
+        if node.front not in self.listed:
+            self._record.add(f'{node.name} is not listed, nothing is sent')
+            return None
+        if channel.has_ended():
+            self._record.add(f'{node.name} has closed the channel')
+            return None
+        attempt, headers = self.build_headers()
+        now = self._record.now()
+        sent = Sent(node.name, attempt, now, now - stop)
+        self._record.add(f'send {attempt} to {node.name} {target}')
+        try:
+            status, _, body = await channel.call('POST', target, headers, b'x')
+            sent.outcome = f'{status}, {len(body)} bytes'
+        except (EOFError, TimeoutError) as error:
+            sent.outcome = repr(error)
+            sent.is_cut = isinstance(error, EOFError)
+        self._record.add(f'answer {attempt} {sent.outcome}')
+        return sent
 
-async def send(
-    record: bridge.Record, node: bridge.Node, outcomes: dict[str, str]
-) -> None:
-    """Send one stream and note how it ended."""
-    attempt = bridge.create_attempt_id()
-    record.add(f'send {attempt} to {node.name}')
-    try:
-        status, _, body = await bridge.call(
-            node.front,
-            'POST',
-            '/lohu930/2f',
-            [
-                ('Host', HOST),
-                ('Teaselbridge-Attempt-Id', attempt),
-                ('Teaselbridge-Model', 'm'),
-                ('Teaselbridge-Token-Count', '1460,80'),
-                ('Teaselbridge-Prompt-Prefix', f'5c1e07a2:800,{attempt}:660'),
-                ('Teaselbridge-Deadline-Ms', '8000'),
-                ('Teaselbridge-Credential', KEY),
-            ],
-            b'prompt',
-            timeout_s=9.0,
-        )
-        outcomes[attempt] = f'{status}, {len(body)} bytes'
-    except (OSError, EOFError, TimeoutError) as error:
-        outcomes[attempt] = repr(error)
-    record.add(f'answer {attempt} {outcomes[attempt]}')
 
+async def stop_and_send(
+    record: bridge.Record,
+    consumer: Consumer,
+    node: bridge.Node,
+    delay_s: float,
+    trouble: bool,
+) -> list[Sent]:
+    """Stop one machine while it answers, and send it late requests."""
+    await asyncio.sleep(delay_s)
+    target = f'/lohu930/2f?events={HELD_EVENTS}&gap={HELD_GAP_S}'
+    stop = record.now() + 0.2
+    held = asyncio.create_task(
+        consumer.send(consumer.channels[f'{node.name}/0'], node, target, stop)
+    )
+    await asyncio.sleep(0.2)
+    if trouble:
+        node.send(signal.SIGTERM)
+    stop = record.now()
 
-def find_overlaps(
-    runners: list[FullRunner],
-) -> list[tuple[str, str, str, float]]:
-    """Find the requests that were worked on at two runners at once.
+    async def send_late(number: int, after_s: float) -> Sent | None:
+        await asyncio.sleep(max(0.0, stop + after_s - record.now()))
+        late = f'/pufi791/2f?events={LATE_EVENTS}&gap={LATE_GAP_S}'
+        channel = consumer.channels[f'{node.name}/{number}']
+        return await consumer.send(channel, node, late, stop)
 
-    :return: the request, the runner before, the runner after, and for how
-        long the former still worked on it after the latter had begun.
-    """
-    works: dict[str, list[tuple[Work, str]]] = {}
-    for runner in runners:
-        for work in runner.works:
-            works.setdefault(work.attempt, []).append((work, runner.instance))
-    found = []
-    for attempt, items in works.items():
-        items.sort(key=lambda item: item[0].began)
-        for (before, first), (after, second) in itertools.pairwise(items):
-            span = before.ended - after.began
-            if span > ALLOWED_S:
-                found.append((attempt, first, second, span))
-    return found
+    results = await asyncio.gather(
+        held,
+        *(
+            send_late(number, after_s)
+            for number, after_s in enumerate(LATE_AT_S, start=1)
+        ),
+    )
+    if trouble:
+        try:
+            left_s = stop + GRACE_S - record.now()
+            await asyncio.wait_for(node.process.wait(), max(0.0, left_s))
+        except TimeoutError:
+            await node.kill()
+        record.say(
+            f'{node.name} ended {record.now() - stop:.2f} s after SIGTERM'
+        )
+        await asyncio.sleep(0.5)
+        await node.start()
+    return [item for item in results if item is not None]
 
 
 async def main(record: bridge.Record, trouble: bool) -> bool:
     """Play the case; return whether the rule held."""
     deployment = bridge.Deployment(record)
+    follower = None
     try:
         await deployment.start_platform()
-        runners = []
-        for index in range(RUNNERS):
-            runner = FullRunner(
-                host=deployment.new_host(),
-                instance=f'i-7f3a91c{index}',
-                service=SERVICE,
-                zone=ZONES[index % len(ZONES)],
-                store=deployment.store,
-                record=record,
-                slots=64,
-            )
-            runner.is_faulty = trouble and index < FAULTY_RUNNERS
-            await runner.start()
-            runner.register()
-            deployment.runners.append(runner)
-            runners.append(runner)
+        for zone in ZONES:
+            await deployment.add_runner(SERVICE, zone, slots=64)
         deployment.store.put('op/config', json.dumps(CONFIG).encode())
+        # Two machines may be stopped at once, which are all there are.
         nodes = [
-            deployment.add_node(f'front-{zone}-1', zone) for zone in ZONES
+            deployment.add_node(f'front-{zone}-1', zone) for zone in ZONES[:2]
         ]
         for node in nodes:
             await node.start()
         for node in nodes:
             await node.wait_ready()
         await asyncio.sleep(4)
-        outcomes: dict[str, str] = {}
-        tasks = []
-        for number in range(REQUESTS):
-            if number % FULL_EVERY == FULL_EVERY // 2:
-                full = runners[number // FULL_EVERY % FAULTY_RUNNERS]
-                full.refusals_left = 1
-            node = nodes[number % len(nodes)]
-            tasks.append(asyncio.create_task(send(record, node, outcomes)))
-            await asyncio.sleep(PAUSE_S)
-        await asyncio.gather(*tasks)
-        served = sum(text.startswith('200') for text in outcomes.values())
-        record.say(f'{served} of {len(outcomes)} streams served')
-        faulty = runners[:FAULTY_RUNNERS]
-        record.say(
-            f'{sum(runner.repeated for runner in faulty)} refusals came twice'
-            f' beside {sum(len(runner.works) for runner in faulty)} answers of'
-            ' the faulty runners'
+        consumer = Consumer(record, nodes, ZONES[0])
+        follower = asyncio.create_task(consumer.follow())
+        await asyncio.sleep(1)
+        await consumer.open_channels(1 + len(LATE_AT_S))
+        found = await asyncio.gather(
+            *(
+                stop_and_send(record, consumer, node, GAP_S * index, trouble)
+                for index, node in enumerate(nodes)
+            )
         )
-        overlaps = find_overlaps(runners)
-        for attempt, first, second, span in overlaps:
+        sent = [item for items in found for item in items]
+        ran = {
+            attempt
+            for runner in deployment.runners
+            for _, attempt, _ in runner.runs
+        }
+        lost = [
+            item
+            for item in sent
+            if item.is_cut
+            and item.attempt in ran
+            and item.since_stop > EXCUSED_S
+        ]
+        for item in sent:
             record.say(
-                f'TWICE: {attempt} went on at {second}, and {first} still'
-                f' worked on it {span * 1000:.0f} ms later'
+                f'{item.node}: sent {item.since_stop:.2f} s after its stop:'
+                f' {item.outcome}, run: {item.attempt in ran}'
             )
-        return not overlaps
+        record.say(
+            f'LOST: {len(lost)} requests were read and passed on to a sound'
+            ' runner, and their channels ended without a complete answer'
+        )
+        return not lost
     finally:
+        if follower is not None:
+            follower.cancel()
         await deployment.close()
 
 
