Decode what others wrote by one function and one kind of error

Cause: msgspec raises RecursionError, which is no DecodeError, for deep nesting. Twelve places caught lists of exceptions of their own, none of which held it, so that the error ended follow_changes. Ruled out: the page of the store as a whole cannot be decoded (values are base64 text in it); a slow decoder (it fails within a millisecond).

Related paths: messages of peers, bodies of completions, answers of the store, of servers and of nodes, and streams in the client library.

Why it works: an entry that cannot be decoded becomes EntryUndecodable, and the others are posted.

--- a/src/teaselbridge/backends/caches.py
+++ b/src/teaselbridge/backends/caches.py
@@ -16,6 +16,8 @@
 
 from teaselbridge.backends import engine
 from teaselbridge import clock
+from teaselbridge import documents
+from teaselbridge import errors
 
 if typing.TYPE_CHECKING:
     from teaselbridge.decisions import effects
@@ -62,7 +64,7 @@
     try:
         async with asyncio.timeout(clock.seconds(COPY_TIMEOUT_MS)):
             return await _copy(source, target, effect)
-    except (httpx.HTTPError, msgspec.DecodeError, TimeoutError):
+    except (httpx.HTTPError, errors.DocumentError, TimeoutError):
         return None
 
 
@@ -81,7 +83,9 @@
         headers={'content-type': 'application/json'},
     )
     response.raise_for_status()
-    exported = msgspec.json.decode(response.content, type=ExportedBlocks)
+    exported = documents.decode(
+        response.content, ExportedBlocks, effect.source.address
+    )
     if not exported.blocks:
         return 0
     order = ImportRequest(effect.source.address, exported.blocks)
--- a/src/teaselbridge/backends/engine.py
+++ b/src/teaselbridge/backends/engine.py
@@ -13,6 +13,8 @@
 from teaselbridge.backends import faults
 from teaselbridge import clock
 from teaselbridge.decisions import events
+from teaselbridge import documents
+from teaselbridge import errors
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -158,6 +160,6 @@
 
 def _decode(data: str) -> _Chunk:
     try:
-        return msgspec.json.decode(data, type=_Chunk)
-    except msgspec.DecodeError as error:
+        return documents.decode(data, _Chunk, 'event')
+    except errors.DocumentError as error:
         raise faults.MalformedError(str(error)) from error
--- a/src/teaselbridge/cli/remote.py
+++ b/src/teaselbridge/cli/remote.py
@@ -12,6 +12,7 @@
 
 from teaselbridge.admin import models
 from teaselbridge import clock
+from teaselbridge import documents
 from teaselbridge import errors
 
 REQUEST_TIMEOUT_MS = 15_000
@@ -190,6 +191,6 @@
 
 def _decode(target: Target, response: httpx.Response, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(response.content, type=kind)
-    except msgspec.DecodeError as error:
+        return documents.decode(response.content, kind, target.address)
+    except errors.DocumentError as error:
         raise RemoteError(target.address, str(error)) from error
--- a/src/teaselbridge/client/book.py
+++ b/src/teaselbridge/client/book.py
@@ -5,10 +5,11 @@
 import typing
 
 import httpx
-import msgspec
 
 from teaselbridge.client import outcomes
 from teaselbridge import clock as clocks
+from teaselbridge import documents
+from teaselbridge import errors
 from teaselbridge.gateway import addresses as models
 
 if typing.TYPE_CHECKING:
@@ -116,6 +117,8 @@
                 timeout=clocks.seconds(REQUEST_TIMEOUT_MS),
             )
             response.raise_for_status()
-            return msgspec.json.decode(response.content, type=models.Addresses)
-        except (httpx.HTTPError, msgspec.DecodeError):
+            return documents.decode(
+                response.content, models.Addresses, address
+            )
+        except (httpx.HTTPError, errors.DocumentError):
             return None
--- a/src/teaselbridge/client/caller.py
+++ b/src/teaselbridge/client/caller.py
@@ -18,6 +18,8 @@
 from teaselbridge.client import book
 from teaselbridge.client import outcomes
 from teaselbridge import clock as clocks
+from teaselbridge import documents
+from teaselbridge import errors
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -285,6 +287,28 @@
     """A connection ended before the response was complete."""
 
 
+class _Moved(msgspec.Struct, frozen=True):
+    """Notice that a stream goes on at another node."""
+
+    address: str
+
+
+class _Delta(msgspec.Struct, frozen=True):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct, frozen=True):
+    finish_reason: str | None = None
+    text: str | None = None
+    delta: _Delta = _Delta()
+
+
+class _Chunk(msgspec.Struct, frozen=True):
+    """Event of a streamed completion."""
+
+    choices: tuple[_Choice, ...] = ()
+
+
 class _Stream:
     """A streamed completion, possibly received from several nodes.
 
@@ -330,18 +354,34 @@
             if not event.data:
                 # A comment after an event with an id.
                 continue
-            if event.event == 'moved':
-                return str(msgspec.json.decode(event.data)['address'])
-            if event.event == 'error':
-                problem = msgspec.json.decode(
-                    event.data, type=outcomes.Problem
-                )
-                raise outcomes.RefusedError(problem)
             if event.data == STREAM_END:
                 return ''
-            self._add_token(event)
+            try:
+                moved_to = self._handle_event(event)
+            except errors.DocumentError as error:
+                # Another connection continues after the last whole event.
+                raise _ConnectionLostError from error
+            if moved_to:
+                return moved_to
         raise _ConnectionLostError
 
+    def _handle_event(self, event: httpx_sse.ServerSentEvent) -> str:
+        """Record the token of an event, or raise the error that it holds.
+
+        :return: address of the node that it names to go on at, empty for
+            none.
+        :raises outcomes.RefusedError: the event is an error.
+        :raises errors.DocumentError: its data cannot be decoded.
+        """
+        if event.event == 'moved':
+            return documents.decode(event.data, _Moved, 'node').address
+        if event.event == 'error':
+            raise outcomes.RefusedError(
+                documents.decode(event.data, outcomes.Problem, 'node')
+            )
+        self._add_token(event)
+        return ''
+
     def build_completion(
         self, request: str, began: int
     ) -> outcomes.Completion:
@@ -363,10 +403,13 @@
 
     def _add_token(self, event: httpx_sse.ServerSentEvent) -> None:
         """Record the token of an event, unless it is out of sequence."""
-        choice = msgspec.json.decode(event.data)['choices'][0]
-        self.finish = choice.get('finish_reason') or self.finish
-        text = choice.get('text') or choice.get('delta', {}).get('content')
-        if not text or int(event.id) != len(self.tokens) + 1:
+        chunk = documents.decode(event.data, _Chunk, 'node')
+        if not chunk.choices:
+            return
+        choice = chunk.choices[0]
+        self.finish = choice.finish_reason or self.finish
+        text = choice.text or choice.delta.content
+        if not text or event.id != str(len(self.tokens) + 1):
             return
         self.tokens.append(text)
         self._token_times.append(self._clock.now().mono)
@@ -391,8 +434,8 @@
 def _parse_refusal(response: httpx.Response) -> outcomes.RefusedError:
     """Build the error for a refusal, even one without a valid document."""
     try:
-        problem = msgspec.json.decode(response.content, type=outcomes.Problem)
-    except msgspec.DecodeError:
+        problem = documents.decode(response.content, outcomes.Problem, 'node')
+    except errors.DocumentError:
         problem = outcomes.Problem(status=response.status_code)
     after = float(response.headers.get('retry-after', '0'))
     return outcomes.RefusedError(problem, round(after * clocks.SECOND_MS))
--- a/src/teaselbridge/documents.py
+++ b/src/teaselbridge/documents.py
@@ -12,6 +12,9 @@
 from teaselbridge import errors
 
 T = typing.TypeVar('T')
+# What the decoders raise for bytes that hold no document of the wanted type.
+# Documents that are nested too deeply are among them.
+_DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 _MESSAGE_WITH_PATH = re.compile(
     r'^(?P<text>.*) - at `(?P<path>[^`]+)`$', re.DOTALL
 )
@@ -35,21 +38,39 @@
         raise _build_error(error, source) from error
 
 
-def decode(data: bytes, kind: type[T], source: str) -> T:
-    """Decode JSON bytes into a data class and ignore unknown keys.
+def decode(
+    data: bytes | str, kind: type[T], source: str, *, strict: bool = True
+) -> T:
+    """Decode JSON text into a data class and ignore unknown keys.
 
     :param data: JSON text.
     :param kind: type to build.
-    :param source: address of the sender, for the error.
+    :param source: name or address of the sender, for the error.
+    :param strict: whether numbers in strings are refused.
     :return: the decoded value.
-    :raises errors.DocumentError: malformed JSON or a value of wrong type.
+    :raises errors.DocumentError: malformed or too deeply nested JSON, or a
+        value of wrong type.
     """
     try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.ValidationError as error:
+        return msgspec.json.decode(data, type=kind, strict=strict)
+    except _DECODE_ERRORS as error:
+        raise _build_error(error, source) from error
+
+
+def decode_packed(data: bytes, kind: type[T], source: str) -> T:
+    """Decode MessagePack into a data class and ignore unknown keys.
+
+    :param data: MessagePack bytes.
+    :param kind: type to build.
+    :param source: name or address of the sender, for the error.
+    :return: the decoded value.
+    :raises errors.DocumentError: malformed or too deeply nested bytes, or a
+        value of wrong type.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except _DECODE_ERRORS as error:
         raise _build_error(error, source) from error
-    except msgspec.DecodeError as error:
-        raise errors.DocumentError(source, '$', str(error)) from error
 
 
 def encode(value: object) -> bytes:
@@ -67,9 +88,7 @@
     expected: str
 
 
-def _build_error(
-    error: msgspec.ValidationError, source: str
-) -> errors.DocumentError:
+def _build_error(error: Exception, source: str) -> errors.DocumentError:
     matched = _MESSAGE_WITH_PATH.match(str(error))
     if matched is None:
         return errors.DocumentError(source, '$', str(error))
--- a/src/teaselbridge/gateway/parse.py
+++ b/src/teaselbridge/gateway/parse.py
@@ -11,6 +11,7 @@
 from teaselbridge.backends import service
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import placement
+from teaselbridge import documents
 from teaselbridge import errors
 from teaselbridge.gateway import headers as names
 from teaselbridge.tables import model
@@ -238,8 +239,11 @@
     body: bytes, build_error: ErrorBuilder
 ) -> _CompletionRequest:
     try:
-        return msgspec.json.decode(body, type=_CompletionRequest)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        # The engine's request is built from the whole body, which may hold
+        # more than the known fields.
+        documents.decode(body, dict, 'body')
+        return documents.decode(body, _CompletionRequest, 'body')
+    except errors.DocumentError as error:
         raise build_error(calls.Reason.BAD_REQUEST, str(error)) from error
 
 
--- a/src/teaselbridge/peers/transport.py
+++ b/src/teaselbridge/peers/transport.py
@@ -15,6 +15,8 @@
 import msgspec
 import zmq
 
+from teaselbridge import documents
+from teaselbridge import errors
 from teaselbridge.peers import messages
 
 if typing.TYPE_CHECKING:
@@ -175,10 +177,12 @@
 
     def _decode(self, data: bytes) -> ReceivedMessage | None:
         try:
-            envelope = msgspec.msgpack.decode(data, type=Envelope)
+            envelope = documents.decode_packed(data, Envelope, 'peer')
             kind = MESSAGE_TYPES[envelope.kind]
-            message = msgspec.msgpack.decode(envelope.body, type=kind)
-        except (msgspec.DecodeError, KeyError):
+            message = documents.decode_packed(
+                envelope.body, kind, envelope.sender
+            )
+        except (errors.DocumentError, KeyError):
             self._meter.count_bytes('received', 'malformed', len(data))
             return None
         self._meter.count_bytes('received', envelope.kind, len(data))
--- a/src/teaselbridge/platform/documents.py
+++ b/src/teaselbridge/platform/documents.py
@@ -16,6 +16,7 @@
 
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge import documents
 from teaselbridge import errors
 from teaselbridge.peers import messages
 from teaselbridge.tables import model
@@ -351,10 +352,7 @@
 
 
 def _decode(data: bytes, kind: type[T]) -> T:
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise _document_error(str(error)) from error
+    return documents.decode(data, kind, DOCUMENT_SOURCE)
 
 
 def _document_error(reason: str) -> errors.DocumentError:
--- a/src/teaselbridge/platform/store.py
+++ b/src/teaselbridge/platform/store.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from teaselbridge import documents
+from teaselbridge import errors
 from teaselbridge.platform import connections
 from teaselbridge.platform import names
 from teaselbridge.platform import services
@@ -415,6 +417,6 @@
 
 def _decode(response: services.Response, kind: type[T], *, writes: bool) -> T:
     try:
-        return msgspec.json.decode(response.content, type=kind)
-    except msgspec.DecodeError as error:
+        return documents.decode(response.content, kind, 'store')
+    except errors.DocumentError as error:
         raise keyvalue.KeyValueError(writes, str(error)) from error
--- a/src/teaselbridge/protocols/cloud.py
+++ b/src/teaselbridge/protocols/cloud.py
@@ -10,6 +10,7 @@
 
 from teaselbridge import clock
 from teaselbridge.decisions import events
+from teaselbridge import documents
 from teaselbridge import errors
 
 TIMEOUT_MS = 2_000
@@ -195,6 +196,6 @@
 
 def _decode(data: bytes, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.DecodeError as error:
+        return documents.decode(data, kind, 'cloud')
+    except errors.DocumentError as error:
         raise PlatformError(str(error)) from error
--- a/src/teaselbridge/protocols/etcd.py
+++ b/src/teaselbridge/protocols/etcd.py
@@ -13,6 +13,8 @@
 import msgspec
 
 from teaselbridge import clock
+from teaselbridge import documents
+from teaselbridge import errors
 from teaselbridge.ports import keyvalue
 from teaselbridge.telemetry import metrics
 
@@ -223,8 +225,8 @@
 
 def _decode(data: bytes, kind: type[T], *, writes: bool) -> T:
     try:
-        return msgspec.json.decode(data, type=kind, strict=False)
-    except msgspec.DecodeError as error:
+        return documents.decode(data, kind, 'store', strict=False)
+    except errors.DocumentError as error:
         raise keyvalue.KeyValueError(writes, str(error)) from error
 
 
--- a/src/teaselbridge/runtime/attempts.py
+++ b/src/teaselbridge/runtime/attempts.py
@@ -7,7 +7,6 @@
 import typing
 
 import httpx
-import msgspec
 
 from teaselbridge.backends import caches
 from teaselbridge.backends import engine
@@ -15,6 +14,8 @@
 from teaselbridge import clock
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge import documents
+from teaselbridge import errors
 from teaselbridge.runtime import checks
 from teaselbridge.tables import model
 
@@ -212,8 +213,10 @@
                 timeout=clock.seconds(LOAD_TIMEOUT_MS),
             )
             response.raise_for_status()
-            report = msgspec.json.decode(response.content, type=_LoadReport)
-        except (httpx.HTTPError, msgspec.DecodeError):
+            report = documents.decode(
+                response.content, _LoadReport, target.address
+            )
+        except (httpx.HTTPError, errors.DocumentError):
             self._drop_connections(effects.DropConnections(target.address))
             return events.LoadMissing(target.host)
         return events.LoadReported(
--- a/tests/failures/site.py
+++ b/tests/failures/site.py
@@ -180,6 +180,15 @@
             extensions={'target': path.encode()},
         )
 
+    async def restart(self, node: int = 0) -> sites.SiteNode:
+        """Kill a node and start one with the same settings in its place."""
+        killed = self.nodes[node]
+        await killed.abort()
+        started = sites.SiteNode(settings=killed.settings, path='unused')
+        self.nodes[node] = started
+        await started.start()
+        return started
+
     async def ready(self, node: int = 0) -> bool:
         """Return whether a node reports that it is ready."""
         address = self.nodes[node].settings.site.ready
--- a/tests/failures/test_site_knowledge.py
+++ b/tests/failures/test_site_knowledge.py
@@ -50,6 +50,32 @@
 
         self.run_coroutine(run())
 
+    # Guards against a node that stops following the store, and one that
+    # never starts, at an entry which the decoder fails on in its own way.
+    def test_deeply_nested_entry_does_not_blind_a_node(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment() as trial:
+                nested = b'[' * 20_000 + b']' * 20_000
+                document = b'{"service": "shop", "notes": %b}' % nested
+                await trial.store.put('servers/odd', document)
+                leaving, staying = trial.list_servers('shop')
+                await trial.store.remove(leaving.key)
+                state = trial.nodes[0].loop.state
+                await site.until(
+                    lambda: len(state.servers.all) == 3, wait_s=10
+                )
+                started = await trial.restart()
+                await site.until(
+                    lambda: started.loop.state.store_view.is_fresh, wait_s=10
+                )
+                response = await trial.call('/stock/1')
+                self.assertEqual(200, response.status_code)
+                self.assertEqual(
+                    1, staying.count(site.get_attempt_id(response))
+                )
+
+        self.run_coroutine(run())
+
     def test_changes_after_a_compaction_are_read(self) -> None:
         """The compaction closes the watches and removes the history.
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -67,6 +67,7 @@
             entry(slots='many'),
             entry(service=''),
             entry(version=None),
+            b'{"x": %b%b}' % (b'[' * 20_000, b']' * 20_000),
         ):
             self.assertRaises(
                 errors.DocumentError,
