Refuse what a stopping node cannot end, and answer what it holds

Cause: the check for a closing node leaves out relayed requests, and what a node holds at its end is cancelled by the web server. Ruled out: the node stops too early (at 7.8 of 8 s); callers that could have known (no newer list was to be had).

Change: later than the lists' age after SIGTERM, a relayed request is refused if its deadline is after the end of the node. 0.6 s before the end of the grace period each request left gets a final answer: 503 if no server ran it, 502 if one may have. The web server's time for open responses is exact, not rounded down to seconds.

Why it works: each accepted request ends by its deadline before the node does, or was sent while the node was listed.

The stream sent at 3.5 s, which ended before, is refused now: its length is not known in advance.

--- a/src/teaselbridge/decisions/arrival.py
+++ b/src/teaselbridge/decisions/arrival.py
@@ -76,7 +76,8 @@
     if refusal is not None:
         return refusal
     if call.is_relayed:
-        return relay_checks.check(state, call, now)
+        refusal = drain.check(state, call, now)
+        return refusal or relay_checks.check(state, call, now)
     return requests.check(state, call, now)
 
 
--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -2,7 +2,9 @@
 
 A draining node is removed from the address list, keeps serving for as long
 as callers may still use an older list, and hands over the requests that
-cannot finish before it must stop.
+cannot finish before it must stop. Relayed requests cannot be handed over: once
+no list names the node any more, those that may outlast it are refused, and
+when it must stop the remaining ones get a final answer.
 """
 
 from __future__ import annotations
@@ -16,6 +18,8 @@
 from teaselbridge.decisions import leases
 from teaselbridge.decisions import membership
 from teaselbridge.decisions import orders
+from teaselbridge.decisions import relay_checks
+from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
 from teaselbridge.peers import messages
 
@@ -26,6 +30,9 @@
 
 HAND_OVER_TIMEOUT_MS = 400
 STOP_MARGIN_MS = 1_500
+# Requests may be sent this long before the node knows of them, and the signal
+# to stop arrive this long before it is handled.
+ARRIVAL_MARGIN_MS = 200
 ADOPTED_CALLER_TIMEOUT_MS = 10_000
 
 
@@ -72,6 +79,26 @@
     return now.mono >= min(listed_until, drain.stop_deadline - STOP_MARGIN_MS)
 
 
+def check(
+    state: states.State, call: calls.Call, now: clock.Instant
+) -> calls.Refusal | None:
+    """Check whether a relayed request surely ends before the node stops.
+
+    The length of an answer is not known in advance, so that only the
+    deadline tells. Requests that callers may have sent by a list with this
+    node in it are accepted in any case.
+
+    :return: the refusal, none where the request is accepted.
+    """
+    drain = state.drain
+    if drain is None or call.deadline <= drain.stop_deadline:
+        return None
+    listed_until = drain.began + state.options.address_list_max_age_ms
+    if now.mono < listed_until - ARRIVAL_MARGIN_MS:
+        return None
+    return _build_refusal(state, now)
+
+
 def redirect_or_refuse(
     state: states.State, request: requests.Request
 ) -> list[effects.Effect]:
@@ -94,9 +121,13 @@
 def tick(state: states.State, now: clock.Instant) -> list[effects.Effect]:
     """Hand over requests that cannot finish here; stop when none is left."""
     drain = state.drain
-    if drain is None or drain.is_stopped:
+    if drain is None:
         return []
     out: list[effects.Effect] = []
+    if now.mono >= drain.stop_deadline:
+        out += _end_relayed(state, now)
+    if drain.is_stopped:
+        return out
     for request in list(state.requests.values()):
         out += _drain_request(state, request, now)
     listed_until = drain.began + state.options.address_list_max_age_ms
@@ -174,6 +205,47 @@
     return now.mono - request.arrived > ADOPTED_CALLER_TIMEOUT_MS
 
 
+def _end_relayed(
+    state: states.State, now: clock.Instant
+) -> list[effects.Effect]:
+    """Give the callers of all relayed requests a final answer.
+
+    Their connections would be closed without one.
+    """
+    out: list[effects.Effect] = []
+    for request in list(state.requests.values()):
+        if not request.call.is_relayed:
+            continue
+        if (
+            request.streaming
+            or request.may_have_run
+            or request.phase is requests.Phase.RUNNING
+        ):
+            out += relays.give_up(state, request, 'this node is stopping')
+        else:
+            out += requests.refuse(state, request, _build_refusal(state, now))
+    return out
+
+
+def _build_refusal(state: states.State, now: clock.Instant) -> calls.Refusal:
+    """Return the refusal of a relayed request that no server ran.
+
+    Where all known nodes are stopping, the caller is asked to return when
+    this one has stopped and others may be back.
+    """
+    wait_ms = relay_checks.MIN_RETRY_AFTER_MS
+    if not any(_is_staying(member) for member in state.membership.alive):
+        assert state.drain is not None
+        wait_ms = max(wait_ms, state.drain.stop_deadline - now.mono)
+    return relay_checks.build_refusal(
+        state, calls.Reason.STOPPING, 'this node is stopping', wait_ms
+    )
+
+
+def _is_staying(member: messages.Member) -> bool:
+    return member.status is messages.Status.ALIVE and not member.draining
+
+
 def _drain_request(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
@@ -264,9 +336,7 @@
     peers = [
         member
         for member in state.membership.alive
-        if member.status is messages.Status.ALIVE
-        and not member.draining
-        and member.name not in request.peers_tried
+        if _is_staying(member) and member.name not in request.peers_tried
     ]
     zone = state.options.me.zone
     same_zone = [member for member in peers if member.zone == zone]
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -41,11 +41,11 @@
 if typing.TYPE_CHECKING:
     from teaselbridge.settings import model
 
-# The platform kills the process at the end of the grace period, so draining
-# ends this long before.
-STOP_MARGIN_MS = 1_300
-# Fits between the end of draining and that of the grace period.
-MIN_GRACEFUL_S = 1
+# The platform kills the process at the end of the grace period. Draining ends
+# this long before, with an answer to each request that is still held.
+STOP_MARGIN_MS = 600
+# How long responses may take to reach their callers after that.
+MIN_GRACEFUL_S = 0.2
 # Callers cache the address list for up to three times the TTL that it states.
 ADDRESS_TTL_MS = 1_000
 ADDRESS_LIST_MAX_AGE_MS = 3 * ADDRESS_TTL_MS
@@ -234,12 +234,13 @@
         await asyncio.gather(
             *(item.stop(graceful_s) for item in self._request_listeners)
         )
-        for listener in self._auxiliary_listeners:
-            await listener.stop()
+        await asyncio.gather(
+            *(item.stop() for item in self._auxiliary_listeners)
+        )
         self._record(effects.Mark.NODE_STOPPED, '')
         await self._close()
 
-    def _get_graceful_s(self) -> int:
+    def _get_graceful_s(self) -> float:
         """Return how long open responses may take, in seconds.
 
         A request may have come after the last one that the drain waited for.
@@ -247,8 +248,8 @@
         drain = self._loop.state.drain
         if drain is None:
             return MIN_GRACEFUL_S
-        left_ms = drain.stop_deadline - self._loop.now().mono
-        return max(MIN_GRACEFUL_S, left_ms // clocks.SECOND_MS)
+        left_ms = max(0, drain.stop_deadline - self._loop.now().mono)
+        return MIN_GRACEFUL_S + clocks.seconds(left_ms)
 
     async def abort(self) -> None:
         """Close everything without notifying peers, as if the process died."""
--- a/src/teaselbridge/runtime/web.py
+++ b/src/teaselbridge/runtime/web.py
@@ -74,7 +74,7 @@
         tls: model.Tls | None = None,
         request_ms: int = REQUEST_TIMEOUT_MS,
         keep_alive_s: int = KEEP_ALIVE_TIMEOUT_S,
-        graceful_s: int = GRACEFUL_TIMEOUT_S,
+        graceful_s: float = GRACEFUL_TIMEOUT_S,
     ) -> None:
         self._address = address
         self._tls = tls
@@ -89,11 +89,11 @@
                 date_header=False,
                 lifespan='off',
                 timeout_keep_alive=keep_alive_s,
-                timeout_graceful_shutdown=graceful_s,
                 ssl_certfile=None if tls is None else tls.certificate,
                 ssl_keyfile=None if tls is None else tls.key,
             )
         )
+        self._set_graceful_timeout(graceful_s)
         self._socket = listener
         self._task: asyncio.Task[None] | None = None
 
@@ -137,18 +137,23 @@
             return repr(error)
         return ''
 
-    async def stop(self, graceful_s: int | None = None) -> None:
+    async def stop(self, graceful_s: float | None = None) -> None:
         """Stop listening, wait for open responses, and close.
 
         :param graceful_s: how long they may take in seconds, none for the
             time that the listener was built with.
         """
         if graceful_s is not None:
-            self._server.config.timeout_graceful_shutdown = graceful_s
+            self._set_graceful_timeout(graceful_s)
         self._server.request_exit()
         if self._task is not None:
             await self._task
 
+    def _set_graceful_timeout(self, span_s: float) -> None:
+        # The library is typed for whole seconds, and waits for any number.
+        config: typing.Any = self._server.config
+        config.timeout_graceful_shutdown = span_s
+
     async def abort(self) -> None:
         """Stop listening and abort all connections."""
         for listener in getattr(self._server, 'servers', []):
--- a/tests/decisions/test_drain.py
+++ b/tests/decisions/test_drain.py
@@ -6,11 +6,39 @@
 
 import testtools
 
+from teaselbridge.decisions import arrival
+from teaselbridge.decisions import bounds
+from teaselbridge.decisions import calls
 from teaselbridge.decisions import drain
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
+from teaselbridge.decisions import members
+from teaselbridge.decisions import requests
+from teaselbridge.decisions import state as states
 from tests.decisions import samples
 
+LIST_MAX_AGE_MS = 3_000
+STOP_AT = 7_000
+
+
+def build_draining_state() -> states.State:
+    """Return the state of a node on the platform that drains since 0."""
+    state = samples.state(bounds.Bounds())
+    state.options = dataclasses.replace(
+        state.options, address_list_max_age_ms=LIST_MAX_AGE_MS
+    )
+    drain.handle_drain_requested(
+        state, events.DrainRequested(STOP_AT), samples.instant(0)
+    )
+    return state
+
+
+def list_refusals(out: list[effects.Effect]) -> list[calls.Refusal]:
+    """Return the refusals among some effects."""
+    return [
+        item.refusal for item in out if isinstance(item, effects.SendRefusal)
+    ]
+
 
 class TestDrain(testtools.TestCase):
     """A node stays up for as long as callers may use its address.
@@ -33,3 +61,102 @@
             if effects.ExitProcess() in drain.tick(state, samples.instant(now))
         ]
         self.assertEqual([3_000], stopped)
+
+
+class TestLateRequests(testtools.TestCase):
+    """A request that may outlast its node is refused on arrival.
+
+    It would be run, and its connection closed without an answer.
+    """
+
+    def _arrive(
+        self, at: int, deadline: int, state: states.State | None = None
+    ) -> list[calls.Refusal]:
+        return list_refusals(
+            arrival.handle_call_arrived(
+                state or build_draining_state(),
+                events.CallArrived(samples.relayed(deadline=deadline)),
+                samples.instant(at),
+            )
+        )
+
+    def test_deadline_is_after_the_stop(self) -> None:
+        for at in (LIST_MAX_AGE_MS, 5_000, STOP_AT - 1, STOP_AT + 500):
+            (refusal,) = self._arrive(at, STOP_AT + 1_000)
+            self.assertIs(calls.Reason.STOPPING, refusal.reason)
+            self.assertIs(calls.RunStatus.NOT_RUN, refusal.ran)
+
+    def test_deadline_is_before_the_stop(self) -> None:
+        self.assertEqual([], self._arrive(5_000, STOP_AT))
+
+    def test_callers_may_still_have_the_address(self) -> None:
+        self.assertEqual([], self._arrive(1_000, STOP_AT + 1_000))
+
+    def test_other_nodes_stay(self) -> None:
+        state = build_draining_state()
+        other = dataclasses.replace(
+            state.options.me, name='other', draining=False
+        )
+        state.membership.peers['other'] = members.Peer(other)
+        (refusal,) = self._arrive(5_000, STOP_AT + 1_000, state)
+        self.assertLess(refusal.retry_after_ms, 1_000)
+
+    # Guards against callers that come back while no node takes requests.
+    def test_all_nodes_are_stopping(self) -> None:
+        (refusal,) = self._arrive(5_000, STOP_AT + 1_000)
+        self.assertGreaterEqual(refusal.retry_after_ms, STOP_AT - 5_000)
+
+    def test_second_signal_extends_nothing(self) -> None:
+        state = build_draining_state()
+        drain.handle_drain_requested(
+            state,
+            events.DrainRequested(STOP_AT + 4_000),
+            samples.instant(4_000),
+        )
+        self.assertEqual(1, len(self._arrive(5_000, STOP_AT + 1_000, state)))
+
+
+class TestLastAnswers(testtools.TestCase):
+    """Requests that a node still holds when it must stop are answered."""
+
+    def _stop(
+        self, *, is_stopped: bool = False, **changes: object
+    ) -> list[effects.Effect]:
+        """Return the effects for a request when the node must stop."""
+        state = build_draining_state()
+        assert state.drain is not None
+        state.drain.is_stopped = is_stopped
+        request = requests.Request(
+            call=samples.relayed(deadline=STOP_AT + 5_000),
+            now=samples.instant(2_000),
+        )
+        for name, value in changes.items():
+            setattr(request, name, value)
+        state.requests[request.handle] = request
+        early = drain.tick(state, samples.instant(STOP_AT - 1))
+        self.assertEqual([], list_refusals(early))
+        out = drain.tick(state, samples.instant(STOP_AT))
+        self.assertEqual({}, state.requests)
+        return out
+
+    def test_waiting_request_was_not_run(self) -> None:
+        (refusal,) = list_refusals(self._stop())
+        self.assertIs(calls.Reason.STOPPING, refusal.reason)
+        self.assertIs(calls.RunStatus.NOT_RUN, refusal.ran)
+
+    def test_running_request_promises_nothing(self) -> None:
+        running = {'phase': requests.Phase.RUNNING, 'attempt': 1}
+        for changes in (running, {'may_have_run': True}):
+            out = self._stop(**changes)
+            (refusal,) = list_refusals(out)
+            self.assertIs(calls.RunStatus.UNKNOWN, refusal.ran)
+        self.assertIn(effects.CancelAttempt(1, 1), self._stop(**running))
+
+    def test_begun_stream_does_not_look_complete(self) -> None:
+        out = self._stop(phase=requests.Phase.RUNNING, streaming=True)
+        self.assertIn(effects.SendFinish(1, False), out)
+
+    # Guards against a request that comes on an open connection after an idle
+    # node has begun to stop.
+    def test_after_an_early_stop(self) -> None:
+        self.assertEqual(1, len(list_refusals(self._stop(is_stopped=True))))
--- a/tests/runtime/test_site.py
+++ b/tests/runtime/test_site.py
@@ -80,3 +80,43 @@
                 self.assertEqual(16, response.text.count('data:'))
 
         self.run_coroutine(run())
+
+    # Guards against a stream that is run and cut, as it was sent to a node
+    # that had no time left for it.
+    def test_late_stream_is_refused_by_the_last_nodes(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(2) as trial:
+                for node in trial.nodes:
+                    node.drain()
+                for index, node in enumerate(trial.nodes):
+                    state = node.loop.state
+                    assert state.drain is not None
+                    state.drain.began -= 3_000
+                    await site.until(
+                        lambda state=state: state.membership.nodes == 1
+                    )
+                    response = await trial.call('/stream/x', node=index)
+                    self.assertEqual(503, response.status_code)
+                    self.assertIn('node-stopping', response.text)
+                    self.assertGreater(
+                        float(response.headers['retry-after']), 1
+                    )
+                    attempt = site.get_attempt_id(response)
+                    self.assertEqual(0, trial.count_runs(attempt))
+
+        self.run_coroutine(run())
+
+    # Guards against a caller that cannot tell whether its order was run.
+    def test_order_at_the_end_of_the_grace_period_is_answered(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment() as trial:
+                for server in trial.list_servers('shop'):
+                    server.work_ms = 10_000.0
+                (node,) = trial.nodes
+                call = asyncio.ensure_future(trial.call('/orders/1'))
+                await site.until(lambda: node.loop.state.requests)
+                node.drain()
+                response = await call
+                self.assertEqual(502, response.status_code)
+
+        self.run_coroutine(run())
