Confirm the configuration by the position up to which it is known

Cause: the copy of the store's entries leaves the configuration out, but its position moves past it with ChangesSent. A read of the store's revision then confirmed whatever configuration the node had, and its watch started behind the new one. Any loss of the message with the configuration ends so. Ruled out: a peer's confirmation (it needs the same generation).

Evidence: three nodes that lose these messages serve the revoked key on; test_revoked_key_is_refused_though_messages_are_lost and three tests of the watch fail before.

Change: a position of its own for the configuration. The own list and watch move it; a reader's message does only if both nodes have the same generation, up to the position that the reader states. The watch starts at the lower position. A configuration that cannot be decoded confirms nothing, so that keys fail closed until it is replaced.

Why it works: a confirmation now needs a position up to which this very configuration is known to be the newest, or the same generation at a peer.

--- a/src/teaselbridge/decisions/confirmation.py
+++ b/src/teaselbridge/decisions/confirmation.py
@@ -95,12 +95,10 @@
     A confirmation of another configuration than this node's counts only
     once both are the same.
     """
-    if (
-        state.configured
-        and message.confirmed_ms >= 0
-        and message.asked_at <= now.mono
-        and message.generation == state.index.generation
-    ):
+    is_same = state.configured and (
+        message.generation == state.index.generation
+    )
+    if is_same and message.confirmed_ms >= 0 and message.asked_at <= now.mono:
         sent = message.asked_at - message.confirmed_ms
         freshness.record_confirmation(state, sent)
     if message.entries is not None and message.asked_at <= now.mono:
@@ -109,7 +107,7 @@
     member = state.membership.get_peer(sender)
     address = '' if member is None else member.peers
     out = configuration.request_newer(state, message.generation, address)
-    return [*out, effects.ApplyChanges(message)]
+    return [*out, effects.ApplyChanges(message, is_same)]
 
 
 def _watch_store(state: states.State, *, on: bool) -> list[effects.Effect]:
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -475,9 +475,13 @@
 
 
 class ApplyChanges(msgspec.Struct, frozen=True):
-    """Command to apply changes of the store that another node sent."""
+    """Command to apply changes of the store that another node sent.
+
+    :param is_same: whether this node has the sender's configuration.
+    """
 
     message: messages.ChangesSent
+    is_same: bool
 
 
 class QueryLoad(msgspec.Struct, frozen=True):
--- a/src/teaselbridge/peers/messages.py
+++ b/src/teaselbridge/peers/messages.py
@@ -639,6 +639,8 @@
     :param confirmed_ms: age of the sender's last confirmation of the
         configuration, -1 for never.
     :param generation: generation of that configuration.
+    :param configuration_revision: revision in that era up to which the
+        sender knows the configuration, 0 for unknown.
     """
 
     era: int
@@ -648,6 +650,7 @@
     asked_at: int
     confirmed_ms: int
     generation: int
+    configuration_revision: int = 0
 
 
 Message = (
--- a/src/teaselbridge/runtime/watching.py
+++ b/src/teaselbridge/runtime/watching.py
@@ -3,6 +3,10 @@
 What is read is posted to the reducer as events. Those of the configuration
 carry the time at which the query was sent, since the content is known to be
 current as of that time only.
+
+Other nodes pass on all entries but the configuration, which spreads by
+messages of its own that may be lost. The position up to which it is known is
+therefore kept apart from that of the entries, and only the former confirms it.
 """
 
 from __future__ import annotations
@@ -93,6 +97,10 @@
         self._consecutive_failures = 0
         self._nodes: dict[str, str] = {}
         self._mirror = mirror.EntryMirror()
+        # Era of the store and revision up to which the configuration is known.
+        self._configuration_position = (0, 0)
+        # Whether the store holds a configuration that cannot be decoded.
+        self._is_configuration_unreadable = False
         self._is_watched = True
         self._must_list = True
         self._woken = asyncio.Event()
@@ -184,15 +192,55 @@
 
         :param sent: monotonic milliseconds before the query was sent.
         """
+        configuration = self._read_configuration(found, whole=whole)
         if whole:
             self._must_list = False
             self._mirror.replace(found)
         else:
             fresh = self._mirror.update(found)
             found = dataclasses.replace(found, entries=fresh)
-        self._post_entries(found, sent, whole=whole)
+        self._post_changes(found, whole=whole)
+        if not self._is_configuration_unreadable:
+            self._loop.post(
+                events.ConfigurationRead(
+                    configuration=configuration, sent=sent
+                )
+            )
         self._apply_readings()
 
+    def _read_configuration(
+        self, found: stores.Entries, *, whole: bool
+    ) -> model.Configuration | None:
+        """Decode the newest configuration, and note how far it is known.
+
+        One that cannot be decoded may have revoked keys, so that nothing is
+        confirmed until it is replaced.
+
+        :param whole: whether these are all entries of the store.
+        :return: the configuration, none where no newer one can be decoded.
+        """
+        era, revision = self._configuration_position
+        changes = [
+            entry
+            for entry in found.entries
+            if entry.key == documents.CONFIGURATION_KEY
+            and (whole or entry.revision > revision)
+        ]
+        configuration = None
+        if changes:
+            newest = max(changes, key=lambda entry: entry.revision)
+            configuration = self._decode(newest, documents.configuration)
+            self._is_configuration_unreadable = (
+                configuration is None and newest.data is not None
+            )
+        elif whole:
+            self._is_configuration_unreadable = False
+        if not self._is_configuration_unreadable:
+            self._configuration_position = max(
+                (era, revision), (found.era, found.revision)
+            )
+        return configuration
+
     def _handle_watch_store(self, effect: effects.WatchStore) -> None:
         self._is_watched = effect.on
         self._woken.set()
@@ -229,6 +277,7 @@
                 )
                 for item in changes
             )
+        known_era, known_revision = self._configuration_position
         message = messages.ChangesSent(
             era=era,
             revision=revision,
@@ -237,6 +286,7 @@
             asked_at=asked.asked_at,
             confirmed_ms=effect.confirmed_ms,
             generation=effect.generation,
+            configuration_revision=known_revision if known_era == era else 0,
         )
         self._loop.execute(effects.SendPeer(asked.reply_to, message))
 
@@ -262,6 +312,11 @@
         )
         found = stores.Entries(entries, message.revision, message.era)
         fresh = self._mirror.update(found)
+        if effect.is_same and not self._is_configuration_unreadable:
+            self._configuration_position = max(
+                self._configuration_position,
+                (message.era, message.configuration_revision),
+            )
         if fresh:
             found = dataclasses.replace(found, entries=fresh)
             self._post_changes(found, whole=False)
@@ -269,8 +324,8 @@
     async def confirm_configuration(self) -> None:
         """Read the store's revision to confirm the known configuration.
 
-        The configuration counts as confirmed as soon as the watch has
-        returned all changes up to that revision.
+        The configuration counts as confirmed as soon as it is known up to
+        that revision.
         """
         sent = self._loop.now().mono
         try:
@@ -288,7 +343,7 @@
         reached = [
             reading
             for reading in self._readings
-            if reading.position <= self._mirror.position
+            if reading.position <= self._configuration_position
         ]
         if not reached:
             return
@@ -303,8 +358,12 @@
         purpose = keyvalue.Purpose.CONFIGURATION
         if whole:
             return await self._store.list(ALL_KEYS_PREFIX, purpose)
+        since = self._mirror.position
+        if not self._is_configuration_unreadable:
+            # Returns a configuration that no node has passed on.
+            since = min(since, self._configuration_position)
         return await self._store.changes(
-            ALL_KEYS_PREFIX, self._mirror.position, WATCH_WAIT_MS, purpose
+            ALL_KEYS_PREFIX, since, WATCH_WAIT_MS, purpose
         )
 
     async def _write_entry(self) -> int:
@@ -325,34 +384,15 @@
         if self._consecutive_failures % RECONNECT_FAILURE_COUNT == 0:
             await self._store.reconnect()
 
-    def _post_entries(
-        self, found: stores.Entries, sent: int, *, whole: bool
-    ) -> None:
-        """Post what was read from the store, which confirms what is known.
-
-        :param sent: monotonic milliseconds before the query was sent.
-        :param whole: whether these are all entries of the store.
-        """
-        configuration = self._post_changes(found, whole=whole)
-        self._loop.post(
-            events.ConfigurationRead(configuration=configuration, sent=sent)
-        )
-
-    def _post_changes(
-        self, found: stores.Entries, *, whole: bool
-    ) -> model.Configuration | None:
-        """Post entries, or changes of entries, as events.
+    def _post_changes(self, found: stores.Entries, *, whole: bool) -> None:
+        """Post entries other than the configuration, or changes of them.
 
         :param whole: whether these are all entries of the store.
-        :return: the configuration, none where it is not among them.
         """
-        configuration = None
         rows: dict[str, events.HostRow | None] = {}
         nodes = {} if whole else dict(self._nodes)
         for entry in found.entries:
-            if entry.key == documents.CONFIGURATION_KEY:
-                configuration = self._decode(entry, documents.configuration)
-            elif entry.key.startswith(documents.SERVERS_PREFIX):
+            if entry.key.startswith(documents.SERVERS_PREFIX):
                 decode = functools.partial(documents.decode_server, entry.key)
                 rows[entry.key] = self._decode(entry, decode)
             elif entry.key.startswith(NODES_PREFIX):
@@ -373,7 +413,6 @@
             self._nodes = nodes
             addresses = sorted(item for item in nodes.values() if item)
             self._loop.post(events.NodesListed(tuple(addresses)))
-        return configuration
 
     def _post_evacuations(self, found: stores.Entries, *, whole: bool) -> None:
         """Post the evacuated zones, or changes of them.
--- a/tests/failures/test_site_knowledge.py
+++ b/tests/failures/test_site_knowledge.py
@@ -6,11 +6,31 @@
 from __future__ import annotations
 
 import asyncio
+import typing
 
+from teaselbridge.decisions import events
+from teaselbridge.peers import messages
 from teaselbridge.standins import store as stores
 from tests.failures import base
 from tests.failures import site
 
+if typing.TYPE_CHECKING:
+    from teaselbridge.runtime import loop as loops
+
+
+def _lose_configurations(loop: loops.Loop) -> None:
+    """Lose the messages that bring a node configurations."""
+    post = loop.post
+    lost = (messages.ConfigurationSent, messages.ConfigurationChanged)
+
+    def post_others(event: events.Event) -> None:
+        if not isinstance(event, events.PeerMessageReceived) or not isinstance(
+            event.message, lost
+        ):
+            post(event)
+
+    loop.post = post_others  # type: ignore[method-assign]
+
 
 class TestConfiguration(base.TestCase):
     """Configurations take effect and are never replaced by older ones."""
@@ -132,6 +152,33 @@
 
         self.run_coroutine(run())
 
+    # Guards against nodes that take the position of the other entries as
+    # proof that they have the newest configuration.
+    def test_revoked_key_is_refused_though_messages_are_lost(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(3) as trial:
+                for node in trial.nodes:
+                    _lose_configurations(node.loop)
+                tenants = ({'name': 'parish', 'api-keys': ['second-key']},)
+                document = site.encode_configuration(2, tenants=tenants)
+                await trial.store.put('op/config', document)
+                acknowledged_at = asyncio.get_running_loop().time()
+                for server in trial.servers:
+                    # Lets the position of the entries move on.
+                    await server.register(trial.store)
+                for index, node in enumerate(trial.nodes):
+                    state = node.loop.state
+                    await site.until(
+                        lambda state=state: state.index.generation == 2,
+                        wait_s=10,
+                    )
+                    refused = await trial.call('/stock/1', node=index)
+                    self.assertEqual(401, refused.status_code)
+                taken_s = asyncio.get_running_loop().time() - acknowledged_at
+                self.assertLess(taken_s, 5.0)
+
+        self.run_coroutine(run())
+
     def test_keys_expire_when_the_store_is_unavailable(self) -> None:
         async def run() -> None:
             for mode in (stores.FaultMode.SILENT, stores.FaultMode.BUSY):
--- a/tests/runtime/test_watching.py
+++ b/tests/runtime/test_watching.py
@@ -14,6 +14,7 @@
 from teaselbridge.platform import store as stores
 from teaselbridge.ports import keyvalue
 from teaselbridge.runtime import watching
+from tests.failures import site
 
 
 class _FakeLoop:
@@ -53,6 +54,15 @@
             if isinstance(event, events.ConfigurationRead)
         ]
 
+    def list_generations(self) -> list[int]:
+        """Return the generations of the configurations that were read."""
+        return [
+            event.configuration.generation
+            for event in self.events
+            if isinstance(event, events.ConfigurationRead)
+            and event.configuration is not None
+        ]
+
 
 class _FakeStore:
     """Store whose watch can lag behind its revision.
@@ -67,6 +77,8 @@
         self.is_up = True
         self.written_entries = 0
         self.list_count = 0
+        self.configuration: stores.Entry | None = None
+        self.watched_since: list[int] = []
         self.watch_revisions: asyncio.Queue[int] = asyncio.Queue()
 
     async def list(
@@ -84,10 +96,15 @@
         purpose: keyvalue.Purpose,
     ) -> stores.Entries:
         """Wait for the test to set the next revision of the watch."""
+        era, after = since
+        self.watched_since.append(after)
         revision = await self.watch_revisions.get()
         if not revision:
             raise stores.HistoryLostError(False, 'restored')
-        return stores.Entries((), revision, since[0])
+        entry = self.configuration
+        if entry is None or not after < entry.revision <= revision:
+            return stores.Entries((), revision, era)
+        return stores.Entries((entry,), revision, era)
 
     async def get_latest_position(
         self, purpose: keyvalue.Purpose
@@ -219,6 +236,40 @@
         self.run_check(check)
 
 
+class TestUnreadableConfiguration(WatchTestCase):
+    """A configuration that cannot be decoded may have revoked keys.
+
+    The last good one stays in force, and is confirmed no more.
+    """
+
+    def test_nothing_is_confirmed_until_it_is_replaced(self) -> None:
+        async def check(
+            loop: _FakeLoop, store: _FakeStore, watch: watching.StoreWatch
+        ) -> None:
+            store.revision = 9
+            store.configuration = stores.Entry('op/config', b'{"version"', 6)
+            store.watch_revisions.put_nowait(7)
+            while len(store.watched_since) < 2:
+                await asyncio.sleep(0.01)
+            store.watch_revisions.put_nowait(9)
+            while len(store.watched_since) < 3:
+                await asyncio.sleep(0.01)
+            await watch.confirm_configuration()
+            self.assertEqual([], loop.confirmed())
+            # It is not asked for again and again.
+            self.assertEqual([5, 7, 9], store.watched_since)
+            store.revision = 10
+            store.configuration = stores.Entry(
+                'op/config', site.encode_configuration(3), 10
+            )
+            store.watch_revisions.put_nowait(10)
+            while not loop.confirmed():
+                await asyncio.sleep(0.01)
+            self.assertEqual([3], loop.list_generations())
+
+        self.run_check(check)
+
+
 class TestEvacuations(WatchTestCase):
     """Entries that evacuate a zone are posted as such."""
 
@@ -238,7 +289,7 @@
                 confirmed_ms=0,
                 generation=1,
             )
-            loop.execute(effects.ApplyChanges(changes))
+            loop.execute(effects.ApplyChanges(changes, True))
             self.assertIn(
                 events.EvacuationsChanged(zones={'zone-a': ordered}),
                 loop.events,
@@ -257,8 +308,13 @@
 class TestReader(WatchTestCase):
     """Nodes that do not watch get the changes from one that does."""
 
-    def _send(self, loop: _FakeLoop, **more: typing.Any) -> None:
-        """Let a reader send the changes up to revision 7."""
+    def _send(
+        self, loop: _FakeLoop, *, is_same: bool = True, **more: typing.Any
+    ) -> None:
+        """Let a reader send the changes up to revision 7.
+
+        :param is_same: whether this node has the reader's configuration.
+        """
         entry = messages.StoreEntry(
             key='servers/i',
             data=b'{"service": "p", "address": "10.0.0.1:1", "zone": "z",'
@@ -275,7 +331,9 @@
             'generation': 0,
             **more,
         }
-        loop.execute(effects.ApplyChanges(messages.ChangesSent(**told)))
+        loop.execute(
+            effects.ApplyChanges(messages.ChangesSent(**told), is_same)
+        )
 
     def _list_changed(self, loop: _FakeLoop) -> list[str]:
         return [
@@ -341,6 +399,50 @@
 
         self.run_check(check)
 
+    # Guards against keys that stay valid after they were revoked, as the
+    # message with the new configuration was lost.
+    def test_changes_without_the_configuration_confirm_nothing(self) -> None:
+        async def check(
+            loop: _FakeLoop, store: _FakeStore, watch: watching.StoreWatch
+        ) -> None:
+            store.revision = 7
+            store.configuration = stores.Entry(
+                'op/config', site.encode_configuration(2), 6
+            )
+            self._send(loop, is_same=False, configuration_revision=7)
+            await watch.confirm_configuration()
+            self.assertEqual([], loop.confirmed())
+            store.watch_revisions.put_nowait(5)
+            store.watch_revisions.put_nowait(7)
+            while not loop.list_generations():
+                await asyncio.sleep(0)
+            self.assertEqual([2], loop.list_generations())
+            self.assertEqual([5], sorted(set(store.watched_since)))
+
+        self.run_check(check)
+
+    def test_reader_that_does_not_know_the_configuration(self) -> None:
+        async def check(
+            loop: _FakeLoop, store: _FakeStore, watch: watching.StoreWatch
+        ) -> None:
+            store.revision = 7
+            self._send(loop, configuration_revision=6)
+            await watch.confirm_configuration()
+            self.assertEqual([], loop.confirmed())
+
+        self.run_check(check)
+
+    def test_changes_with_the_same_configuration_confirm_it(self) -> None:
+        async def check(
+            loop: _FakeLoop, store: _FakeStore, watch: watching.StoreWatch
+        ) -> None:
+            store.revision = 7
+            self._send(loop, configuration_revision=7)
+            await watch.confirm_configuration()
+            self.assertEqual(1, len(loop.confirmed()))
+
+        self.run_check(check)
+
     def test_no_watch_while_it_is_not_wanted(self) -> None:
         async def check(
             loop: _FakeLoop, store: _FakeStore, watch: watching.StoreWatch
