Let operators choose any names in a configuration

Requests of a workspace whose name is beyond Latin-1 got no answer until their deadline.

Cause: the alphabet of the project's own tables was part of the types that nodes send each other. The configuration of the store is built without that check, so that only receivers of messages applied it, and dropped them. Ruled out: a delta that does not apply (both kinds of message are refused).

Evidence: the decoder's error names the pattern; before, four of the new tests fail, test_names_of_operators_reach_all_nodes among them.

Change: names in messages have no alphabet; tables.check applies it to the project's own tables. Numbers are limited where a configuration is decoded, since a negative weight or start time and numbers beyond 64 bits had the same effect.

Why it works: a configuration that was decoded can be encoded and decoded by any node, which TestSending checks for names and numbers of all kinds.

--- a/src/teaselbridge/platform/documents.py
+++ b/src/teaselbridge/platform/documents.py
@@ -35,6 +35,9 @@
 DOCUMENT_SOURCE = 'store'
 # Requests never wait for the memory of engines whose capacity is not stated.
 UNSTATED_CACHE_TOKENS = 1 << 40
+# Larger numbers are of no use, and those beyond 64 bits cannot be sent to
+# other nodes.
+MAX_NUMBER = 1 << 53
 
 
 class _Backend(msgspec.Struct, frozen=True, rename='kebab'):
@@ -146,6 +149,8 @@
     :raises errors.DocumentError: the document cannot be decoded.
     """
     document = _decode(data, _Configuration)
+    if not 0 <= document.version <= MAX_NUMBER:
+        raise _document_error('the version is out of range')
     return model.Configuration(
         generation=document.version,
         tables=model.Tables(
@@ -155,9 +160,9 @@
                 _convert_workspace(item) for item in document.tenants
             ),
             limits=model.CallerLimits(
-                header_bytes=max(1, document.limits.max_header_bytes),
-                body_bytes=max(1, document.limits.max_body_bytes),
-                idle_ms=max(1, round(document.limits.idle_timeout_ms)),
+                header_bytes=_limit(document.limits.max_header_bytes, 1),
+                body_bytes=_limit(document.limits.max_body_bytes, 1),
+                idle_ms=_limit(document.limits.idle_timeout_ms, 1),
             ),
         ),
     )
@@ -267,7 +272,7 @@
     streaming = document.route_kind == 'streaming'
     idempotent = document.route_kind == 'idempotent'
     shares = tuple(
-        model.PoolShare(pool=item.service, weight=round(item.weight))
+        model.PoolShare(pool=item.service, weight=_limit(item.weight))
         for item in document.backends
     )
     pool = document.service
@@ -280,14 +285,14 @@
         ),
         pool=pool,
         priority=min(9, max(0, document.priority)),
-        deadline_ms=max(1, round(document.timeout_ms)),
+        deadline_ms=_limit(document.timeout_ms, 1),
         idempotent=idempotent or (streaming and document.resumable),
         shares=shares,
-        attempts=max(1, document.attempts),
+        attempts=_limit(document.attempts, 1),
         public=document.public,
         streaming=streaming,
         resumable=streaming and document.resumable,
-        goal_ms=max(0, round(document.goal_ms)),
+        goal_ms=_limit(document.goal_ms),
     )
 
 
@@ -295,27 +300,27 @@
     """Return how many cached tokens are copied to another server per ms."""
     if document.kv_token_bytes <= 0:
         return 0.0
-    bytes_per_ms = max(0.0, document.link_mbps) * BYTES_PER_MS_PER_MBPS
-    return bytes_per_ms / document.kv_token_bytes
+    bytes_per_ms = _limit_float(document.link_mbps) * BYTES_PER_MS_PER_MBPS
+    return _limit_float(bytes_per_ms / document.kv_token_bytes)
 
 
 def _convert_pool(document: _Service) -> model.Pool:
     engine = None
     if document.engine is not None:
         engine = model.Engine(
-            slots=max(1, document.engine.slots),
-            cache_tokens=max(1, document.engine.kv_capacity),
+            slots=_limit(document.engine.slots, 1),
+            cache_tokens=_limit(document.engine.kv_capacity, 1),
             copied_per_ms=_copied_tokens_per_ms(document.engine),
         )
     scaling = None
     if document.scaling is not None:
         scaling = model.Scaling(
-            least=max(0, document.scaling.min_replicas),
-            most=max(1, document.scaling.max_replicas),
-            boot_ms=round(document.scaling.boot_s * 1000),
-            reclaimable_price=document.scaling.spot_price,
+            least=_limit(document.scaling.min_replicas),
+            most=_limit(document.scaling.max_replicas, 1),
+            boot_ms=_limit(document.scaling.boot_s * 1000),
+            reclaimable_price=_limit_float(document.scaling.spot_price),
             prices=tuple(
-                model.ZonePrice(zone=zone, price=price)
+                model.ZonePrice(zone=zone, price=_limit_float(price))
                 for zone, price in document.scaling.zone_prices.items()
             ),
         )
@@ -326,7 +331,7 @@
         zones=(),
         engine=engine,
         scaling=scaling,
-        cold_per_s=max(0.0, document.cold_per_s),
+        cold_per_s=_limit_float(document.cold_per_s),
     )
 
 
@@ -334,10 +339,10 @@
     rate = None
     if document.rate_per_s > 0:
         rate = model.Rate(
-            per_s=document.rate_per_s,
-            burst=document.burst,
+            per_s=_limit_float(document.rate_per_s),
+            burst=_limit_float(document.burst),
             in_tokens=document.unit == 'tokens',
-            plain_tokens=max(0, document.plain_tokens),
+            plain_tokens=_limit(document.plain_tokens),
         )
     priority = document.priority
     if priority is not None:
@@ -351,6 +356,16 @@
     )
 
 
+def _limit(value: float, least: int = 0) -> int:
+    """Return the nearest whole number from a least one to `MAX_NUMBER`."""
+    return round(min(MAX_NUMBER, max(least, value)))
+
+
+def _limit_float(value: float) -> float:
+    """Return the nearest number from 0 to `MAX_NUMBER`."""
+    return min(float(MAX_NUMBER), max(0.0, value))
+
+
 def _decode(data: bytes, kind: type[T]) -> T:
     return documents.decode(data, kind, DOCUMENT_SOURCE)
 
--- a/src/teaselbridge/tables/check.py
+++ b/src/teaselbridge/tables/check.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 import typing
 
 from teaselbridge import documents
@@ -10,6 +11,8 @@
 from teaselbridge.settings import load
 from teaselbridge.tables import model
 
+NAME_PATTERN = re.compile(r'[a-z0-9][a-z0-9.-]*')
+
 
 @dataclasses.dataclass(eq=False)
 class TableError(errors.TeaselbridgeError):
@@ -54,9 +57,13 @@
     _check_unique('pools', [row.name for row in tables.pools])
     _check_unique('workspaces', [row.name for row in tables.workspaces])
     for pool in tables.pools:
+        _check_name('pools', pool.name, 'name', pool.name)
         _check_pool(pool)
+    for workspace in tables.workspaces:
+        _check_name('workspaces', workspace.name, 'name', workspace.name)
     pools = {pool.name: pool for pool in tables.pools}
     for route in tables.routes:
+        _check_name('routes', route.name, 'name', route.name)
         _check_route(route, pools)
     _check_matches(tables.routes)
     _check_keys(tables.workspaces)
@@ -70,8 +77,23 @@
         seen.add(name)
 
 
+def _check_name(table: str, row: str, field: str, name: str) -> None:
+    if NAME_PATTERN.fullmatch(name) is None:
+        reason = (
+            f'`{name}` is no name of lower-case letters, digits, `.` and `-`'
+        )
+        raise TableError(table, row, field, reason)
+
+
 def _check_pool(pool: model.Pool) -> None:
     row_error = _make_error_factory('pools', pool.name)
+    for field, listed in (
+        ('versions', tuple(version.name for version in pool.versions)),
+        ('zones', pool.zones),
+        ('classes', pool.classes),
+    ):
+        for name in listed:
+            _check_name('pools', pool.name, field, name)
     if not pool.versions:
         raise row_error('versions', 'at least one version is required')
     if not any(version.weight for version in pool.versions):
--- a/src/teaselbridge/tables/model.py
+++ b/src/teaselbridge/tables/model.py
@@ -1,4 +1,9 @@
-"""Rows of the operators' tables, and the configuration that holds them."""
+"""Rows of the operators' tables, and the configuration that holds them.
+
+Nodes send these types to each other, so that they hold any name that an
+operator may write; :mod:`teaselbridge.tables.check` checks those of the
+project's own tables.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +13,7 @@
 
 import msgspec
 
-Name = typing.Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9.-]*$')]
+Name: typing.TypeAlias = str
 Millis = typing.Annotated[int, msgspec.Meta(ge=1)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0)]
 Positive = typing.Annotated[int, msgspec.Meta(ge=1)]
--- a/tests/failures/test_site_knowledge.py
+++ b/tests/failures/test_site_knowledge.py
@@ -54,6 +54,38 @@
 
         self.run_coroutine(run())
 
+    # Guards against nodes that get a configuration from a peer and refuse it
+    # for its names.
+    def test_names_of_operators_reach_all_nodes(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(3) as trial:
+                routes = (
+                    {
+                        **site.ROUTES[3],
+                        'name': 'Stock_Look 1',
+                        'path-prefix': '/new/',
+                    },
+                )
+                tenants = ({'name': 'žito_app', 'api-keys': ['new-key']},)
+                await trial.store.put(
+                    'op/config',
+                    site.encode_configuration(
+                        7, routes=routes, tenants=tenants
+                    ),
+                )
+                for index, node in enumerate(trial.nodes):
+                    state = node.loop.state
+                    await site.until(
+                        lambda state=state: state.index.generation == 7,
+                        wait_s=2,
+                    )
+                    response = await trial.call(
+                        '/new/1', node=index, key='new-key'
+                    )
+                    self.assertEqual(200, response.status_code)
+
+        self.run_coroutine(run())
+
     def test_undecodable_entries_change_nothing(self) -> None:
         async def run() -> None:
             async with site.run_deployment() as trial:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 
 import msgspec
 import testtools
 
 from teaselbridge.decisions import events
+from teaselbridge import documents as documents_module
 from teaselbridge import errors
+from teaselbridge.peers import messages
 from teaselbridge.platform import documents
+from teaselbridge.tables import delta
 from tests.failures import site
 
 ENTRY = {
@@ -165,6 +169,118 @@
             )
 
 
+ODD_NAMES = ('sklad_app', 'Sklad', 'sk lad', 'žito', '-', '.', 'a' * 500)
+ODD_NUMBERS = (-1e300, -1, 0, 0.4, 1e300, 10**400)
+
+
+class TestSending(testtools.TestCase):
+    """Each configuration that is decoded can be sent to other nodes.
+
+    Nodes that do not read the store get it in messages only.
+    """
+
+    def _check(self, data: bytes) -> None:
+        decoded = documents.configuration(data)
+        sent = messages.ConfigurationSent(configuration=decoded)
+        received = documents_module.decode_packed(
+            msgspec.msgpack.encode(sent), messages.ConfigurationSent, 'peer'
+        )
+        self.assertEqual(decoded, received.configuration)
+        before = documents.configuration(site.encode_configuration(0))
+        change = delta.compute_delta(before, decoded)
+        if change is not None:
+            documents_module.decode_packed(
+                msgspec.msgpack.encode(change), delta.Delta, 'peer'
+            )
+
+    # Guards against nodes that drop the messages with a configuration, as
+    # operators' names follow no rule of this project.
+    def test_names(self) -> None:
+        for name in ODD_NAMES:
+            self._check(
+                site.encode_configuration(
+                    7,
+                    routes=(
+                        {**site.ROUTES[0], 'name': name, 'service': name},
+                    ),
+                    services=(
+                        {
+                            'name': name,
+                            'scaling': {'zone-prices': {name: 1.0}},
+                        },
+                    ),
+                    tenants=({'name': name, 'api-keys': [name]},),
+                )
+            )
+
+    def test_numbers(self) -> None:
+        for number in ODD_NUMBERS:
+            whole = int(number)
+            route = {
+                **site.ROUTES[0],
+                'timeout-ms': number,
+                'goal-ms': number,
+                'priority': whole,
+                'attempts': whole,
+                'backends': [{'service': 'engines', 'weight': number}],
+            }
+            service = {
+                'name': 'engines',
+                'engine': {
+                    'slots': whole,
+                    'kv-capacity': whole,
+                    'kv-token-bytes': number,
+                    'link-mbps': number,
+                },
+                'scaling': {
+                    'min-replicas': whole,
+                    'max-replicas': whole,
+                    'boot-s': number,
+                    'spot-price': number,
+                    'zone-prices': {'zone-a': number},
+                },
+                'cold-per-s': number,
+            }
+            tenant = {
+                'name': 'parish',
+                'api-keys': ['k'],
+                'priority': whole,
+                'plain-tokens': whole,
+                'rate-per-s': number,
+                'burst': number,
+            }
+            limits = {
+                'max-header-bytes': whole,
+                'max-body-bytes': whole,
+                'idle-timeout-ms': number,
+            }
+            if abs(number) > 1e308:
+                # Fields for fractions hold no such number.
+                route |= {'timeout-ms': 1, 'goal-ms': 1, 'backends': []}
+                service |= {'scaling': None, 'cold-per-s': 0}
+                service['engine'] = {'slots': whole, 'kv-capacity': whole}
+                tenant |= {'rate-per-s': 1, 'burst': 1}
+                limits |= {'idle-timeout-ms': 1}
+            self._check(
+                json.dumps(
+                    {
+                        'version': 7,
+                        'routes': [route],
+                        'services': [service],
+                        'tenants': [tenant],
+                        'limits': limits,
+                    }
+                ).encode()
+            )
+
+    def test_version_that_cannot_be_sent(self) -> None:
+        for version in (-1, 1 << 64, 10**400):
+            data = b'{"version": %d, "routes": [], "services": []}' % version
+            self.assertRaises(
+                errors.DocumentError, documents.configuration, data
+            )
+
+
 class TestNames(testtools.TestCase):
     """Use of the platform's names in its own package only."""
 
--- a/tests/tables/test_check.py
+++ b/tests/tables/test_check.py
@@ -59,6 +59,21 @@
         found = self._check_invalid(dataclasses.replace(GOOD, routes=(route,)))
         self.assertEqual(('routes', 'assistant', 'idempotent'), found)
 
+    def test_names(self) -> None:
+        for name in ('', 'A', 'a_b', '-a', 'a b', 'ž', 'a\n'):
+            route = dataclasses.replace(ROUTE, name=name)
+            pool = dataclasses.replace(
+                POOL, versions=(model.Version(name=name),)
+            )
+            workspace = model.Workspace(name=name, key='k')
+            for tables, field in (
+                (dataclasses.replace(GOOD, routes=(route,)), 'name'),
+                (dataclasses.replace(GOOD, pools=(pool,)), 'versions'),
+                (dataclasses.replace(GOOD, workspaces=(workspace,)), 'name'),
+            ):
+                found = self._check_invalid(tables)
+                self.assertEqual(field, found[2])
+
     def test_system_paths_are_reserved(self) -> None:
         pool = dataclasses.replace(POOL, kind=model.Kind.SERVICE)
         route = dataclasses.replace(ROUTE, match=model.Match(path='/v1/x'))
