Refuse values out of range where they are read

Callers saw (a report of other operators, shown by tests): one odd entry among those of the servers, with a port or a number out of range, left requests without an answer until their deadline, stopped the dispatch of all requests or the updates between nodes.

Cause: numbers were used as they came. Python's whole numbers have no bound; floats, sockets and MessagePack have, and raise OverflowError, which no place expected. The address of an entry was written into heads of requests.

Change: each field of an entry of a server, a node, a rollout or a prompt part is checked where it is decoded, with an error that names field and value. The log has one line for each change of such an entry. Figures in answers and requests are bounded. A request that cannot be sent ends at once and was not run. All entries are read again after an unexpected error between reading and posting them.

Why it works: what passes the checks fits the connections, the arithmetic and the messages, so that nothing further on has to expect an error.

Result: test_odd_entries_name_no_server serves 20 of 20 requests beside six odd entries.

--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -396,10 +396,12 @@
     """Entry of the store that cannot be decoded.
 
     :param key: its key.
+    :param revision: revision of its last change.
     :param detail: what is wrong with it.
     """
 
     key: str
+    revision: int
     detail: str
 
 
--- a/src/teaselbridge/decisions/knowledge.py
+++ b/src/teaselbridge/decisions/knowledge.py
@@ -35,6 +35,8 @@
 RESTORED_ENTRY_HOLD_MS = 8_000
 # Removed entries that are remembered, in case a restore brings them back.
 MAX_REMOVED = 2_000
+# Entries that cannot be decoded of which the record is remembered.
+MAX_UNDECODABLE = 1_000
 # A shorter outage cannot make an entry expire: that takes three missed
 # heartbeats.
 MIN_OUTAGE_MS = 1_000
@@ -58,7 +60,7 @@
     :param is_up: whether the store answers.
     :param is_watched: whether this node watches the store itself.
     :param outage_ended_at: when it first answered after an outage.
-    :param undecodable: keys of entries that cannot be decoded.
+    :param undecodable: revisions of entries that cannot be decoded, by key.
     :param is_fresh: whether the configuration was confirmed recently enough
         for workspace keys to be accepted.
     """
@@ -76,7 +78,7 @@
     is_up: bool = True
     is_watched: bool = True
     outage_ended_at: int | None = None
-    undecodable: set[str] = dataclasses.field(default_factory=set)
+    undecodable: dict[str, int] = dataclasses.field(default_factory=dict)
     is_fresh: bool = False
 
 
@@ -187,12 +189,16 @@
 def handle_entry_undecodable(
     state: states.State, event: events.EntryUndecodable
 ) -> list[effects.Effect]:
-    """Handle an undecodable entry: count it, and record it once per key."""
+    """Handle an undecodable entry: count it, and record each change once."""
     out: list[effects.Effect] = [
         effects.Count(effects.Counter.UNDECODABLE, event.key.split('/')[0])
     ]
-    if event.key not in state.store_view.undecodable:
-        state.store_view.undecodable.add(event.key)
+    known = state.store_view.undecodable
+    if known.get(event.key) != event.revision:
+        known.pop(event.key, None)
+        known[event.key] = event.revision
+        if len(known) > MAX_UNDECODABLE:
+            del known[next(iter(known))]
         detail = f'{event.key}: {event.detail}'
         out.append(
             effects.RecordEntry(mark=effects.Mark.UNDECODABLE, detail=detail)
--- a/src/teaselbridge/peers/transport.py
+++ b/src/teaselbridge/peers/transport.py
@@ -134,6 +134,9 @@
             self._get_dealer(address).send(data, zmq.DONTWAIT)
         except zmq.Again:
             self._close_dealer(address)
+        except zmq.ZMQError:
+            # No socket is opened for an address that cannot be.
+            self._meter.count_bytes('sent', 'unsendable', len(data))
 
     async def receive(self) -> collections.abc.AsyncIterator[ReceivedMessage]:
         """Yield the messages of other nodes as they arrive.
@@ -201,7 +204,11 @@
         if self._keys is not None:
             server = self._keys.public.encode()
             dealer.setsockopt(zmq.CURVE_SERVERKEY, server)
-        dealer.connect(f'tcp://{address}')
+        try:
+            dealer.connect(f'tcp://{address}')
+        except zmq.ZMQError:
+            dealer.close(0)
+            raise
         self._dealers[address] = dealer
         return dealer
 
--- a/src/teaselbridge/platform/connections.py
+++ b/src/teaselbridge/platform/connections.py
@@ -293,7 +293,8 @@
                 await asyncio.get_running_loop().create_connection(
                     lambda: connection, host.strip('[]'), int(port)
                 )
-        except (OSError, TimeoutError, ValueError) as fault:
+        except (OSError, TimeoutError, ValueError, OverflowError) as fault:
+            # The last two are for addresses that cannot be.
             error = ConnectError(repr(fault))
         finally:
             exchange.opening = None
--- a/src/teaselbridge/platform/documents.py
+++ b/src/teaselbridge/platform/documents.py
@@ -9,11 +9,13 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 import typing
 
 import msgspec
 import xxhash
 
+from teaselbridge import clock
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge import documents
@@ -38,6 +40,16 @@
 # Larger numbers are of no use, and those beyond 64 bits cannot be sent to
 # other nodes.
 MAX_NUMBER = 1 << 53
+# Bounds of what a usable entry of a backend server or of a node states.
+MAX_TEXT_CHARS = 1_000
+MAX_SLOTS = 1 << 20
+MAX_SPAN_MS = 24 * 3_600_000
+MAX_PORT = 65_535
+# Bounds what an unusable value adds to a log line.
+MAX_SHOWN_CHARS = 80
+
+_ADDRESS = re.compile(r'(?:[0-9A-Za-z._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})')
+_CONTROL = re.compile(r'[\x00-\x1f\x7f]')
 
 
 class _Backend(msgspec.Struct, frozen=True, rename='kebab'):
@@ -175,17 +187,26 @@
     server that restarts under the same id counts as another host.
 
     :param key: key of the entry, which ends with the server's id.
-    :raises errors.DocumentError: the entry cannot be decoded, or lacks a
-        known state, an address with a port or a service.
+    :raises errors.DocumentError: the entry cannot be decoded, or one of its
+        fields has no usable value.
     """
     document = _decode(data, _Server)
     state = HOST_STATES.get(document.state)
     if state is None:
-        raise _document_error(f'no such state: `{document.state}`')
-    host, _, port = document.address.rpartition(':')
-    if not host or not port.isdigit() or not document.service:
-        raise _document_error(f'no address: `{document.address}`')
+        raise _field_error('state', document.state)
     instance = key.removeprefix(SERVERS_PREFIX)
+    _check_text('id', instance, least=1)
+    _check_text('service', document.service, least=1)
+    _check_text('zone', document.zone)
+    _check_text('version', document.version)
+    _check_address('address', document.address)
+    _check_number('slots', document.slots, MAX_SLOTS)
+    _check_number('born', document.born, MAX_NUMBER)
+    # Times that are left may have passed.
+    cold_ms = max(0, document.cold_left_ms)
+    left_ms = max(0, document.leaves_ms or 0)
+    _check_number('cold-left-ms', cold_ms, MAX_SPAN_MS)
+    _check_number('leaves_ms', left_ms, MAX_SPAN_MS)
     return events.HostRow(
         host=f'{instance}@{document.born}',
         address=document.address,
@@ -195,10 +216,10 @@
         reclaimable=document.spot,
         state=state,
         instance=instance,
-        slots=max(0, document.slots),
-        left_ms=round(document.leaves_ms or 0),
+        slots=document.slots,
+        left_ms=round(left_ms),
         born=document.born,
-        cold_ms=max(0, round(document.cold_left_ms)),
+        cold_ms=round(cold_ms),
     )
 
 
@@ -206,13 +227,16 @@
     """Decode the order of a rollout, which moves a pool to a version.
 
     :param number: number of the rollout, which grows with each write.
-    :raises errors.DocumentError: the entry cannot be decoded.
+    :raises errors.DocumentError: the entry cannot be decoded, or its
+        duration is out of range.
     """
     document = _decode(data, _Rollout)
+    duration_ms = clock.SECOND_MS * max(0, document.duration_s)
+    _check_number('duration-s', duration_ms, MAX_SPAN_MS)
     return events.RolloutOrdered(
         pool=document.service,
         version=document.target,
-        duration_ms=max(0, round(1000 * document.duration_s)),
+        duration_ms=round(duration_ms),
         number=number,
     )
 
@@ -370,6 +394,44 @@
     return documents.decode(data, kind, DOCUMENT_SOURCE)
 
 
+def _check_text(field: str, value: str, least: int = 0) -> None:
+    """Check that a text can be sent in a header and to other nodes.
+
+    :param least: least number of characters.
+    :raises errors.DocumentError: it cannot.
+    """
+    if not least <= len(value) <= MAX_TEXT_CHARS or _CONTROL.search(value):
+        raise _field_error(field, value)
+
+
+def _check_address(field: str, value: str) -> None:
+    """Check that a text is a host and a port.
+
+    :raises errors.DocumentError: it is not.
+    """
+    found = _ADDRESS.fullmatch(value)
+    if found is None or not 1 <= int(found[1]) <= MAX_PORT:
+        raise _field_error(field, value)
+
+
+def _check_number(field: str, value: float, most: float) -> None:
+    """Check that a number is in the range from 0 on.
+
+    :raises errors.DocumentError: it is not.
+    """
+    if not 0 <= value <= most:
+        raise _field_error(field, value)
+
+
+def _field_error(field: str, value: float | str) -> errors.DocumentError:
+    text = repr(value)
+    if len(text) > MAX_SHOWN_CHARS:
+        text = f'{text[:MAX_SHOWN_CHARS]}...'
+    return errors.DocumentError(
+        DOCUMENT_SOURCE, f'$.{field}', f'no usable value: {text}'
+    )
+
+
 def _document_error(reason: str) -> errors.DocumentError:
     return errors.DocumentError(DOCUMENT_SOURCE, '$', reason)
 
@@ -413,6 +475,7 @@
     :raises errors.DocumentError: the entry cannot be decoded.
     """
     document = _decode(data, _Part)
+    _check_number('until', document.until, MAX_NUMBER)
     record = messages.PartCrashes(
         part=document.part,
         hosts=document.hosts,
@@ -425,6 +488,9 @@
 def node(data: bytes) -> NodeEntry:
     """Decode the entry of a node.
 
-    :raises errors.DocumentError: the entry cannot be decoded.
+    :raises errors.DocumentError: the entry cannot be decoded, or names no
+        address.
     """
-    return _decode(data, NodeEntry)
+    entry = _decode(data, NodeEntry)
+    _check_address('peers', entry.peers)
+    return entry
--- a/src/teaselbridge/platform/ingress.py
+++ b/src/teaselbridge/platform/ingress.py
@@ -21,6 +21,10 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # A longer output is no sensible hint.
 MAX_LENGTH_HINT = 1_000_000
+# Far more than the memory of an engine. Larger numbers would be sent to other
+# nodes, which numbers beyond 64 bits cannot be.
+MAX_TOKENS = 100_000_000
+MAX_TOKEN_DIGITS = 9
 STATUS_BY_REASON = {
     **calls.STATUS_BY_REASON,
     calls.Reason.CANNOT_FINISH_IN_TIME: 503,
@@ -210,7 +214,9 @@
 def _decode_token_counts(headers: names.Headers) -> tuple[int, int]:
     counts = names.first(headers, names.TOKEN_COUNTS).split(',')
     try:
-        tokens_in, tokens_out = (max(0, int(item)) for item in counts)
+        tokens_in, tokens_out = (
+            min(MAX_TOKENS, max(0, int(item))) for item in counts
+        )
     except ValueError:
         return 0, 0
     return tokens_in, tokens_out
@@ -232,7 +238,9 @@
     parts = []
     for item in header_value.split(',') if header_value else ():
         name, _, tokens = item.strip().partition(':')
-        if not tokens.isdigit():
+        if not (tokens.isascii() and tokens.isdigit()):
+            return ()
+        if len(tokens) > MAX_TOKEN_DIGITS:
             return ()
         parts.append(calls.PromptPart(name, int(tokens)))
     return tuple(parts)
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -28,13 +28,19 @@
 MAX_DETAIL_CHARS = 200
 # A larger figure is no time in percent of the usual one.
 MAX_TIME_PERCENT = 10_000
+# Larger numbers of requests or slots, and larger rates, are not usable.
+MAX_FIGURE = 1_000_000
+# A server that asks for a longer pause is asked again after this one.
+MAX_RETRY_AFTER_MS = 600_000
 # Plain answers are held in memory as a whole.
 MAX_ANSWER_BYTES = 8 << 20
 # Events are small, so that a stream with a larger one is malformed.
 MAX_EVENT_BYTES = 1 << 20
 
+MAX_ID_DIGITS = 18
+
 # Whole lines of events that state an id.
-_EVENT_ID = re.compile(rb'^id:[ \t]*([0-9]+)[ \t\r]*$', re.MULTILINE)
+_EVENT_ID = re.compile(rb'^id:[ \t]*([0-9]{1,18})[ \t\r]*$', re.MULTILINE)
 
 Post: typing.TypeAlias = 'collections.abc.Callable[[events.Event], None]'
 
@@ -93,7 +99,7 @@
         effect = self._effect
         try:
             request = _encode_request(effect)
-        except connections.InvalidRequestError as error:
+        except (connections.InvalidRequestError, UnicodeError) as error:
             self.handle_error(error)
             return
         self._exchange = pool.send(
@@ -338,8 +344,9 @@
     """Return the numeric id of an event, none where it has none."""
     for line in event.split(b'\n'):
         name, _, value = line.partition(b':')
-        if name == b'id' and value.strip().isdigit():
-            return int(value)
+        digits = value.strip()
+        if name == b'id' and digits.isdigit():
+            return int(digits) if len(digits) <= MAX_ID_DIGITS else None
     return None
 
 
@@ -379,9 +386,7 @@
     figures = load.split(',')[:4]
     detail = f'invalid load: {load!r}'[:MAX_DETAIL_CHARS]
     try:
-        running, waiting, slots = (int(item) for item in figures[:3])
-        if min(running, waiting, slots) < 0:
-            raise ValueError(detail)
+        running, waiting, slots = (_parse_figure(item) for item in figures[:3])
     except ValueError:
         post(events.AnswerLoadInvalid(host=host, detail=detail))
         return
@@ -393,6 +398,17 @@
     post(events.AnswerLoadReceived(host, running, waiting, slots, pace))
 
 
+def _parse_figure(figure: str) -> int:
+    """Return a figure of a server's load.
+
+    :raises ValueError: it is no whole number of a usable size.
+    """
+    number = int(figure)
+    if not 0 <= number <= MAX_FIGURE:
+        raise ValueError(f'no figure: {number}')
+    return number
+
+
 def _parse_pace(figure: str) -> int:
     """Return the pace of a server's machine in percent of the usual one.
 
@@ -454,10 +470,10 @@
 def _parse_least(values: list[str]) -> float | None:
     """Return the least of some decimal numbers, none where there are none.
 
-    :raises ValueError: one of them is no finite number from 0 on.
+    :raises ValueError: one of them is no number of a usable size.
     """
     numbers = [float(value) for value in values]
-    if not all(math.isfinite(item) and item >= 0 for item in numbers):
+    if not all(0 <= item <= MAX_FIGURE for item in numbers):
         raise ValueError(f'no limit: {values}')
     return min(numbers, default=None)
 
@@ -477,7 +493,7 @@
             continue
         if milliseconds < 0:
             invalid.append(value)
-        longest_ms = max(longest_ms, milliseconds)
+        longest_ms = max(longest_ms, min(MAX_RETRY_AFTER_MS, milliseconds))
     detail = f'invalid Retry-After: {invalid}'[:MAX_DETAIL_CHARS]
     return longest_ms, detail if invalid else ''
 
@@ -490,6 +506,10 @@
             return calls.Fault(
                 calls.FaultKind.CONNECT, calls.RunStatus.NOT_RUN, detail
             )
+        case connections.InvalidRequestError() | UnicodeError():
+            return calls.Fault(
+                calls.FaultKind.INVALID, calls.RunStatus.NOT_RUN, detail
+            )
         case InvalidAnswerError():
             kind = calls.FaultKind.INVALID
         case connections.CutError():
--- a/src/teaselbridge/platform/store.py
+++ b/src/teaselbridge/platform/store.py
@@ -153,7 +153,7 @@
         if response.status == NOT_FOUND_STATUS:
             return keyvalue.Value(None, 0)
         item = _decode(response, _Item, writes=False)
-        return keyvalue.Value(base64.b64decode(item.value), item.rev)
+        return keyvalue.Value(_convert_item(item).data, item.rev)
 
     async def compare_and_swap(
         self,
--- a/src/teaselbridge/runtime/watching.py
+++ b/src/teaselbridge/runtime/watching.py
@@ -190,8 +190,25 @@
     def _apply(self, found: stores.Entries, sent: int, *, whole: bool) -> None:
         """Apply what was read, unless more is known already.
 
+        All entries are read again after an unexpected error, as some may not
+        have been posted.
+
         :param sent: monotonic milliseconds before the query was sent.
         """
+        try:
+            self._post_entries(found, sent, whole=whole)
+        except Exception:
+            self._must_list = True
+            raise
+
+    def _post_entries(
+        self, found: stores.Entries, sent: int, *, whole: bool
+    ) -> None:
+        """Post what was read from the store, which confirms what is known.
+
+        :param sent: monotonic milliseconds before the query was sent.
+        :param whole: whether these are all entries of the store.
+        """
         configuration = self._read_configuration(found, whole=whole)
         if whole:
             self._must_list = False
@@ -467,8 +484,15 @@
         try:
             return decode(entry.data)
         except errors.DocumentError as error:
-            self._loop.post(events.EntryUndecodable(entry.key, str(error)))
-            return None
+            detail = str(error)
+        except Exception as error:
+            # One entry does not hold up the others, whatever is wrong.
+            self._loop.record_error('decode_entry', error)
+            detail = repr(error)
+        self._loop.post(
+            events.EntryUndecodable(entry.key, entry.revision, detail)
+        )
+        return None
 
 
 async def _sleep_with_jitter(delay_ms: int) -> None:
--- a/tests/failures/test_site_knowledge.py
+++ b/tests/failures/test_site_knowledge.py
@@ -8,6 +8,8 @@
 import asyncio
 import typing
 
+import msgspec
+
 from teaselbridge.decisions import events
 from teaselbridge.peers import messages
 from teaselbridge.standins import store as stores
@@ -18,6 +20,16 @@
     from teaselbridge.runtime import loop as loops
 
 
+ODD_FIELDS = (
+    ('address', '127.0.0.1:99999'),
+    ('address', '127.0.0.1:' + '9' * 5_000),
+    ('address', 'x y:80'),
+    ('slots', 1 << 62),
+    ('cold-left-ms', 1e308),
+    ('born', 1 << 63),
+)
+
+
 def _lose_configurations(loop: loops.Loop) -> None:
     """Lose the messages that bring a node configurations."""
     post = loop.post
@@ -128,6 +140,37 @@
 
         self.run_coroutine(run())
 
+    # Guards against one entry that stops the dispatch of all requests, or the
+    # updates between nodes.
+    def test_odd_entries_name_no_server(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(2) as trial:
+                usual = {
+                    'service': 'shop',
+                    'address': '127.0.0.1:1',
+                    'zone': 'zone-a',
+                    'version': 'v1',
+                    'state': 'ready',
+                    'slots': 8,
+                }
+                for number, (field, value) in enumerate(ODD_FIELDS):
+                    data = msgspec.json.encode({**usual, field: value})
+                    await trial.store.put(f'servers/odd-{number}', data)
+                for node in trial.nodes:
+                    state = node.loop.state
+                    await site.until(
+                        lambda state=state: (
+                            len(state.store_view.undecodable)
+                            == len(ODD_FIELDS)
+                        )
+                    )
+                    self.assertEqual(4, len(state.servers.all))
+                for number in range(20):
+                    response = await trial.call('/stock/1', node=number % 2)
+                    self.assertEqual(200, response.status_code)
+
+        self.run_coroutine(run())
+
     def test_changes_after_a_compaction_are_read(self) -> None:
         """The compaction closes the watches and removes the history.
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -81,6 +81,86 @@
             )
 
 
+ODD_FIELDS: tuple[tuple[str, object], ...] = (
+    ('address', 'nowhere'),
+    ('address', '10.0.0.9:0'),
+    ('address', '10.0.0.9:65536'),
+    ('address', '10.0.0.9:' + '9' * 5_000),
+    ('address', '10.0.0.9:\u00b2'),
+    ('address', '10.0.0.9:8O'),
+    ('address', ':8080'),
+    ('address', 'x y:80'),
+    ('address', 'http://10.0.0.9:80'),
+    ('address', '10.0.0.9:80\r\nHost: x'),
+    ('address', 'a\r\nb:80'),
+    ('slots', -1),
+    ('slots', 10**30),
+    ('slots', 10**400),
+    ('born', -1),
+    ('born', 1 << 64),
+    ('cold-left-ms', 1e308),
+    ('leaves_ms', 1e308),
+    ('service', ''),
+    ('service', 'a\nb'),
+    ('service', 'a' * 100_000),
+    ('zone', '\0'),
+    ('version', 'v' * 100_000),
+    ('state', 'asleep'),
+)
+
+
+class TestOddEntries(testtools.TestCase):
+    """Values that cannot be used are refused where they are decoded.
+
+    Each of them raised an error later: at a connection, in the dispatch of
+    requests, or where it is sent to other nodes.
+    """
+
+    def test_servers(self) -> None:
+        for field, value in ODD_FIELDS:
+            data = json.dumps({**ENTRY, field: value}).encode()
+            error = self.assertRaises(
+                errors.DocumentError,
+                documents.decode_server,
+                'servers/i-7',
+                data,
+            )
+            self.assertEqual(f'$.{field}', error.path)
+            self.assertLess(len(str(error)), 200)
+
+    def test_server_ids(self) -> None:
+        for key in ('servers/', 'servers/a\r\nb', 'servers/\0'):
+            self.assertRaises(
+                errors.DocumentError, documents.decode_server, key, entry()
+            )
+
+    def test_usual_addresses(self) -> None:
+        for address in ('10.0.0.9:1', 'host-1.example:65535', '[::1]:80'):
+            row = documents.decode_server('servers/i', entry(address=address))
+            self.assertEqual(address, row.address)
+
+    # Guards against a server that is dropped as its notice has passed.
+    def test_times_that_have_passed(self) -> None:
+        data = entry(**{'leaves_ms': -3.0, 'cold-left-ms': -2})
+        row = documents.decode_server('servers/i', data)
+        self.assertEqual((0, 0), (row.left_ms, row.cold_ms))
+
+    def test_nodes(self) -> None:
+        for peers in ('', 'nowhere', '10.0.0.1:0', '10.0.0.1:99999', '*:1'):
+            data = msgspec.json.encode({'peers': peers})
+            self.assertRaises(errors.DocumentError, documents.node, data)
+
+    def test_rollouts(self) -> None:
+        data = b'{"service": "p", "target": "v", "duration-s": 1e308}'
+        self.assertRaises(
+            errors.DocumentError, documents.decode_rollout, data, 1
+        )
+
+    def test_parts(self) -> None:
+        data = b'{"part": "p", "until": %d}' % (1 << 64)
+        self.assertRaises(errors.DocumentError, documents.decode_part, data)
+
+
 class TestEvacuations(testtools.TestCase):
     """Evacuated zones are named by the keys of their entries."""
 
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -146,6 +146,34 @@
         self.assertEqual((0, 0), (call.tokens_in, call.max_tokens))
         self.assertEqual((), call.parts)
 
+    # Guards against numbers that cannot be sent to other nodes, and requests
+    # that get 500.
+    def test_numbers_of_callers_are_bounded(self) -> None:
+        digits = b'1' + b'0' * 21
+        for name, value in (
+            (names.TOKEN_COUNTS, digits + b',80'),
+            (names.TOKEN_COUNTS, b'9' * 5_000 + b',80'),
+            (names.LENGTH_HINT, digits),
+            (names.LENGTH_HINT, b'9' * 5_000),
+            (names.DEADLINE_MS, digits),
+            (names.DEADLINE_MS, b'1e308'),
+            (names.DEADLINE_MS, b'9' * 5_000),
+            (names.PROMPT_PREFIX, b'aa:' + digits),
+            (names.PROMPT_PREFIX, b'aa:' + b'9' * 5_000),
+            (names.PROMPT_PREFIX, b'aa:\xb2'),
+        ):
+            call = ingress.decode_request(
+                raw('/stream/x', (name, value)), INDEX
+            )
+            for number in (
+                call.tokens_in,
+                call.max_tokens,
+                call.length_hint,
+                call.deadline,
+                *(part.tokens for part in call.parts),
+            ):
+                self.assertLess(number, 1 << 53)
+
     def test_weights_of_a_split_route(self) -> None:
         pools = [
             ingress.decode_request(
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -162,6 +162,65 @@
         self.assertLessEqual(len(notice.detail), runners.MAX_DETAIL_CHARS)
 
 
+class TestNumbers(testtools.TestCase):
+    """Numbers of servers that cannot be used, or sent to other nodes."""
+
+    def test_load(self) -> None:
+        for value in ('1' + '0' * 21, '9' * 5_000, '\xb2', '1e3', '-1'):
+            for figures in (f'{value},0,8', f'0,{value},8', f'0,0,{value}'):
+                found = run_attempt(
+                    200, ID, ('Teaselbridge-Runner-Load', figures)
+                )
+                self.assertIsInstance(found[0], events.AnswerLoadInvalid)
+                self.assertIsInstance(found[-1], events.AnswerReceived)
+
+    def test_retry_after(self) -> None:
+        for value in ('1e300', '9' * 300):
+            found = run_attempt(503, ID, ('Retry-After', value))
+            notice = found[0]
+            assert isinstance(notice, events.ServerNoticed)
+            self.assertLess(notice.backoff_ms, 1 << 53)
+
+    def test_rate(self) -> None:
+        found = run_whole_attempt(200, ID, ('Server-Limit', '1e300'))
+        self.assertIsInstance(found[0], events.TermsInvalid)
+
+
+class TestUnsendable(testtools.TestCase):
+    """An attempt that cannot be sent ends, and was not run."""
+
+    def _get_fault(self, **changes: object) -> calls.Fault:
+        found: list[events.Event] = []
+
+        async def run() -> None:
+            ended = asyncio.Event()
+            pool = connections.Pool()
+            attempt = runners.Attempt(
+                msgspec.structs.replace(EFFECT, **changes),
+                found.append,
+                lambda _: ended.set(),
+            )
+            attempt.start(pool)
+            async with asyncio.timeout(serving.TIMEOUT_S):
+                await ended.wait()
+            await pool.close()
+
+        asyncio.run(run())
+        (failed,) = found
+        assert isinstance(failed, events.AttemptFailed)
+        return failed.fault
+
+    # Guards against a request that waits for its deadline.
+    def test_port_out_of_range(self) -> None:
+        for port in ('0', '99999', '9' * 5_000, '\xb2'):
+            fault = self._get_fault(address=f'127.0.0.1:{port}')
+            self.assertIs(calls.RunStatus.NOT_RUN, fault.ran)
+
+    def test_line_break_in_a_header(self) -> None:
+        fault = self._get_fault(instance='a\r\nb')
+        self.assertIs(calls.RunStatus.NOT_RUN, fault.ran)
+
+
 class TestTerms(testtools.TestCase):
     """Each answer tells the terms on which its server takes requests."""
 
