Carry out what was decided before an unexpected error

Callers saw: after an error in the dispatch of one request, the effects of every event were lost until the queue was empty, answers of other requests among them.

Cause: the effects of an event and those of the dispatch after it were one list, lost as a whole; and an effect that failed ended those behind it.

Change: an error in the dispatch carries what was decided before it, and each effect fails alone. Requests that the dispatch had set aside return to the queue in any case.

Evidence: two new tests in test_loop.py fail before.

--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -24,6 +24,8 @@
 from teaselbridge.tables import model
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from teaselbridge import clock
     from teaselbridge.decisions import servers
     from teaselbridge.decisions import state as states
@@ -51,42 +53,56 @@
 
 def dispatch_waiting_requests(
     state: states.State, now: clock.Instant
-) -> list[effects.Effect]:
+) -> collections.abc.Iterator[effects.Effect]:
     """Dispatch as many waiting requests as servers have free slots.
 
     A request that the free servers may not serve is set aside meanwhile, so
     that it does not hold up those behind it.
     """
-    out: list[effects.Effect] = []
     for pool in state.queue.pools():
         set_aside: list[calls.Call] = []
-        while len(set_aside) < MAX_SET_ASIDE:
-            call = state.queue.peek(pool)
-            if call is None:
-                break
-            request = state.requests[call.handle]
-            refused = _refuse_waiting(state, request, now)
-            if refused:
-                out += refused
-                continue
-            if needs_other_node(state, request):
-                passed = _pass_on(state, request, now)
-                out += passed
-                if not passed:
-                    state.queue.remove(call.handle)
-                    set_aside.append(call)
-                continue
-            server = choose_server(state, request, now)
-            if server is not None:
-                out += _start_attempt(state, request, server, now)
-                continue
-            if not _has_free_server(state, call, now):
-                break
-            state.queue.remove(call.handle)
-            set_aside.append(call)
-        for call in set_aside:
-            state.queue.push(call)
-    return out
+        try:
+            yield from _dispatch_pool(state, pool, set_aside, now)
+        finally:
+            for call in set_aside:
+                state.queue.push(call)
+
+
+def _dispatch_pool(
+    state: states.State,
+    pool: str,
+    set_aside: list[calls.Call],
+    now: clock.Instant,
+) -> collections.abc.Iterator[effects.Effect]:
+    """Dispatch the waiting requests of a pool.
+
+    :param set_aside: list that those are added to that wait for a server
+        that is not free; they are taken off the queue.
+    """
+    while len(set_aside) < MAX_SET_ASIDE:
+        call = state.queue.peek(pool)
+        if call is None:
+            return
+        request = state.requests[call.handle]
+        refused = _refuse_waiting(state, request, now)
+        if refused:
+            yield from refused
+            continue
+        if needs_other_node(state, request):
+            passed = _pass_on(state, request, now)
+            yield from passed
+            if not passed:
+                state.queue.remove(call.handle)
+                set_aside.append(call)
+            continue
+        server = choose_server(state, request, now)
+        if server is not None:
+            yield from _start_attempt(state, request, server, now)
+            continue
+        if not _has_free_server(state, call, now):
+            return
+        state.queue.remove(call.handle)
+        set_aside.append(call)
 
 
 def needs_other_node(state: states.State, request: requests.Request) -> bool:
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -72,6 +72,19 @@
         """Handle a call that got no usable answer."""
 
 
+class ReduceError(Exception):
+    """Unexpected error after some effects of an event were decided.
+
+    These have to be carried out, as the state is already changed.
+
+    :param decided: the effects.
+    """
+
+    def __init__(self, decided: list[effects.Effect]) -> None:
+        super().__init__('the dispatch of waiting requests failed')
+        self.decided = decided
+
+
 def reduce(
     state: states.State, event: events.Event, now: clock.Instant
 ) -> list[effects.Effect]:
@@ -84,10 +97,17 @@
     :param event: what happened.
     :param now: when it happened.
     :return: effects for the runtime to carry out, in order.
+    :raises ReduceError: the event was handled, and the dispatch failed.
     """
     out = _dispatch_event(state, event, now)
     if len(state.queue) and not isinstance(event, events.TokenReceived):
-        out += dispatch.dispatch_waiting_requests(state, now)
+        waiting = dispatch.dispatch_waiting_requests(state, now)
+        try:
+            # Keeps what was dispatched before an error.
+            for effect in waiting:
+                out.append(effect)  # noqa: PERF402
+        except Exception as error:
+            raise ReduceError(out) from error
     return out
 
 
--- a/src/teaselbridge/runtime/loop.py
+++ b/src/teaselbridge/runtime/loop.py
@@ -175,18 +175,34 @@
     def _process(self, event: events.Event) -> None:
         """Pass an event to the reducer and execute the effects.
 
-        An unexpected error ends the work on this event only. The tasks that
-        post events, such as the one that receives messages, go on.
+        An unexpected error ends the work on this event, or on one effect of
+        it, only. The tasks that post events, such as the one that receives
+        messages, go on, and callers get what was decided for them.
         """
-        try:
-            for effect in reducer.reduce(self._state, event, self.now()):
+        kind = type(event).__name__
+        for effect in self._reduce(event, kind):
+            try:
                 self._handlers[type(effect)](effect)
+            except Exception as error:
+                self.record_error(kind, error)
+
+    def _reduce(
+        self, event: events.Event, kind: str
+    ) -> collections.abc.Sequence[effects.Effect]:
+        try:
+            return reducer.reduce(self._state, event, self.now())
+        except reducer.ReduceError as error:
+            self.record_error(kind, error.__cause__ or error)
+            return error.decided
         except Exception as error:
-            self._record_error(event, error)
+            self.record_error(kind, error)
+            return ()
 
-    def _record_error(self, event: events.Event, error: Exception) -> None:
-        """Count an error, and log at most one in `ERROR_LOG_INTERVAL_MS`."""
-        kind = type(event).__name__
+    def record_error(self, kind: str, error: BaseException) -> None:
+        """Count an error, and log at most one in `ERROR_LOG_INTERVAL_MS`.
+
+        :param kind: event or task that it ended.
+        """
         self._meter.count(effects.Count(effects.Counter.ERRORS, kind))
         now = self.now().mono
         if now < self._next_error_log_at:
--- a/tests/runtime/test_loop.py
+++ b/tests/runtime/test_loop.py
@@ -10,6 +10,8 @@
 
 from teaselbridge import clock
 from teaselbridge.decisions import bounds
+from teaselbridge.decisions import dispatch
+from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge.decisions import reducer
 from teaselbridge.decisions import requests
@@ -20,7 +22,6 @@
 from tests.decisions import samples
 
 if typing.TYPE_CHECKING:
-    from teaselbridge.decisions import effects
     from teaselbridge.decisions import state as states
 
 BAD = events.PeerMessageReceived(
@@ -71,6 +72,46 @@
         self.assertEqual(1, len(self._list_errors()))
         self.assertEqual(50, self.meter.value('errors', 'PeerMessageReceived'))
 
+    # Guards against callers without an answer, as another effect of the same
+    # event failed before theirs.
+    def test_other_effects_are_executed(self) -> None:
+        done: list[effects.Effect] = []
+
+        def fail(_: effects.Effect) -> None:
+            raise OverflowError('out of range')
+
+        self.loop.handle(effects.SendPeer, fail)
+        self.loop.handle(effects.SendFinish, done.append)
+        finish = effects.SendFinish(1, True)
+        message = messages.SyncSent(gossip=messages.Gossip())
+        self.patch(
+            reducer,
+            '_dispatch_event',
+            lambda *_: [effects.SendPeer('a', message), finish],
+        )
+        self.loop.post(events.Ticked())
+        self.assertEqual([finish], done)
+        self.assertEqual(1, self.meter.value('errors', 'Ticked'))
+
+    # Guards against a lost answer of one request as another one cannot be
+    # dispatched.
+    def test_effects_before_a_failed_dispatch_are_executed(self) -> None:
+        done: list[effects.Effect] = []
+        self.loop.handle(effects.SendFinish, done.append)
+        first, second = (effects.SendFinish(number, True) for number in (1, 2))
+
+        def dispatch_one(*_: object) -> typing.Iterator[effects.Effect]:
+            yield second
+            raise OverflowError('out of range')
+
+        self.patch(reducer, '_dispatch_event', lambda *_: [first])
+        self.patch(dispatch, 'dispatch_waiting_requests', dispatch_one)
+        self.loop.state.queue.push(samples.relayed())
+        self.loop.post(events.Ticked())
+        self.assertEqual([first, second], done)
+        (detail,) = self._list_errors()
+        self.assertIn('out of range', detail)
+
     def test_failing_tick(self) -> None:
         def fail(*_: object) -> None:
             raise ValueError('tick')
