Start tasks again that must never end

Cause: a background task that ended by an unexpected error, such as the one that follows the store, was reported to the handler of the event loop only.

Change: such tasks are started again with a delay that doubles to 2 s, with a line and a count by name.

Why it works: it is the second line; the first is that no entry raises.

--- a/src/teaselbridge/runtime/keys.py
+++ b/src/teaselbridge/runtime/keys.py
@@ -11,6 +11,7 @@
 from teaselbridge.decisions import events
 from teaselbridge.decisions import tickets
 from teaselbridge.ports import keyvalue
+from teaselbridge.runtime import supervision
 
 if typing.TYPE_CHECKING:
     from teaselbridge.runtime import loop as loops
@@ -172,7 +173,11 @@
             self._watch_task.cancel()
             self._watch_task = None
         if effect.on:
-            self._watch_task = self._tasks.start(self._run_watch())
+            self._watch_task = self._tasks.start(
+                supervision.run_forever(
+                    self._loop, 'watch_configuration', self._run_watch
+                )
+            )
 
     async def _run_watch(self) -> None:
         """Watch the configuration, reopening watches that end or time out.
--- a/src/teaselbridge/runtime/node.py
+++ b/src/teaselbridge/runtime/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import os
 import signal
 import typing
@@ -24,6 +25,7 @@
 from teaselbridge.runtime import loop as loops
 from teaselbridge.runtime import orders
 from teaselbridge.runtime import outlets as outlets_module
+from teaselbridge.runtime import supervision
 from teaselbridge.runtime import surroundings
 from teaselbridge.runtime import web
 from teaselbridge.telemetry import metrics
@@ -128,11 +130,29 @@
                 detail=f'process {os.getpid()}',
             )
         )
-        self._tasks.start(links.receive_messages(self._transport, self._loop))
-        self._tasks.start(surroundings.follow_hosts(self._hosts, self._loop))
-        self._tasks.start(surroundings.follow_notices(self._cloud, self._loop))
-        self._tasks.start(self._loop.run_ticks())
-        self._tasks.start(self._watch_certificate())
+        for name, work in (
+            (
+                'receive_messages',
+                functools.partial(
+                    links.receive_messages, self._transport, self._loop
+                ),
+            ),
+            (
+                'follow_hosts',
+                functools.partial(
+                    surroundings.follow_hosts, self._hosts, self._loop
+                ),
+            ),
+            (
+                'follow_notices',
+                functools.partial(
+                    surroundings.follow_notices, self._cloud, self._loop
+                ),
+            ),
+            ('run_ticks', self._loop.run_ticks),
+            ('watch_certificate', self._watch_certificate),
+        ):
+            self._tasks.start(supervision.run_forever(self._loop, name, work))
         await self._caller_listener.start()
         await self._admin_listener.start()
 
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import os
 import signal
 import socket
@@ -32,6 +33,7 @@
 from teaselbridge.runtime import outlets as outlets_module
 from teaselbridge.runtime import parts
 from teaselbridge.runtime import relaying
+from teaselbridge.runtime import supervision
 from teaselbridge.runtime import watching
 from teaselbridge.runtime import web
 from teaselbridge.settings import load
@@ -178,10 +180,18 @@
                 detail=f'process {os.getpid()}',
             )
         )
-        self._tasks.start(links.receive_messages(self._transport, self._loop))
-        self._tasks.start(self._store_watch.follow_changes())
-        self._tasks.start(self._store_watch.maintain_own_entry())
-        self._tasks.start(self._loop.run_ticks())
+        for name, work in (
+            (
+                'receive_messages',
+                functools.partial(
+                    links.receive_messages, self._transport, self._loop
+                ),
+            ),
+            ('follow_changes', self._store_watch.follow_changes),
+            ('maintain_own_entry', self._store_watch.maintain_own_entry),
+            ('run_ticks', self._loop.run_ticks),
+        ):
+            self._tasks.start(supervision.run_forever(self._loop, name, work))
         # Requests that already wait in the backlog are served a little later
         # rather than refused for lack of a configuration.
         await self._store_watch.wait_for_first_read(FIRST_READ_TIMEOUT_MS)
--- a/tests/fuzz/test_found.py
+++ b/tests/fuzz/test_found.py
@@ -50,6 +50,37 @@
         run.drain_node(pick=908, span=4_507)
         run.teardown()
 
+    # Guards against a bad version that is completed while its servers are
+    # reclaimed. Not mended yet, see KNOWN-RED.txt.
+    def test_bad_version_between_reclaims(self) -> None:
+        run = machine.Machine()
+        run.begin(seed=1322)
+        run.add_server(engine=True)
+        run.drain_node(pick=103, span=2813)
+        run.drain_node(pick=1000, span=3232)
+        run.disturb_network(left=2, loss=0.0, right=0)
+        run.kill_node(pick=286)
+        run.lapse_leases()
+        run.move_version(bad=False, pick=159)
+        run.add_server(engine=True)
+        run.add_server(engine=False)
+        run.lapse_leases()
+        run.advance(span=300)
+        run.work_beside_leaving(pick=126)
+        run.add_server(engine=False)
+        run.reclaim_server(pick=966, span=500)
+        run.drain_node(pick=456, span=7339)
+        run.move_version(bad=True, pick=429)
+        run.move_version(bad=False, pick=159)
+        run.advance(span=1000)
+        run.reclaim_server(pick=138, span=4000)
+        run.move_version(bad=True, pick=413)
+        run.work_beside_leaving(pick=60)
+        run.work_beside_leaving(pick=143)
+        run.reclaim_server(pick=227, span=500)
+        run.kill_node(pick=128)
+        run.teardown()
+
 
 class TestInsufficientEvidence(testtools.TestCase):
     """Rollouts with too little evidence for a decision.
