Close connections after answers that cannot be identified

Cause: ids are compared only where there is one, and the connection was used again after an answer without one. Ruled out: bytes that waited on the idle connection (such connections are closed).

Change: an answer without an id is the last one on its connection. A request without an id takes no answer that has one.

Why it works: on a connection that is used again all earlier answers had ids, so that late copies of them are told by these.

--- a/src/teaselbridge/platform/connections.py
+++ b/src/teaselbridge/platform/connections.py
@@ -130,6 +130,11 @@
         self.connection: Connection | None = None
         self.opening: asyncio.Task[None] | None = None
 
+    def end_connection(self) -> None:
+        """Close the connection after this answer, instead of keeping it."""
+        if self.connection is not None:
+            self.connection.is_reusable = False
+
     def cancel(self) -> None:
         """Close the connection; the receiver gets no further call."""
         self.receiver = None
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -123,10 +123,14 @@
         answered_id = names.first(head.headers, names.ATTEMPT_ID)
         # A refusal may come without the id. A success always has it: without,
         # it is a late second answer to an earlier request on this connection.
-        must_match = bool(answered_id) or head.is_success
-        if call.key.id and must_match and answered_id != call.key.id:
+        must_match = bool(answered_id) or (head.is_success and call.key.id)
+        if must_match and answered_id != call.key.id:
             self._reject(f'answer of another request, {answered_id}')
             return
+        if not answered_id and self._exchange is not None:
+            # Should it come a second time, it could not be told from the
+            # answer to the next request.
+            self._exchange.end_connection()
         if not effect.origin:
             _post_statements(head, effect, self._asked_at, self._post)
         if (
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
+import re
 
 import msgspec
 import testtools
@@ -111,6 +113,127 @@
         for status in (404, 500, 503):
             self.assertIsNone(self._get_fault(*run_attempt(status)))
 
+    def test_request_without_an_id(self) -> None:
+        call = dataclasses.replace(EFFECT.call, key=calls.RequestKey('w', ''))
+        effect = msgspec.structs.replace(EFFECT, call=call)
+        for header, expected in (
+            ('X: y', None),
+            ('Teaselbridge-Attempt-Id: other', calls.FaultKind.INVALID),
+        ):
+            answer = f'HTTP/1.1 400 Any\r\n{header}\r\nContent-Length: 0'
+            *_, outcome = relay(effect, f'{answer}\r\n\r\n'.encode())
+            self.assertIs(expected, self._get_fault(outcome))
+
+
+class RepeatingServer:
+    """Server that sends its last refusal once more before the next answer.
+
+    :ivar connection_count: number of connections that were accepted.
+    """
+
+    def __init__(self, refusal: bytes) -> None:
+        self._refusal = refusal
+        self._must_refuse = True
+        self.connection_count = 0
+
+    async def handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve a connection."""
+        self.connection_count += 1
+        is_repeated = False
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while head := await reader.readuntil(b'\r\n\r\n'):
+                if self._must_refuse:
+                    self._must_refuse = False
+                    is_repeated = True
+                    writer.write(self._refusal)
+                    continue
+                if is_repeated:
+                    writer.write(self._refusal)
+                (attempt,) = re.findall(rb'(?i)attempt-id: (\S+)', head)
+                writer.write(
+                    b'HTTP/1.1 200 OK\r\nTeaselbridge-Attempt-Id: %s\r\n'
+                    b'Content-Length: 2\r\n\r\nok' % attempt
+                )
+        writer.close()
+
+
+class TestRepeatedRefusals(testtools.TestCase):
+    """A refusal without an id is the last answer on its connection.
+
+    A second copy of it would count as the answer to the next request there,
+    which has run: its caller was told otherwise, or it ran twice.
+    """
+
+    def _run(self, refusal: bytes) -> tuple[list[events.Event], int]:
+        """Return the events of two attempts, and the connections used."""
+        found: list[events.Event] = []
+
+        async def run() -> int:
+            repeating = RepeatingServer(refusal)
+            server = await asyncio.start_server(
+                repeating.handle, '127.0.0.1', 0
+            )
+            host, port = server.sockets[0].getsockname()[:2]
+            pool = connections.Pool()
+            for number in (1, 2):
+                ended = asyncio.Event()
+                call = samples.relayed(number)
+                headers = (
+                    calls.Header('Teaselbridge-Attempt-Id', call.key.id),
+                )
+                effect = msgspec.structs.replace(
+                    EFFECT,
+                    call=dataclasses.replace(call, headers=headers),
+                    address=f'{host}:{port}',
+                )
+                attempt = runners.Attempt(
+                    effect, found.append, lambda _, ended=ended: ended.set()
+                )
+                attempt.start(pool)
+                async with asyncio.timeout(serving.TIMEOUT_S):
+                    await ended.wait()
+                await asyncio.sleep(serving.PIECE_DELAY_S)
+            await pool.close()
+            server.close()
+            return repeating.connection_count
+
+        count = asyncio.run(run())
+        return [item for item in found if not isinstance(item, TERMS)], count
+
+    def test_without_an_id(self) -> None:
+        for status, header in (
+            (503, 'Teaselbridge-Not-Run: 1'),
+            (429, 'Teaselbridge-Not-Run: 1'),
+            (421, 'Teaselbridge-Runner-Id: i-2'),
+            (503, 'X: y'),
+            (500, 'X: y'),
+        ):
+            refusal = (
+                f'HTTP/1.1 {status} Any\r\n{header}\r\n'
+                'Content-Length: 0\r\n\r\n'
+            )
+            (_, answered), count = self._run(refusal.encode())
+            assert isinstance(answered, events.AnswerReceived), status
+            self.assertEqual(200, answered.answer.status)
+            self.assertEqual(2, count)
+
+    # Guards against a connection for each refusal of servers that identify
+    # what they send.
+    def test_with_an_id(self) -> None:
+        refusal = (
+            f'HTTP/1.1 503 Any\r\n{ID[0]}: {ID[1]}\r\n'
+            'Teaselbridge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
+        )
+        (refused, failed), count = self._run(refusal.encode())
+        assert isinstance(refused, events.AttemptFailed)
+        self.assertIs(calls.RunStatus.NOT_RUN, refused.fault.ran)
+        # The copy belongs to the first request, by its id.
+        assert isinstance(failed, events.AttemptFailed)
+        self.assertIs(calls.RunStatus.UNKNOWN, failed.fault.ran)
+        self.assertEqual(1, count)
+
 
 class TestNotices(testtools.TestCase):
     """Notices come before the outcome of the attempt that had them."""
