Pass on nothing but events once a stream has begun

Of 16 useless second answers three harmed the caller's stream: a 200 of another type (its text, then a clean end), events without ids (event 1 twice, then a clean end), and an event stream closed without an event (a clean end). Answers below 500 ended the request by an exception in the web server, so that no third server was tried.

Cause: whether the stream had begun was asked only for some of the ways in which an attempt can end. Ruled out: text of 4xx answers in the stream (the web server refuses a second head).

Only text/event-stream, or no stated type, is a stream. A continued stream states numbers from its first event with data on, and does not end by its connection without an event. Streams without numbers are not continued.

--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -142,6 +142,13 @@
         case events.StreamEventsReceived():
             return _handle_events(state, request, event, now)
         case events.RelayEnded():
+            if not (request.event_count or event.is_framed):
+                fault = calls.Fault(
+                    calls.FaultKind.CUT,
+                    calls.RunStatus.UNKNOWN,
+                    'closed without an event',
+                )
+                return handle_failed(state, request, fault, now)
             out = _report_answered(request, 'stream', now)
             out.append(effects.SendFinish(request.caller_handle, True))
             return out + requests.remove_request(state, request)
@@ -153,7 +160,17 @@
     answer: calls.Answer,
     now: clock.Instant,
 ) -> list[effects.Effect]:
-    """Pass on a whole answer, whatever its status: the helper has retried."""
+    """Pass on a whole answer, whatever its status: the helper has retried.
+
+    A stream that has begun is broken off instead.
+    """
+    if request.streaming:
+        fault = calls.Fault(
+            calls.FaultKind.ERROR,
+            calls.RunStatus.UNKNOWN,
+            f'status {answer.status}',
+        )
+        return handle_failed(state, request, fault, now)
     out = _report_answered(request, f'status {answer.status}', now)
     out.append(effects.SendAnswer(request.caller_handle, answer, False))
     return out + requests.remove_request(state, request)
@@ -199,6 +216,7 @@
     now: clock.Instant,
 ) -> list[effects.Effect]:
     """Pass on stream events in their order."""
+    request.event_count += event.count
     fault = requests.check_event_order(request, event)
     if fault is not None:
         return _cancel(state, request, fault, now)
@@ -233,7 +251,7 @@
         return False
     if fault.ran is calls.RunStatus.NOT_RUN:
         return len(request.peers_tried) < MAX_HELPERS
-    if not call.route.idempotent:
+    if not call.route.idempotent or request.has_unnumbered:
         return False
     if request.possible_runs >= call.route.attempts:
         return False
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -228,6 +228,13 @@
     Versions are compared by the time between events: that to the first one
     depends on the queue and the cache of the server.
     """
+    if request.streaming and not (request.event_count or event.is_framed):
+        fault = calls.Fault(
+            calls.FaultKind.CUT,
+            calls.RunStatus.UNKNOWN,
+            'closed without an event',
+        )
+        return handle_attempt_failed(state, request, fault, None, now)
     out = moves.record_request_outcome(
         state, request, now, failed=False, span=_mean_event_gap_ms(request)
     )
@@ -255,7 +262,8 @@
     """Handle a complete answer; a server error may be retried."""
     silence.record_data(state, request, now)
     _count_started(state, request, now)
-    if received.status >= 500:
+    # Nothing but events may follow the start of a stream.
+    if received.status >= 500 or request.streaming:
         fault = calls.Fault(
             calls.FaultKind.ERROR,
             calls.RunStatus.UNKNOWN,
@@ -407,7 +415,9 @@
         or not request.attached
     ):
         return False
-    if state.poison.is_refused(call.fingerprint, now.wall):
+    if request.has_unnumbered or state.poison.is_refused(
+        call.fingerprint, now.wall
+    ):
         return False
     if suspects.check(state, call, now) is not None:
         return False
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -68,6 +68,10 @@
     :ivar expected_first_byte_ms: predicted time to the first byte.
     :ivar helper: node that the running attempt was forwarded to.
     :ivar last_event: number of the last event passed on to the caller.
+    :ivar numbered_attempt: number of the latest attempt whose events had
+        numbers.
+    :ivar has_unnumbered: whether the caller has events without a number, so
+        that no other server can continue the stream.
     """
 
     def __init__(self, *, call: calls.Call, now: clock.Instant) -> None:
@@ -107,6 +111,8 @@
         self.silence_timeout_ms = 0
         self.expected_first_byte_ms = 0.0
         self.last_event: int | None = None
+        self.numbered_attempt = 0
+        self.has_unnumbered = False
         self.helper = ''
 
     @property
@@ -189,7 +195,11 @@
 def refuse(
     state: states.State, request: Request, refusal: calls.Refusal
 ) -> list[effects.Effect]:
-    """Remove a request and send its caller a refusal."""
+    """Remove a request and send its caller a refusal.
+
+    A stream that has begun is broken off instead, as nothing but events may
+    follow its start.
+    """
     out = remove_request(state, request)
     route = request.call.route.name
     counter = effects.Counter.REFUSED
@@ -200,7 +210,9 @@
     if refusal.log_detail:
         detail += f': {refusal.log_detail}'
     out.append(build_record(request, effects.Mark.REFUSED, detail))
-    if request.attached:
+    if request.attached and request.streaming:
+        out.append(effects.SendFinish(request.caller_handle, False))
+    elif request.attached:
         out.append(effects.SendRefusal(request.caller_handle, refusal))
     return out
 
@@ -243,9 +255,18 @@
 
     :return: the fault, none where the events may be passed on.
     """
+    known = request.last_event
     if event.first is None:
+        if not _has_data(event.data):
+            return None
+        if known is not None and request.numbered_attempt != request.attempt:
+            return calls.Fault(
+                calls.FaultKind.INVALID,
+                calls.RunStatus.UNKNOWN,
+                f'an event without a number after {known}',
+            )
+        request.has_unnumbered = True
         return None
-    known = request.last_event
     if known is not None and event.first <= known:
         return calls.Fault(
             calls.FaultKind.INVALID,
@@ -253,9 +274,15 @@
             f'event {event.first} after {known}',
         )
     request.last_event = event.last
+    request.numbered_attempt = request.attempt
     return None
 
 
+def _has_data(data: bytes) -> bool:
+    """Return whether events hold more than comments."""
+    return data.startswith(b'data') or b'\ndata' in data or b'\rdata' in data
+
+
 def remove_request(
     state: states.State, request: Request
 ) -> list[effects.Effect]:
--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -161,6 +161,11 @@
                     # Otherwise the HTTP server closes the connection, so
                     # that a broken stream does not look complete.
                     return
+                case effects.SendAnswer() | effects.SendRefusal() if (
+                    is_started
+                ):
+                    # Broken off: it would look like a part of the stream.
+                    return
                 case effects.SendAnswer():
                     await self._send_answer(send, output.answer)
                     return
--- a/src/teaselbridge/platform/names.py
+++ b/src/teaselbridge/platform/names.py
@@ -11,6 +11,7 @@
 LOAD = b'teaselbridge-runner-load'
 NOT_RUN = b'teaselbridge-not-run'
 RETRY_AFTER = b'retry-after'
+CONTENT_TYPE = b'content-type'
 # Set to 1 in all answers of a backend server that is leaving.
 SERVER_LEAVING = b'server-leaving'
 # Requests a second that a backend server takes from all nodes together.
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -22,6 +22,7 @@
     from teaselbridge.decisions import effects
 
 EVENT_SEPARATOR = b'\n\n'
+EVENT_STREAM_TYPE = 'text/event-stream'
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 # Bounds what a server can add to a log line.
@@ -138,7 +139,7 @@
             or head.status == MISDIRECTED_STATUS
         ):
             self._use = _Use.IGNORED
-        elif call.stream and head.is_success:
+        elif call.stream and head.is_success and _may_hold_events(head):
             self._use = _Use.STREAM
 
     def handle_data(self, data: bytes) -> None:
@@ -296,6 +297,12 @@
     return runs
 
 
+def _may_hold_events(head: connections.Head) -> bool:
+    """Return whether the body is a stream of events, by its stated type."""
+    kind = names.first(head.headers, names.CONTENT_TYPE).partition(';')[0]
+    return kind.strip().lower() in ('', EVENT_STREAM_TYPE)
+
+
 def _build_refusal(head: connections.Head) -> calls.Fault:
     """Return the fault of an answer that says that nothing was run."""
     kind = calls.FaultKind.BUSY
