Pass on event streams whatever ends their lines

Cause: the end of an event was two LF, so that the whole stream waited in the buffer and counted as broken off in an event.

Change: an event ends with two ends of lines, each LF, CR LF or CR. A CR at the end of what was received waits for the next byte.

Why it works: all ways in which the standard ends a line are found, wherever the bytes are cut, and no byte is changed.

--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -21,7 +21,6 @@
 
     from teaselbridge.decisions import effects
 
-EVENT_SEPARATOR = b'\n\n'
 EVENT_STREAM_TYPE = 'text/event-stream'
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
@@ -41,7 +40,10 @@
 MAX_ID_DIGITS = 18
 
 # Whole lines of events that state an id.
-_EVENT_ID = re.compile(rb'^id:[ \t]*([0-9]{1,18})[ \t\r]*$', re.MULTILINE)
+_EVENT_ID = re.compile(rb'^id:[ \t]*([0-9]{1,18})[ \t]*$', re.MULTILINE)
+# Two ends of lines, each of which is LF, CR LF or CR in event streams.
+_EVENT_END = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
+MAX_EVENT_END_BYTES = 4
 
 Post: typing.TypeAlias = 'collections.abc.Callable[[events.Event], None]'
 
@@ -221,17 +223,20 @@
             self._first_byte_at = _CLOCK.now().mono
             self._post_stream_head()
         buffer = self._buffer
-        # The separator may have begun in the bytes received before.
-        start = max(0, len(buffer) - len(EVENT_SEPARATOR) + 1)
+        # The end of an event may have begun in the bytes received before.
+        start = max(0, len(buffer) - MAX_EVENT_END_BYTES + 1)
         buffer += data
-        end = buffer.rfind(EVENT_SEPARATOR, start)
-        if end < 0:
+        end = find_last_event_end(buffer, start)
+        if not end:
             if len(buffer) > MAX_EVENT_BYTES:
                 self._reject('an event without an end')
             return
-        end += len(EVENT_SEPARATOR)
         whole = bytes(buffer[:end])
         del buffer[:end]
+        self._post_events(whole)
+
+    def _post_events(self, whole: bytes) -> None:
+        """Post whole events."""
         for event in split_events(whole):
             self._post(
                 events.StreamEventsReceived(
@@ -246,8 +251,13 @@
 
     def _handle_stream_end(self, head: connections.Head) -> None:
         if self._buffer:
-            self._reject('broken off in the middle of an event')
-            return
+            whole = bytes(self._buffer)
+            if not is_whole(whole):
+                self._reject('broken off in the middle of an event')
+                return
+            # Only now it is clear that no LF follows its last CR.
+            self._buffer.clear()
+            self._post_events(whole)
         if self._first_byte_at is None:
             self._post_stream_head()
         effect = self._effect
@@ -274,6 +284,32 @@
     count: int
 
 
+def find_last_event_end(buffer: bytearray, start: int) -> int:
+    """Return where the last whole event ends, 0 where none does.
+
+    A CR at the end of the buffer ends no line yet, as an LF may follow it.
+
+    :param start: position from which an end is looked for.
+    """
+    by_lf = buffer.rfind(b'\n\n', start)
+    by_cr_lf = buffer.rfind(b'\n\r\n', start)
+    if by_lf >= 0 or by_cr_lf >= 0:
+        return max(by_lf + 2, by_cr_lf + 3)
+    if buffer.find(b'\r', start) < 0:
+        return 0
+    found = 0
+    for match in _EVENT_END.finditer(buffer, start):
+        if match.end() < len(buffer) or buffer[-1:] != b'\r':
+            found = match.end()
+    return found
+
+
+def is_whole(data: bytes) -> bool:
+    """Return whether the last event in some bytes has its end."""
+    *_, last = (0, *(match.end() for match in _EVENT_END.finditer(data)))
+    return last == len(data)
+
+
 def split_events(data: bytes) -> list[EventRun]:
     """Return the events in some bytes as one run, if their numbers ascend.
 
@@ -282,8 +318,11 @@
 
     :param data: whole events.
     """
-    count = data.count(EVENT_SEPARATOR)
-    ids = [int(item) for item in _EVENT_ID.findall(data)]
+    if b'\r' in data:
+        count = len(_EVENT_END.findall(data))
+    else:
+        count = data.count(b'\n\n')
+    ids = [int(item) for item in _EVENT_ID.findall(_use_line_feeds(data))]
     if not ids:
         return [EventRun(data, None, None, count)]
     if len(ids) <= count and all(
@@ -291,12 +330,21 @@
     ):
         return [EventRun(data, ids[0], ids[-1], count)]
     runs = []
-    for event in data.split(EVENT_SEPARATOR)[:-1]:
+    ends = [match.end() for match in _EVENT_END.finditer(data)]
+    for begin, end in itertools.pairwise((0, *ends)):
+        event = data[begin:end]
         number = _parse_event_id(event)
-        runs.append(EventRun(event + EVENT_SEPARATOR, number, number, 1))
+        runs.append(EventRun(event, number, number, 1))
     return runs
 
 
+def _use_line_feeds(data: bytes) -> bytes:
+    """Return events with LF as the end of each line."""
+    if b'\r' not in data:
+        return data
+    return data.replace(b'\r\n', b'\n').replace(b'\r', b'\n')
+
+
 def _may_hold_events(head: connections.Head) -> bool:
     """Return whether the body is a stream of events, by its stated type."""
     kind = names.first(head.headers, names.CONTENT_TYPE).partition(';')[0]
@@ -353,7 +401,7 @@
 
 def _parse_event_id(event: bytes) -> int | None:
     """Return the numeric id of an event, none where it has none."""
-    for line in event.split(b'\n'):
+    for line in _use_line_feeds(event).split(b'\n'):
         name, _, value = line.partition(b':')
         digits = value.strip()
         if name == b'id' and digits.isdigit():
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -407,6 +407,64 @@
             if isinstance(event, events.StreamEventsReceived)
         ]
 
+    # Guards against streams of which no event is passed on, as their lines
+    # end otherwise.
+    def test_ends_of_lines(self) -> None:
+        for end in (b'\r\n', b'\n', b'\r'):
+            events_sent = b''.join(
+                b'id: %d%bdata: a%b%b' % (number, end, end, end)
+                for number in (4, 5, 6)
+            )
+            for size in (1, 2, 3, 7, len(events_sent)):
+                pieces = [
+                    events_sent[start : start + size]
+                    for start in range(0, len(events_sent), size)
+                ]
+                found = self._feed(*pieces)
+                data = b''.join(item.data for item in found)
+                self.assertEqual(events_sent, data, (end, size))
+                self.assertEqual(3, sum(item.count for item in found))
+                self.assertEqual(
+                    [4, 6], [found[0].first, found[-1].last], (end, size)
+                )
+
+    def test_cut_within_an_event(self) -> None:
+        for end in (b'\r\n', b'\n', b'\r'):
+            whole = b'id: 4%bdata: a%b%b' % (end, end, end)
+            *_, ended = self._relay(
+                self.UNFRAMED, whole + b'id: 5%bdata: b%b' % (end, end)
+            )
+            self.assertIsInstance(ended, events.AttemptFailed, end)
+            *_, ended = self._relay(self.UNFRAMED, whole)
+            self.assertIsInstance(ended, events.RelayEnded, end)
+
+    def test_misplaced_number(self) -> None:
+        for end in (b'\r\n', b'\r'):
+            data = b''.join(
+                b'id: %d%bdata: a%b%b' % (number, end, end, end)
+                for number in (5, 4)
+            )
+            runs = runners.split_events(data)
+            self.assertEqual([5, 4], [run.first for run in runs])
+            self.assertEqual(data, b''.join(run.data for run in runs))
+
+    def _feed(self, *pieces: bytes) -> list[events.StreamEventsReceived]:
+        """Return the events of a stream that is received in pieces."""
+        found: list[events.Event] = []
+        attempt = runners.Attempt(self.EFFECT, found.append, lambda _: None)
+        attempt.handle_head(
+            connections.Head(200, [(ID[0].encode(), ID[1].encode())])
+        )
+        for piece in pieces:
+            attempt.handle_data(piece)
+        attempt.handle_end()
+        self.assertIsInstance(found[-1], events.RelayEnded)
+        return [
+            item
+            for item in found
+            if isinstance(item, events.StreamEventsReceived)
+        ]
+
     # Guards against a reducer call per event where many come at once.
     def test_events_received_at_once_are_one_run(self) -> None:
         data = b'id: 4\ndata: a\n\n: note\n\nid: 5\ndata: b\n\n'
