Serve requests that offer another protocol with their body

Cause: the binding of the parser skips the body of a request that offers another protocol and raises HttpParserUpgrade, at which the node served what it had. Ruled out: a loss on the way to the server.

Evidence: test_offers_of_another_protocol_are_ignored fails before.

Change: the head is parsed again without the offer, by a new parser that gets what follows. The request stays the last one of its connection.

Why it works: the same parser reads the body by the framing that was stated, and all checks of the head run on it.

--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -28,7 +28,11 @@
     """HTTP/1.1 protocol that aborts connections of slow senders.
 
     The library accepts requests whose end or whose target others may read
-    differently, so these are checked in addition.
+    differently, so these are checked in addition. It also ends a request that
+    offers another protocol after its head, although no other protocol is
+    spoken here (RFC 9110, 7.8). Such a head is parsed again without the offer,
+    and the request is the last one of its connection, as what follows it may
+    be in the other protocol.
     """
 
     # Longest time in which a request must be received.
@@ -37,6 +41,9 @@
     _timer: asyncio.TimerHandle | None = None
     _target = b''
     _has_head = False
+    # Head of a request that offers another protocol, to be parsed again.
+    _repeated_head = b''
+    _is_last_request = False
     # Whether nothing further is read as a request.
     _is_stopped = False
     _header_bytes = 0
@@ -54,10 +61,7 @@
             return
         self._overhead_bytes += len(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # What follows is in another protocol, or in none.
-            self._stop()
+            self._parse(data)
         except httptools.HttpParserError:
             self._refuse()
         else:
@@ -68,6 +72,29 @@
         elif self._timer is None:
             self._start_timer()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        :raises httptools.HttpParserError: they are no requests.
+        """
+        while True:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as error:
+                (parsed_bytes,) = error.args
+                if not self._repeated_head:
+                    # What follows is in another protocol, or in none.
+                    self._stop()
+                    return
+                data = self._repeated_head + data[parsed_bytes:]
+                self._repeated_head = b''
+                self._is_last_request = True
+                self.parser = httptools.HttpRequestParser(self)
+                self.parser.set_dangerous_leniencies(
+                    lenient_data_after_close=True
+                )
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timer."""
         self._cancel_timer()
@@ -75,6 +102,8 @@
 
     def on_message_begin(self) -> None:
         """Begin a request."""
+        if self._is_stopped:
+            raise _RefusedError('after the last request')
         super().on_message_begin()
         self._has_head = False
         self._header_bytes = 0
@@ -91,6 +120,9 @@
     def on_headers_complete(self) -> None:
         """Check the head of a request and start to serve it."""
         self._has_head = True
+        if self._offers_protocol():
+            self._repeated_head = self._encode_head()
+            return
         target = self.url
         self._check_head(target)
         # The target is passed on as it is, whatever its form.
@@ -114,7 +146,32 @@
     def on_message_complete(self) -> None:
         """Note the end of a request."""
         self._overhead_bytes = 0
+        if self._repeated_head:
+            return
         super().on_message_complete()
+        if self._is_last_request:
+            self._stop()
+
+    def _offers_protocol(self) -> bool:
+        """Return whether the library ends the request after its head.
+
+        It does so for tunnels too, whose bytes are not to be read.
+        """
+        return (
+            self.parser.should_upgrade()
+            and self.parser.get_method() != b'CONNECT'
+        )
+
+    def _encode_head(self) -> bytes:
+        """Return the head of the request without its offer."""
+        version = self.parser.get_http_version().encode()
+        lines = [
+            b'%s %s HTTP/%s' % (self.parser.get_method(), self.url, version)
+        ]
+        lines += [
+            b'%s: %s' % item for item in self.headers if item[0] != b'upgrade'
+        ]
+        return b'\r\n'.join((*lines, b'', b''))
 
     def _check_head(self, target: bytes) -> None:
         """Check what the library does not.
--- a/tests/runtime/test_web.py
+++ b/tests/runtime/test_web.py
@@ -175,6 +175,47 @@
             answer, _ = self.send(request, until=b'<ab>')
             self.assertTrue(answer.startswith(b'HTTP/1.1 200 OK\r\n'))
 
+    # Guards against requests that are served with an empty body.
+    def test_offers_of_another_protocol_are_ignored(self) -> None:
+        offer = (
+            b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+            b'HTTP2-Settings: AAMAAABkAAQAAP__\r\n'
+        )
+        framed = b'Content-Length: 2\r\n\r\nab'
+        chunks = b'Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n'
+        chunked = chunks + b'0\r\n\r\n'
+        for body in (framed, chunked):
+            request = POST + offer + body
+            for size in (1, 7, len(request)):
+                pieces = [
+                    request[start : start + size]
+                    for start in range(0, len(request), size)
+                ]
+                answer, count = self.send(*pieces, until=b'<ab>')
+                self.assertTrue(answer.startswith(b'HTTP/1.1 200 OK\r\n'))
+                self.assertIn(b'<ab>', answer)
+                self.assertEqual(1, count)
+            answer, count = self.send(POST + framed + request + GET)
+            self.assertEqual((2, 2), (answer.count(b'<ab>'), count))
+        answer, _ = self.send(
+            b'GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\n'
+            b'Upgrade: websocket\r\n\r\n',
+            until=b'<>',
+        )
+        self.assertIn(b'<>', answer)
+
+    def test_framing_beside_an_offer_is_checked(self) -> None:
+        offer = b'Connection: Upgrade\r\nUpgrade: h2c\r\n'
+        for request in (
+            POST + offer + b'Content-Length: 1\r\nContent-Length: 2\r\n\r\na',
+            POST + offer + b'Transfer-Encoding: gzip\r\n\r\n',
+            POST + offer + b'Host: i\r\n\r\n',
+            POST + offer + b'X: y\r\n z\r\n\r\n',
+        ):
+            answer, count = self.send(request)
+            self.assertTrue(answer.startswith(b'HTTP/1.1 400 '), request)
+            self.assertEqual(0, count, request)
+
     # Guards against trailers that are taken for checked headers.
     def test_trailers_are_no_headers(self) -> None:
         async def run() -> None:
