Refill buckets before what other nodes granted is subtracted

Cause: a node refilled its copy of the bucket only at its own requests, so that the refill that a full bucket loses was added behind what others had granted. Ruled out: late reports.

Evidence: test_burst_after_a_quiet_time fails before (705,000 tokens in 8 s, 685,000 allowed).

Change: a report with costs refills the bucket first, unless that was done within a period. The rate is looked up, as a node may have had no request.

--- a/src/teaselbridge/decisions/loads.py
+++ b/src/teaselbridge/decisions/loads.py
@@ -271,7 +271,7 @@
 ) -> list[effects.Effect]:
     """Handle the load update of another node."""
     state.loads.merge_update(message, now)
-    state.rates.merge_report(message, now)
+    state.rates.merge_report(message, now, state.index.find_rate)
     state.usage.merge_counts(message, now)
     for item in message.servers:
         _refresh_others_load(state, item.host)
--- a/src/teaselbridge/decisions/sharing/rates.py
+++ b/src/teaselbridge/decisions/sharing/rates.py
@@ -34,6 +34,8 @@
 from teaselbridge.peers import messages
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from teaselbridge import clock
     from teaselbridge.decisions import state as states
     from teaselbridge.tables import model
@@ -95,6 +97,7 @@
     :param spent: cost of the requests that this node admitted since its
         start.
     :param mean_cost: moving average of the cost of a request.
+    :param is_filled: whether it was filled since the start of this node.
     :param has_requests: whether this node has got a request of the workspace.
     :param own: cost of the requests to this node.
     :param reported: cost of the requests to other nodes.
@@ -109,6 +112,7 @@
     updated: int
     spent: int = 0
     mean_cost: float = 0.0
+    is_filled: bool = False
     has_requests: bool = False
     own: asked.RecentCosts = dataclasses.field(
         default_factory=asked.RecentCosts
@@ -239,9 +243,18 @@
         self._share = share
 
     def merge_report(
-        self, message: messages.Loads, now: clock.Instant
+        self,
+        message: messages.Loads,
+        now: clock.Instant,
+        find_rate: collections.abc.Callable[
+            [str], model.Rate | None
+        ] = lambda _: None,
     ) -> None:
-        """Subtract the cost of the requests that another node reports."""
+        """Subtract the cost of the requests that another node reports.
+
+        :param find_rate: function that returns the rate of a workspace, none
+            where it has none.
+        """
         known = self._peers.get(message.node)
         forgotten = self._forgotten.pop(message.node, None)
         # The first report of a node that started earlier may include requests
@@ -272,6 +285,12 @@
             if counts and now.mono > known.heard_at:
                 pace = cost / (now.mono - known.heard_at)
             bucket = self._get_bucket(name, now)
+            if cost and now.mono - bucket.updated >= self._period_ms:
+                # A full bucket loses its refill, which may not be added behind
+                # what is subtracted here.
+                rate = find_rate(name)
+                if rate is not None:
+                    self._refill(name, rate, now)
             if counts:
                 bucket.level -= cost
                 bucket.seen += cost
@@ -330,6 +349,7 @@
         """
         cost = compute_cost(call, rate)
         bucket = self._refill(call.key.workspace, rate, now)
+        bucket.has_requests = True
         bucket.own.add(call.route.priority, cost, now.mono)
         bucket.mean_cost = bucket.mean_cost or cost
         view = self._view(bucket, call, rate, now)
@@ -475,8 +495,8 @@
     ) -> _Bucket:
         """Refill the bucket of a workspace up to now and return it."""
         bucket = self._get_bucket(name, now)
-        if not bucket.has_requests:
-            bucket.has_requests = True
+        if not bucket.is_filled:
+            bucket.is_filled = True
             if self._first_start:
                 bucket.level += self._capacity(rate)
         span = now.mono - bucket.updated
--- a/src/teaselbridge/tables/join.py
+++ b/src/teaselbridge/tables/join.py
@@ -97,6 +97,11 @@
         """Return the workspace with a name, if any."""
         return self._workspaces.get(name)
 
+    def find_rate(self, workspace: str) -> model.Rate | None:
+        """Return the rate limit of a workspace, none where it has none."""
+        row = self._workspaces.get(workspace)
+        return None if row is None else row.rate
+
     def find_workspace_by_key(self, key: str) -> model.Workspace | None:
         """Return the workspace that a bearer key belongs to.
 
--- a/tests/decisions/sharing/test_rates.py
+++ b/tests/decisions/sharing/test_rates.py
@@ -107,6 +107,41 @@
         max_spent = self._max_in_window(self._simulate(self._make_nodes(), 24))
         self.assertTrue(LIMIT < max_spent < MAX_TOLERATED, max_spent)
 
+    # Guards against a burst that each node grants in turn, as its bucket is
+    # refilled for the quiet time behind what the others granted.
+    def test_burst_after_a_quiet_time(self) -> None:
+        for visited_count in (0, 1, 6):
+            nodes = self._make_nodes()
+            admitted: list[tuple[int, int]] = []
+            # Each node gets requests of its own for a second.
+            turns = {
+                at: (at - 34_000) // 1_000 for at in range(34_000, 40_000, 10)
+            }
+            for now in range(0, 40_000, 10):
+                visited = []
+                if now == 3_000:
+                    visited = nodes[:visited_count]
+                elif now in turns:
+                    visited = [nodes[turns[now]]]
+                for limiter in visited:
+                    call = samples.relayed(now, tokens_in=5_000)
+                    if not limiter.admit(call, RATE, samples.instant(now)):
+                        admitted.append((now, 5_000))
+                if now % REPORT_INTERVAL_MS == 0:
+                    self._exchange(nodes, now)
+            spent = self._max_in_window(admitted)
+            self.assertTrue(LIMIT / 2 < spent < MAX_TOLERATED, spent)
+
+    def _exchange(self, nodes: list[rates.RateLimiter], now: int) -> None:
+        """Let all nodes report to each other."""
+        for number, sender in enumerate(nodes):
+            message = make_report(number, sender)
+            for receiver in nodes:
+                if receiver is not sender:
+                    receiver.merge_report(
+                        message, samples.instant(now), lambda _: RATE
+                    )
+
     def test_low_rate_with_much_higher_load_on_nine_nodes(self) -> None:
         for per_s in (5_000, 20_000):
             rate = model.Rate(per_s=per_s, burst=per_s, in_tokens=True)
