Log messages of other nodes that are refused

Cause: a message that cannot be decoded changes what a node knows, and was only counted in bytes.

Evidence: test_sender_kind_and_reason sends five kinds of malformed bytes.

--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -603,6 +603,7 @@
     ZONE_EVACUATED = 'zone-evacuated'
     ZONE_RESTORED = 'zone-restored'
     SERVER_LOAD_INVALID = 'server-load-invalid'
+    MESSAGE_REFUSED = 'message-refused'
     LINKS_LOST = 'links-lost'
     LINKS_RESTORED = 'links-restored'
     SERVER_EJECTED = 'server-ejected'
--- a/src/teaselbridge/peers/transport.py
+++ b/src/teaselbridge/peers/transport.py
@@ -70,6 +70,20 @@
     message: messages.Message
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedMessage:
+    """A message of another node that cannot be decoded.
+
+    :param sender: name of the sending node, empty where it is unknown.
+    :param kind: name of the message's class, empty where it is unknown.
+    :param reason: what is wrong with it.
+    """
+
+    sender: str
+    kind: str
+    reason: str
+
+
 class Transport:
     """Sockets of one node.
 
@@ -138,7 +152,9 @@
             # No socket is opened for an address that cannot be.
             self._meter.count_bytes('sent', 'unsendable', len(data))
 
-    async def receive(self) -> collections.abc.AsyncIterator[ReceivedMessage]:
+    async def receive(
+        self,
+    ) -> collections.abc.AsyncIterator[ReceivedMessage | RefusedMessage]:
         """Yield the messages of other nodes as they arrive.
 
         The socket is read until it has no more, since its descriptor becomes
@@ -154,9 +170,7 @@
             while True:
                 readable.clear()
                 for frames in self._read_waiting():
-                    received = self._decode(frames[-1])
-                    if received is not None:
-                        yield received
+                    yield self._decode(frames[-1])
                 await readable.wait()
         finally:
             loop.remove_reader(descriptor)
@@ -178,16 +192,17 @@
             self._router.close(0)
         self._context.destroy(0)
 
-    def _decode(self, data: bytes) -> ReceivedMessage | None:
+    def _decode(self, data: bytes) -> ReceivedMessage | RefusedMessage:
+        sender = name = ''
         try:
             envelope = documents.decode_packed(data, Envelope, 'peer')
-            kind = MESSAGE_TYPES[envelope.kind]
+            sender, name = envelope.sender, envelope.kind
             message = documents.decode_packed(
-                envelope.body, kind, envelope.sender
+                envelope.body, _find_type(envelope), sender
             )
-        except (errors.DocumentError, KeyError):
+        except errors.DocumentError as error:
             self._meter.count_bytes('received', 'malformed', len(data))
-            return None
+            return RefusedMessage(sender, name, str(error))
         self._meter.count_bytes('received', envelope.kind, len(data))
         return ReceivedMessage(envelope.sender, envelope.stamp, message)
 
@@ -224,3 +239,12 @@
 
     def _close_dealer(self, address: str) -> None:
         self._dealers.pop(address).close(0)
+
+
+def _find_type(envelope: Envelope) -> type[messages.Message]:
+    kind = MESSAGE_TYPES.get(envelope.kind)
+    if kind is None:
+        raise errors.DocumentError(
+            envelope.sender, '$.kind', 'no such kind of message'
+        )
+    return kind
--- a/tests/failures/test_links.py
+++ b/tests/failures/test_links.py
@@ -9,6 +9,9 @@
 import asyncio
 import contextlib
 
+import msgspec
+import zmq
+
 from teaselbridge.peers import messages
 from teaselbridge.peers import transport
 from teaselbridge.standins import ports
@@ -75,6 +78,64 @@
             writer.close()
 
 
+class TestRefusedMessages(base.TestCase):
+    """Messages that cannot be decoded are told, and the others arrive."""
+
+    def test_sender_kind_and_reason(self) -> None:
+        nested = b'\x91' * 20_000 + b'\xc0'
+        packed = msgspec.msgpack.encode
+        ping = messages.Ping(sequence=7, reply_to='', gossip=messages.Gossip())
+        sent = (
+            (b'\xc1', ('', '')),
+            (nested, ('', '')),
+            (
+                packed(transport.Envelope('n', 1, 'Noise', b'')),
+                ('n', 'Noise'),
+            ),
+            (
+                packed(transport.Envelope('n', 1, 'Ping', packed({}))),
+                ('n', 'Ping'),
+            ),
+            (
+                packed(transport.Envelope('n', 1, 'Ping', nested)),
+                ('n', 'Ping'),
+            ),
+        )
+
+        async def run() -> None:
+            port = ports.find_free_port()
+            right = transport.Transport(
+                name='right',
+                address=f'127.0.0.1:{port}',
+                meter=metrics.Meter(),
+            )
+            right.bind()
+            context = zmq.Context()
+            dealer = context.socket(zmq.DEALER)
+            dealer.connect(f'tcp://127.0.0.1:{port}')
+            for data, _ in sent:
+                dealer.send(data)
+            dealer.send(
+                packed(transport.Envelope('n', 1, 'Ping', packed(ping)))
+            )
+            found = []
+            async with asyncio.timeout(TIMEOUT_S):
+                async for received in right.receive():
+                    found.append(received)
+                    if isinstance(received, transport.ReceivedMessage):
+                        break
+            for (_, expected), refused in zip(sent, found, strict=False):
+                assert isinstance(refused, transport.RefusedMessage)
+                self.assertEqual(expected, (refused.sender, refused.kind))
+                self.assertNotEqual('', refused.reason)
+            self.assertEqual(len(sent) + 1, len(found))
+            dealer.close(0)
+            context.destroy(0)
+            await right.close()
+
+        self.run_coroutine(run())
+
+
 class TestLinks(base.TestCase):
     """Tests of the replacement of connections between nodes."""
 
@@ -99,6 +160,7 @@
 
             async def listen() -> None:
                 async for received in right.receive():
+                    assert isinstance(received, transport.ReceivedMessage)
                     received_sequences.append(received.message.sequence)
 
             async def send_until(number: int) -> None:
