Pass on targets with an empty query as they are

Cause: the target was put together from path and query, which do not tell an empty query from none. It is kept as it was sent; test_ends_of_targets sends three such targets.

--- a/src/teaselbridge/gateway/asgi.py
+++ b/src/teaselbridge/gateway/asgi.py
@@ -18,6 +18,20 @@
 WRITE_EXTENSION = 'teaselbridge.write'
 
 
+# Extension of the scope whose ``target`` is that of the request line.
+TARGET_EXTENSION = 'teaselbridge.target'
+
+
+def get_target(scope: Message) -> bytes:
+    """Return the target of a request as it was sent.
+
+    The path and the query of the scope do not tell an empty query from none.
+    """
+    extension = scope.get('extensions', {}).get(TARGET_EXTENSION, {})
+    target: bytes = extension.get('target', scope['raw_path'])
+    return target
+
+
 def get_write(scope: Message) -> Write | None:
     """Return the function of `WRITE_EXTENSION`, none where there is none."""
     extension = scope.get('extensions', {}).get(WRITE_EXTENSION, {})
--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -100,9 +100,7 @@
             raise ingress.refused(
                 calls.Reason.WITHDRAWN, 'no configuration is known yet'
             )
-        target = scope['raw_path']
-        if scope['query_string']:
-            target = target + b'?' + scope['query_string']
+        target = asgi.get_target(scope)
         call = ingress.decode_request(
             ingress.RawRequest(
                 handle=self._outlets.create_handle(),
--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -133,9 +133,10 @@
         self.scope['path'] = urllib.parse.unquote(path.decode('ascii'))
         self.scope['query_string'] = query
         self.scope['extensions'] = {
+            asgi.TARGET_EXTENSION: {'target': target},
             asgi.WRITE_EXTENSION: {
                 'write': functools.partial(_write_chunk, self.cycle)
-            }
+            },
         }
 
     def on_body(self, body: bytes) -> None:
--- a/tests/failures/test_site_requests.py
+++ b/tests/failures/test_site_requests.py
@@ -41,6 +41,23 @@
 
         self.run_coroutine(run())
 
+    # Guards against targets that lose an empty query.
+    def test_ends_of_targets(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment() as trial:
+                for path in ('/stock/1?', '/stock/1??', '/stock/1?a?'):
+                    response = await trial.call(path)
+                    attempt = site.get_attempt_id(response)
+                    (target,) = [
+                        item.target
+                        for server in trial.servers
+                        for item in server.runs
+                        if item.attempt == attempt
+                    ]
+                    self.assertEqual(path, target)
+
+        self.run_coroutine(run())
+
     def test_response_is_forwarded_unchanged(self) -> None:
         async def run() -> None:
             async with site.run_deployment() as trial:
