End a stopped process though its log reader has stalled

Seen in the review: a stopped process with a stalled log reader was still there 15 s after SIGTERM, with all requests answered; it would be killed at the end of its grace period.

Cause: the thread that writes the log was joined without a limit, and the interpreter waits for it as well.

Change: the process waits 0.2 s for the last lines and then ends at once. A process that starts ignores SIGHUP from its first line on, as it did from the reading of its settings on.

--- a/deploy/teaselbridge.py
+++ b/deploy/teaselbridge.py
@@ -7,8 +7,14 @@
 
 import gc
 import pathlib
+import signal
 import sys
 
+# The default action would end a process that starts; a node installs a
+# handler once it can read its settings again.
+if 'serve' in sys.argv[1:]:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # Importing creates no garbage, but collections during the imports take a
 # quarter of the startup time. ``serve`` enables the collector again.
 gc.disable()
--- a/src/teaselbridge/telemetry/logs.py
+++ b/src/teaselbridge/telemetry/logs.py
@@ -6,6 +6,7 @@
 import json
 import logging as python_logging
 from logging import handlers
+import os
 import queue
 import sys
 import time
@@ -25,6 +26,9 @@
 # requests per second. Lines beyond them are dropped and counted.
 MAX_QUEUED_LINES = 4_000
 MAX_REQUEST_LINES_PER_S = 1_000
+# How long a stopping process waits for a slow reader of its last lines.
+MAX_FLUSH_S = 0.2
+STALLED_EXIT_STATUS = 0
 
 
 def log_to_stderr() -> None:
@@ -57,6 +61,23 @@
             self.dropped += 1
 
 
+class _Writer(handlers.QueueListener):
+    """Thread that writes the queued lines."""
+
+    is_stalled = False
+
+    def stop(self) -> None:
+        """Write what is queued, unless the reader takes too long."""
+        thread = self._thread
+        if thread is None:
+            return
+        with contextlib.suppress(queue.Full):
+            self.enqueue_sentinel()
+        thread.join(MAX_FLUSH_S)
+        self.is_stalled = thread.is_alive()
+        self._thread = None
+
+
 class _LineLimiter:
     """Rate limiter of the lines about requests."""
 
@@ -96,7 +117,8 @@
     """Log to standard output, with a line for each request decision.
 
     A thread writes the lines, so that a slow reader does not block the
-    event loop.
+    event loop. If the reader has stalled at the end, the process ends at
+    once: the interpreter would wait for the thread.
     """
     waiting: queue.Queue[python_logging.LogRecord] = queue.Queue(
         MAX_QUEUED_LINES
@@ -112,7 +134,7 @@
     silence_web_server()
     output = python_logging.StreamHandler(sys.stdout)
     output.setFormatter(python_logging.Formatter('%(message)s'))
-    listener = handlers.QueueListener(waiting, output)
+    listener = _Writer(waiting, output)
     listener.start()
     _limiter.is_enabled = True
     try:
@@ -120,6 +142,8 @@
     finally:
         _limiter.is_enabled = False
         listener.stop()
+        if listener.is_stalled:
+            os._exit(STALLED_EXIT_STATUS)
 
 
 def change(entry: timeline.Entry) -> None:
