--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -105,7 +105,7 @@
         try:
             # Keeps what was dispatched before an error.
             for effect in waiting:
-                out.append(effect)  # noqa: PERF402
+                out.append(effect)
         except Exception as error:
             raise ReduceError(out) from error
     return out
