Share what the fixes of the review had written twice

Cause: reading the change again. The fault of a stream that closed without an event stood in relays and in origin, the choice between a refusal and a broken stream in drain beside relays.give_up, numbers of events were parsed in two ways and events counted in two.

Change: requests.check_stream_end beside check_event_order serves both; give_up takes the refusal for what did not run; one pattern finds numbers, in text with LF only; two tests share the run of an attempt. Behaviour is the same, but for an event with several ids of which the first has more than 18 digits: the next one counts.

--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -214,16 +214,9 @@
     """
     out: list[effects.Effect] = []
     for request in list(state.requests.values()):
-        if not request.call.is_relayed:
-            continue
-        if (
-            request.streaming
-            or request.may_have_run
-            or request.phase is requests.Phase.RUNNING
-        ):
-            out += relays.give_up(state, request, 'this node is stopping')
-        else:
-            out += requests.refuse(state, request, _build_refusal(state, now))
+        if request.call.is_relayed:
+            refusal = _build_refusal(state, now)
+            out += relays.give_up(state, request, refusal.detail, refusal)
     return out
 
 
--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -142,12 +142,8 @@
         case events.StreamEventsReceived():
             return _handle_events(state, request, event, now)
         case events.RelayEnded():
-            if not (request.event_count or event.is_framed):
-                fault = calls.Fault(
-                    calls.FaultKind.CUT,
-                    calls.RunStatus.UNKNOWN,
-                    'closed without an event',
-                )
+            fault = requests.check_stream_end(request, event)
+            if fault is not None:
                 return handle_failed(state, request, fault, now)
             out = _report_answered(request, 'stream', now)
             out.append(effects.SendFinish(request.caller_handle, True))
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -228,12 +228,8 @@
     Versions are compared by the time between events: that to the first one
     depends on the queue and the cache of the server.
     """
-    if request.streaming and not (request.event_count or event.is_framed):
-        fault = calls.Fault(
-            calls.FaultKind.CUT,
-            calls.RunStatus.UNKNOWN,
-            'closed without an event',
-        )
+    fault = requests.check_stream_end(request, event)
+    if fault is not None:
         return handle_attempt_failed(state, request, fault, None, now)
     out = moves.record_request_outcome(
         state, request, now, failed=False, span=_mean_event_gap_ms(request)
@@ -322,9 +318,16 @@
 
 
 def give_up(
-    state: states.State, request: requests.Request, detail: str
+    state: states.State,
+    request: requests.Request,
+    detail: str,
+    not_run: calls.Refusal | None = None,
 ) -> list[effects.Effect]:
-    """Refuse a request, or abort its stream if that has begun."""
+    """Refuse a request, or abort its stream if that has begun.
+
+    :param not_run: refusal where no server ran it, none for that of a pool
+        without a server.
+    """
     if request.streaming:
         out = requests.remove_request(state, request)
         out.append(
@@ -338,7 +341,7 @@
             calls.Reason.SERVER_FAILED, calls.RunStatus.UNKNOWN, detail
         )
     else:
-        refusal = relay_checks.build_refusal(
+        refusal = not_run or relay_checks.build_refusal(
             state, calls.Reason.NO_SERVER, detail
         )
     return requests.refuse(state, request, refusal)
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -278,6 +278,22 @@
     return None
 
 
+def check_stream_end(
+    request: Request, event: events.RelayEnded
+) -> calls.Fault | None:
+    """Check that a stream did not just close its connection.
+
+    :return: the fault, none where the end may be passed on.
+    """
+    if event.is_framed or request.event_count or not request.streaming:
+        return None
+    return calls.Fault(
+        calls.FaultKind.CUT,
+        calls.RunStatus.UNKNOWN,
+        'closed without an event',
+    )
+
+
 def _has_data(data: bytes) -> bool:
     """Return whether events hold more than comments."""
     return data.startswith(b'data') or b'\ndata' in data or b'\rdata' in data
--- a/src/teaselbridge/gateway/asgi.py
+++ b/src/teaselbridge/gateway/asgi.py
@@ -16,8 +16,6 @@
 # Extension of the scope whose ``write`` writes a part of a started response
 # without a coroutine. It returns false where that is not possible now.
 WRITE_EXTENSION = 'teaselbridge.write'
-
-
 # Extension of the scope whose ``target`` is that of the request line.
 TARGET_EXTENSION = 'teaselbridge.target'
 
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -37,8 +37,6 @@
 # Events are small, so that a stream with a larger one is malformed.
 MAX_EVENT_BYTES = 1 << 20
 
-MAX_ID_DIGITS = 18
-
 # Whole lines of events that state an id.
 _EVENT_ID = re.compile(rb'^id:[ \t]*([0-9]{1,18})[ \t]*$', re.MULTILINE)
 # Two ends of lines, each of which is LF, CR LF or CR in event streams.
@@ -318,11 +316,9 @@
 
     :param data: whole events.
     """
-    if b'\r' in data:
-        count = len(_EVENT_END.findall(data))
-    else:
-        count = data.count(b'\n\n')
-    ids = [int(item) for item in _EVENT_ID.findall(_use_line_feeds(data))]
+    text = _use_line_feeds(data)
+    count = text.count(b'\n\n')
+    ids = [int(item) for item in _EVENT_ID.findall(text)]
     if not ids:
         return [EventRun(data, None, None, count)]
     if len(ids) <= count and all(
@@ -401,12 +397,8 @@
 
 def _parse_event_id(event: bytes) -> int | None:
     """Return the numeric id of an event, none where it has none."""
-    for line in _use_line_feeds(event).split(b'\n'):
-        name, _, value = line.partition(b':')
-        digits = value.strip()
-        if name == b'id' and digits.isdigit():
-            return int(digits) if len(digits) <= MAX_ID_DIGITS else None
-    return None
+    found = _EVENT_ID.search(_use_line_feeds(event))
+    return None if found is None else int(found[1])
 
 
 def _select_forwarded_headers(
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -59,23 +59,26 @@
 
     :param pieces: bytes, each of which is received on its own.
     """
-    found: list[events.Event] = []
 
-    async def run() -> None:
-        ended = asyncio.Event()
+    async def run() -> list[events.Event]:
         async with serving.serve(*pieces) as server:
-            pool = connections.Pool()
-            attempt = runners.Attempt(
-                msgspec.structs.replace(effect, address=server.address),
-                found.append,
-                lambda _: ended.set(),
+            return await run_to_end(
+                msgspec.structs.replace(effect, address=server.address)
             )
-            attempt.start(pool)
-            async with asyncio.timeout(serving.TIMEOUT_S):
-                await ended.wait()
-            await pool.close()
 
-    asyncio.run(run())
+    return asyncio.run(run())
+
+
+async def run_to_end(effect: effects.RelayAttempt) -> list[events.Event]:
+    """Return the events of an attempt."""
+    found: list[events.Event] = []
+    ended = asyncio.Event()
+    pool = connections.Pool()
+    attempt = runners.Attempt(effect, found.append, lambda _: ended.set())
+    attempt.start(pool)
+    async with asyncio.timeout(serving.TIMEOUT_S):
+        await ended.wait()
+    await pool.close()
     return found
 
 
@@ -313,23 +316,8 @@
     """An attempt that cannot be sent ends, and was not run."""
 
     def _get_fault(self, **changes: object) -> calls.Fault:
-        found: list[events.Event] = []
-
-        async def run() -> None:
-            ended = asyncio.Event()
-            pool = connections.Pool()
-            attempt = runners.Attempt(
-                msgspec.structs.replace(EFFECT, **changes),
-                found.append,
-                lambda _: ended.set(),
-            )
-            attempt.start(pool)
-            async with asyncio.timeout(serving.TIMEOUT_S):
-                await ended.wait()
-            await pool.close()
-
-        asyncio.run(run())
-        (failed,) = found
+        effect = msgspec.structs.replace(EFFECT, **changes)
+        (failed,) = asyncio.run(run_to_end(effect))
         assert isinstance(failed, events.AttemptFailed)
         return failed.fault
 
