Take an answer for complete only if the server ended it

A call to a service of the platform that was being answered without a length returned the part that had come, as if it were the whole.

Cause: connection_lost(None) follows both the server's FIN, after eof_received(), and our own transport.abort(), without it. An answer without a length was complete in both cases.

Evidence: test_answer_without_a_length fails before, for HTTP/1.0 and 1.1: the receiver is told "end" after Pool.close(). Answers with a stated end, and requests without an answer yet, were errors already.

Change: eof_received() is noted, and only it makes a lost connection the end of an answer. The error stays a CutError, as test_close_ends_calls expects.

--- a/src/teaselbridge/platform/connections.py
+++ b/src/teaselbridge/platform/connections.py
@@ -327,6 +327,7 @@
         self.address = address
         self.is_reusable = is_reusable
         self.idle_since = 0
+        self._has_server_ended = False
         self._transport: asyncio.Transport | None = None
         self._poll: select.poll | None = None
         self._exchange: Exchange | None = None
@@ -403,8 +404,16 @@
         self._transport = typing.cast(asyncio.Transport, transport)
         self._pool.add_open(self)
 
+    def eof_received(self) -> None:
+        """Note that the server ended the connection, which is then closed."""
+        self._has_server_ended = True
+
     def connection_lost(self, exc: Exception | None) -> None:
-        """End an answer without a stated length; any other one is broken."""
+        """End an answer without a stated length; any other one is broken.
+
+        Only the server ends it: a connection that is aborted here is lost
+        without an error too.
+        """
         self._transport = None
         self._pool.remove(self)
         receiver = self._receiver
@@ -412,6 +421,8 @@
             return
         if exc is not None:
             self._fail(ResetError(repr(exc)))
+        elif not self._has_server_ended:
+            self._fail(CutError('the connection was closed here'))
         elif self._head is None or self._head.is_framed:
             self._fail(CutError('the server closed the connection'))
         else:
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -453,6 +453,49 @@
         self.run_coroutine(run())
 
 
+class TestClosedPool(TestCase):
+    """A pool that is closed breaks off the answers that it still receives."""
+
+    def close_within(self, answer: bytes) -> Receiver:
+        """Return the receiver of an answer during which the pool closes."""
+        receiver = Receiver()
+
+        async def run() -> None:
+            pool = connections.Pool()
+            async with serving.serve(answer, keeps_open=True) as server:
+                pool.send(server.address, REQUEST, receiver)
+                while answer and 'data' not in receiver.calls:
+                    await asyncio.sleep(0.001)
+                while not server.requests:
+                    await asyncio.sleep(0.001)
+                await pool.close()
+                await receiver.ended.wait()
+
+        self.run_coroutine(run())
+        return receiver
+
+    # Guards against an answer without a length that looks complete, as its
+    # connection was closed by this process.
+    def test_answer_without_a_length(self) -> None:
+        for version in (b'1.0', b'1.1'):
+            found = self.close_within(b'HTTP/%s 200 OK\r\n\r\nbegun' % version)
+            self.assertEqual(['head', 'data', 'error'], found.calls)
+            self.assertIsInstance(found.error, connections.CutError)
+
+    def test_answers_with_a_stated_end(self) -> None:
+        for head in (b'Content-Length: 9', b'Transfer-Encoding: chunked'):
+            found = self.close_within(
+                b'HTTP/1.1 200 OK\r\n%s\r\n\r\n5\r\nab' % head
+            )
+            self.assertEqual(['head', 'data', 'error'], found.calls)
+            self.assertIsInstance(found.error, connections.CutError)
+
+    def test_no_answer_yet(self) -> None:
+        found = self.close_within(b'')
+        self.assertEqual(['error'], found.calls)
+        self.assertIsInstance(found.error, connections.CutError)
+
+
 class TestReferences(TestCase):
     """What an exchange held is freed without the garbage collector."""
 
