Break off a stream that stops inside the CR LF of an event

Callers saw a whole stream where the server had stopped in the middle of an event's end: with lines in CR LF and no stated length, a connection that was closed after "data: two\r\n\r" ended the stream as complete.

Cause: a CR alone ends a line of an event stream, so that the event counted as whole, whatever its other lines end in.

Evidence: test_end_inside_a_line_end fails before. It was found by stopping four event streams after each of their bytes, at one place of the one without a length. Ruled out: streams with a length and in chunks, where the stated end decides; streams with CR alone, which end as before.

Change: without a stated end, an event that ends in CR and holds a LF is not whole. The attempt fails, and the stream is resumed or broken off.

--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -250,7 +250,7 @@
     def _handle_stream_end(self, head: connections.Head) -> None:
         if self._buffer:
             whole = bytes(self._buffer)
-            if not is_whole(whole):
+            if not is_whole(whole, is_framed=head.is_framed):
                 self._reject('broken off in the middle of an event')
                 return
             # Only now it is clear that no LF follows its last CR.
@@ -302,8 +302,14 @@
     return found
 
 
-def is_whole(data: bytes) -> bool:
-    """Return whether the last event in some bytes has its end."""
+def is_whole(data: bytes, *, is_framed: bool) -> bool:
+    """Return whether the last event in some bytes has its end.
+
+    :param is_framed: whether the server stated that no byte follows;
+        otherwise it may have stopped between the CR and the LF of a line.
+    """
+    if not is_framed and data.endswith(b'\r') and b'\n' in data:
+        return False
     *_, last = (0, *(match.end() for match in _EVENT_END.finditer(data)))
     return last == len(data)
 
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -510,6 +510,16 @@
         self.assertIs(calls.RunStatus.UNKNOWN, failed.fault.ran)
         self.assertIsNotNone(failed.fault.answered_ms)
 
+    # Guards against a stream that stops between the CR and the LF that end an
+    # event, and looks complete.
+    def test_end_inside_a_line_end(self) -> None:
+        begun = b'data: a\r\n\r\n'
+        *_, failed = self._relay(self.UNFRAMED, begun + b'data: b\r\n\r')
+        assert isinstance(failed, events.AttemptFailed)
+        self.assertIs(calls.FaultKind.INVALID, failed.fault.kind)
+        *_, ended = self._relay(self.UNFRAMED, b'data: a\r\r')
+        self.assertIsInstance(ended, events.RelayEnded)
+
     def test_end_before_the_stated_one(self) -> None:
         head = self.HEAD + b'Content-Length: 99\r\n\r\n'
         *_, failed = self._relay(head, b'data: a\n\n')
