Test a planned stop of one node in calm

Operators reported that requests which came late in the grace period were taken, passed on and cut at its end, among them some that may not be repeated.

The test stops one of three nodes, each a process started by the deploy file's launcher, while callers go on with kept connections until it is gone: questions, bookings of 0.2 to 2.6 s, streams of 1 to 15 s, with and without a deadline. Each request that was read must end in a whole answer, in a refusal that is early and true, or by the last sixth of the grace period or its deadline. The simulated backend server takes the time of a request from its query.

--- a/src/teaselbridge/standins/runner.py
+++ b/src/teaselbridge/standins/runner.py
@@ -13,6 +13,7 @@
 import enum
 import time
 import typing
+import urllib.parse
 
 import h11
 import msgspec
@@ -102,10 +103,19 @@
     headers: dict[str, str]
     body: bytes
 
+    def get_number(self, name: str, default: float) -> float:
+        """Return a number from the query of the target."""
+        query = urllib.parse.urlsplit(self.target).query
+        (text,) = urllib.parse.parse_qs(query).get(name, [''])
+        return float(text) if text else default
+
 
 class BackendServer:
     """One simulated backend server.
 
+    The queries ``work-ms``, ``events`` and ``event-ms`` of a request replace
+    its attributes of these names.
+
     :param instance: instance id.
     :param pool: service that it belongs to.
     :param zone: availability zone.
@@ -288,7 +298,8 @@
             return await self._send_stream(
                 run, connection, reader, writer, fault
             )
-        await asyncio.sleep(self.work_ms / clocks.SECOND_MS)
+        work_ms = run.get_number('work-ms', self.work_ms)
+        await asyncio.sleep(work_ms / clocks.SECOND_MS)
         body = f'{self.instance} ran {run.attempt}'.encode()
         if fault is Fault.CUT:
             head = h11.Response(
@@ -331,7 +342,9 @@
             await asyncio.sleep(self.event_ms / clocks.SECOND_MS)
             self._crash()
             return False
-        for number in range(first, self.events + 1):
+        event_ms = run.get_number('event-ms', self.event_ms)
+        last = int(run.get_number('events', self.events))
+        for number in range(first, last + 1):
             data = event(number)
             if fault is Fault.CUT_IN_EVENT and number == first + 1:
                 writer.write(connection.send(h11.Data(data=data[:6])) or b'')
@@ -339,7 +352,7 @@
                 return False
             writer.write(connection.send(h11.Data(data=data)) or b'')
             await writer.drain()
-            await asyncio.sleep(self.event_ms / clocks.SECOND_MS)
+            await asyncio.sleep(event_ms / clocks.SECOND_MS)
             if reader.at_eof():
                 self.cancelled_count += 1
                 return False
--- a/tests/failures/site.py
+++ b/tests/failures/site.py
@@ -134,6 +134,7 @@
     :param servers: simulated backend servers.
     :param nodes: nodes under test.
     :param client: HTTP client that sends the requests of callers.
+    :param duties_host: HTTP server of the duty calls.
     """
 
     store: stores.Store
@@ -142,6 +143,7 @@
     servers: list[runners.BackendServer]
     nodes: list[sites.SiteNode]
     client: httpx.AsyncClient
+    duties_host: hosting.HostedApp
 
     def list_servers(self, pool: str) -> list[runners.BackendServer]:
         """List the backend servers of a pool."""
@@ -279,7 +281,9 @@
         for index in range(nodes)
     ]
     client = httpx.AsyncClient(trust_env=False, timeout=TIMEOUT_S)
-    deployment = Trial(store, duties, store_host, servers, running, client)
+    deployment = Trial(
+        store, duties, store_host, servers, running, client, duties_host
+    )
     try:
         for node in running:
             await node.start()
--- /dev/null
+++ b/tests/failures/stops.py
@@ -0,0 +1,312 @@
+"""Stop a node in calm while callers go on sending to it.
+
+Run as a command, it does so with several seeds and a longer grace period.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import re
+import time
+import typing
+
+import click
+
+from tests.failures import processes
+from tests.failures import site
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+# Time for which callers may use a list with the stopping node in it.
+LISTED_S = 3.0
+# A server still at work in the last part of the grace period excuses the end
+# of a request that was sent while callers could not know better.
+LAST_PART = 1 / 6
+SEND_INTERVAL_S = 0.1
+KEPT_CONNECTIONS = 40
+# A refusal is early if it comes within this time of the request.
+EARLY_S = 1.0
+_NUMBERS = itertools.count(1)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Sent:
+    """One request and how it ended for its caller.
+
+    :param sent_s: when it was sent, in seconds after SIGTERM.
+    :param deadline_s: when its caller gives up, likewise.
+    :param ended_s: when its answer or its connection ended, likewise.
+    :param status: status of the answer, 0 where none came.
+    :param is_whole: whether the answer is complete.
+    """
+
+    attempt: str
+    target: str
+    sent_s: float
+    deadline_s: float
+    ended_s: float = 0.0
+    status: int = 0
+    is_whole: bool = False
+
+    def find_fault(self, ran: int, grace_s: float) -> str:
+        """Return what is wrong with its end, empty where nothing is.
+
+        :param ran: number of servers that ran it.
+        :param grace_s: grace period of the node.
+        """
+        if self.is_whole:
+            if self.status == 503 and ran:
+                return 'refused as not run, and ran'
+            if self.status == 500:
+                return 'internal error'
+            if self.status == 503 and not self._is_refused_early():
+                return 'refused late'
+            if self.status == 502 and not self._is_excused(grace_s):
+                return 'accepted without the time for it'
+            return ''
+        if not ran or self._is_excused(grace_s):
+            return ''
+        return 'cut'
+
+    def _is_refused_early(self) -> bool:
+        return self.ended_s - self.sent_s < EARLY_S
+
+    def _is_excused(self, grace_s: float) -> bool:
+        if self.ended_s >= self.deadline_s:
+            return True
+        return self.sent_s <= LISTED_S and self.ended_s >= grace_s * (
+            1 - LAST_PART
+        )
+
+
+class Connection:
+    """One connection of a caller."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, address: str) -> Connection:
+        """Open a connection."""
+        host, _, port = address.rpartition(':')
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the node has closed it."""
+        return self._reader.at_eof() or self._writer.is_closing()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+    async def call(
+        self, target: str, headers: dict[str, str]
+    ) -> tuple[int, bool, bool]:
+        """Send a request.
+
+        :return: status, whether the answer is complete, and whether the
+            connection stays open.
+        """
+        lines = [f'POST {target} HTTP/1.1', 'Content-Length: 4']
+        lines += [f'{name}: {value}' for name, value in headers.items()]
+        status = 0
+        try:
+            self._writer.write('\r\n'.join([*lines, '', 'body']).encode())
+            head = await self._reader.readuntil(b'\r\n\r\n')
+            status = int(head.split()[1])
+            await self._read_body(head.lower())
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return status, False, False
+        return status, True, b'connection: close' not in head.lower()
+
+    async def _read_body(self, head: bytes) -> None:
+        found = re.search(rb'content-length: (\d+)', head)
+        if found is not None:
+            await self._reader.readexactly(int(found.group(1)))
+            return
+        size = 1
+        while size:
+            size = int(await self._reader.readuntil(b'\r\n'), 16)
+            await self._reader.readexactly(size + 2)
+
+
+class Caller:
+    """Caller that goes on sending to one node until its process is gone.
+
+    :param build_request: function that returns a target and the time that
+        the caller has, in milliseconds; 0 to send no deadline.
+    """
+
+    def __init__(
+        self,
+        node: processes.NodeProcess,
+        build_request: collections.abc.Callable[[], tuple[str, int]],
+    ) -> None:
+        self.sent: list[Sent] = []
+        self._node = node
+        self._build_request = build_request
+        self._kept: list[Connection] = []
+        self._calls: list[asyncio.Task[None]] = []
+
+    async def open(self) -> None:
+        """Open the connections that are kept, and use each of them once."""
+        for _ in range(KEPT_CONNECTIONS):
+            connection = await Connection.open(self._node.callers)
+            headers = site.build_request_headers(site.WORKSPACE_KEY)
+            status, _, _ = await connection.call('/stock/1', headers)
+            assert status == 200, status
+            self._kept.append(connection)
+
+    async def run(self) -> None:
+        """Send until the process is gone, then wait for all answers."""
+        while self._node.is_running:
+            self._calls.append(asyncio.create_task(self._send()))
+            await asyncio.sleep(SEND_INTERVAL_S)
+        await asyncio.gather(*self._calls)
+        for connection in self._kept:
+            connection.close()
+
+    async def _send(self) -> None:
+        connection = None
+        while self._kept and connection is None:
+            connection = self._kept.pop(0)
+            if connection.has_ended:
+                connection = None
+        if connection is None:
+            try:
+                connection = await Connection.open(self._node.callers)
+            except OSError:
+                return
+        target, deadline_ms = self._build_request()
+        attempt = f'stop-{next(_NUMBERS)}'
+        headers = {
+            'Host': site.HTTP_HOST,
+            'Teaselbridge-Attempt-Id': attempt,
+            'Teaselbridge-Credential': site.WORKSPACE_KEY,
+        }
+        if deadline_ms:
+            headers['Teaselbridge-Deadline-Ms'] = str(deadline_ms)
+        begun = time.monotonic()
+        sent = Sent(
+            attempt=attempt,
+            target=target,
+            sent_s=begun,
+            deadline_s=begun + (deadline_ms or 15_000) / 1_000,
+        )
+        self.sent.append(sent)
+        status, whole, stays_open = await connection.call(target, headers)
+        sent.status, sent.is_whole = status, whole
+        sent.ended_s = time.monotonic()
+        if stays_open:
+            self._kept.append(connection)
+        else:
+            connection.close()
+
+
+def build_callers(
+    node: processes.NodeProcess, source: random.Random
+) -> list[Caller]:
+    """Build a caller for each kind of request."""
+
+    def build_stream(path: str) -> tuple[str, int]:
+        events = source.randint(10, 150)
+        target = f'{path}?events={events}&event-ms=100'
+        return target, source.choice((0, 12_800, 15_700, events * 100 + 900))
+
+    def build_booking() -> tuple[str, int]:
+        # Some take longer than their callers wait.
+        work_ms = source.randint(200, 1_700) + source.choice((0, 0, 0, 900))
+        return f'/orders/1?work-ms={work_ms}', source.choice((1_750, 0))
+
+    def build_question() -> tuple[str, int]:
+        work_ms = source.choice((2, 2, 2, 400))
+        return f'/stock/1?work-ms={work_ms}', source.choice((800, 3_000, 0))
+
+    return [
+        Caller(node, build_question),
+        Caller(node, build_booking),
+        Caller(node, lambda: build_stream('/stream/x')),
+        Caller(node, lambda: build_stream('/stream/once/x')),
+    ]
+
+
+def list_faults(
+    trial: site.Trial,
+    node: processes.NodeProcess,
+    sent: list[Sent],
+    grace_s: float,
+) -> list[str]:
+    """List the requests with a wrong end."""
+    runs: dict[str, int] = {}
+    for server in trial.servers:
+        for run in server.runs:
+            runs[run.attempt] = runs.get(run.attempt, 0) + 1
+    faults = []
+    for item in sent:
+        item.sent_s -= node.stopped_at
+        item.deadline_s -= node.stopped_at
+        item.ended_s -= node.stopped_at
+        fault = item.find_fault(runs.get(item.attempt, 0), grace_s)
+        if fault:
+            faults.append(f'{fault}: {item}')
+    return faults
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Result:
+    """What a stop did.
+
+    :param sent: all requests to the node.
+    :param faults: those with a wrong end.
+    :param ended_s: when its process ended, in seconds after SIGTERM.
+    """
+
+    sent: list[Sent]
+    faults: list[str]
+    ended_s: float
+
+
+async def stop_one_of_three(seed: int, grace_s: float) -> Result:
+    """Stop one node of three."""
+    source = random.Random(seed)
+    async with processes.run_processes(3, grace_s) as (trial, nodes):
+        stopped = nodes[0]
+        callers = build_callers(stopped, source)
+        for caller in callers:
+            await caller.open()
+        tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        await asyncio.sleep(1.0)
+        stopped.stop()
+        ended_s = await stopped.wait()
+        await asyncio.gather(*tasks)
+        sent = [item for caller in callers for item in caller.sent]
+        faults = list_faults(trial, stopped, sent, grace_s)
+        return Result(sent=sent, faults=faults, ended_s=ended_s)
+
+
+@click.command()
+@click.option('--first-seed', default=1, help='Seed of the first run.')
+@click.option('--runs', default=20, help='Number of runs.')
+@click.option('--grace-s', default=8.0, help='Grace period in seconds.')
+def main(first_seed: int, runs: int, grace_s: float) -> None:
+    """Stop a node with several seeds and print what ended wrongly."""
+    for seed in range(first_seed, first_seed + runs):
+        result = asyncio.run(stop_one_of_three(seed, grace_s))
+        click.echo(
+            f'seed {seed}: ended after {result.ended_s:.2f} s,'
+            f' {len(result.sent)} sent, {len(result.faults)} faults'
+        )
+        for fault in result.faults:
+            click.echo(f'  {fault}')
+
+
+if __name__ == '__main__':
+    main()
