Count the grace period from the signal

What callers saw: a node that was busy when SIGTERM came gave the final answers too late, after the platform may have killed it. Requests that came more than three seconds after the signal were still accepted.

Cause: asyncio calls a signal's handler when the loop gets round to it, and the drain counted the grace period, and the time during which callers may know the node from an older list, from that moment.

Change: a handler of the interpreter notes when the signal arrives, between two instructions; the loop's handler gets that time. The last moment to stop and the refusal of late requests count from it.

--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -40,11 +40,13 @@
 class Drain:
     """Progress of a graceful shutdown; times are monotonic milliseconds.
 
-    :param began: when the drain started.
+    :param since: when the drain was requested.
+    :param began: when it began, which may be later.
     :param stop_deadline: deadline by which the node must have stopped.
     :param is_stopped: whether the effect that stops the runtime was returned.
     """
 
+    since: int
     began: int
     stop_deadline: int
     is_stopped: bool = False
@@ -57,9 +59,13 @@
     if state.drain is not None:
         state.drain.stop_deadline = min(state.drain.stop_deadline, event.by)
         return []
-    state.drain = Drain(began=now.mono, stop_deadline=event.by)
+    since = now.mono if event.since is None else event.since
+    state.drain = Drain(since=since, began=now.mono, stop_deadline=event.by)
     me = state.options.me
-    detail = f'{event.by - now.mono} ms left, {len(state.requests)} held'
+    detail = (
+        f'{event.by - now.mono} ms left, {len(state.requests)} held,'
+        f' requested {now.mono - since} ms ago'
+    )
     return [
         effects.RecordEntry(
             mark=effects.Mark.NODE_DRAINING, host=me.name, detail=detail
@@ -86,14 +92,15 @@
 
     The length of an answer is not known in advance, so that only the
     deadline tells. Requests that callers may have sent by a list with this
-    node in it are accepted in any case.
+    node in it are accepted in any case, but not for longer if the drain began
+    late: the node ends no later for it.
 
     :return: the refusal, none where the request is accepted.
     """
     drain = state.drain
     if drain is None or call.deadline <= drain.stop_deadline:
         return None
-    listed_until = drain.began + state.options.address_list_max_age_ms
+    listed_until = drain.since + state.options.address_list_max_age_ms
     if now.mono < listed_until - ARRIVAL_MARGIN_MS:
         return None
     return _build_refusal(state, now)
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -592,9 +592,11 @@
     """Request to drain and stop the node.
 
     :param by: monotonic milliseconds by which it must have stopped.
+    :param since: when the request was made, likewise; none for now.
     """
 
     by: int
+    since: int | None = None
 
 
 Event = (
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -33,6 +33,7 @@
 from teaselbridge.runtime import outlets as outlets_module
 from teaselbridge.runtime import parts
 from teaselbridge.runtime import relaying
+from teaselbridge.runtime import signals
 from teaselbridge.runtime import supervision
 from teaselbridge.runtime import watching
 from teaselbridge.runtime import web
@@ -201,20 +202,24 @@
     async def run(self) -> None:
         """Run until a graceful shutdown has ended."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.drain)
+        signals.handle_stop(self._clock, self.drain)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self._stopped.wait()
         await self.stop()
 
-    def drain(self) -> None:
-        """Begin a graceful shutdown within the grace period."""
+    def drain(self, since: int | None = None) -> None:
+        """Begin a graceful shutdown within the grace period.
+
+        :param since: when the grace period began, in monotonic milliseconds;
+            now if none.
+        """
         site = self._settings.site
         assert site is not None
+        began = self._loop.now().mono if since is None else since
         grace_ms = round(clocks.SECOND_MS * site.bounds.grace_s)
         span = max(0, grace_ms - STOP_MARGIN_MS)
-        self._loop.post(events.DrainRequested(self._loop.now().mono + span))
+        self._loop.post(events.DrainRequested(began + span, began))
 
     def reload(self) -> None:
         """Read the settings file again and apply its bounds.
--- a/tests/decisions/test_drain.py
+++ b/tests/decisions/test_drain.py
@@ -92,6 +92,20 @@
     def test_callers_may_still_have_the_address(self) -> None:
         self.assertEqual([], self._arrive(1_000, STOP_AT + 1_000))
 
+    # Guards against late requests at a node that handles its signal late.
+    def test_signal_was_handled_late(self) -> None:
+        state = samples.state()
+        state.options = dataclasses.replace(
+            state.options, address_list_max_age_ms=LIST_MAX_AGE_MS
+        )
+        drain.handle_drain_requested(
+            state,
+            events.DrainRequested(STOP_AT, since=0),
+            samples.instant(1_500),
+        )
+        refusals = self._arrive(LIST_MAX_AGE_MS, STOP_AT + 1_000, state)
+        self.assertEqual(1, len(refusals))
+
     def test_other_nodes_stay(self) -> None:
         state = build_draining_state()
         other = dataclasses.replace(
--- a/tests/failures/site.py
+++ b/tests/failures/site.py
@@ -32,6 +32,7 @@
 WORKSPACE_KEY = 'parish-key'
 ZONES = ('zone-a', 'zone-b')
 TIMEOUT_S = 60.0
+GRACE_S = 4.0
 _ATTEMPT_NUMBERS = itertools.count(1)
 
 ROUTES = (
@@ -337,7 +338,7 @@
             store=store,
             cloud=duties,
             bounds=settings_model.Bounds(
-                grace_s=4,
+                grace_s=GRACE_S,
                 first_start=True,
                 usage_window_s=1,
                 duties=('metering', 'autoscale'),
--- a/tests/runtime/test_site.py
+++ b/tests/runtime/test_site.py
@@ -5,7 +5,9 @@
 import asyncio
 import dataclasses
 import pathlib
+import signal
 import tempfile
+import time
 
 import msgspec
 import testtools
@@ -91,7 +93,7 @@
                 for index, node in enumerate(trial.nodes):
                     state = node.loop.state
                     assert state.drain is not None
-                    state.drain.began -= 3_000
+                    state.drain.since -= 3_000
                     await site.until(
                         lambda state=state: state.membership.nodes == 1
                     )
@@ -120,3 +122,39 @@
                 self.assertEqual(502, response.status_code)
 
         self.run_coroutine(run())
+
+
+class TestSignals(base.TestCase):
+    """The grace period counts from the signal, however late it is handled."""
+
+    # Guards against a busy node that is killed while it holds requests.
+    def test_signal_while_the_loop_is_blocked(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(0) as trial:
+                for server in trial.list_servers('shop'):
+                    server.work_ms = 10_000.0
+                node = sites.SiteNode(
+                    settings=site.build_settings(
+                        0, trial.store_host.address, trial.duties_host.address
+                    ),
+                    path='unused',
+                )
+                trial.nodes.append(node)
+                state = node.loop.state
+                stopped = asyncio.ensure_future(node.run())
+                await site.until(lambda: len(state.servers.all) == 4)
+                call = asyncio.ensure_future(trial.call('/orders/1'))
+                await site.until(lambda: state.requests)
+                signalled = time.monotonic()
+                signal.raise_signal(signal.SIGTERM)
+                time.sleep(1.5)
+                response = await call
+                answered_s = time.monotonic() - signalled
+                await stopped
+                trial.nodes.remove(node)
+                stopped_s = time.monotonic() - signalled
+                self.assertEqual(502, response.status_code)
+                self.assertLess(answered_s, site.GRACE_S)
+                self.assertLess(stopped_s, site.GRACE_S)
+
+        self.run_coroutine(run())
