Keep a silent server until another one goes on

Callers saw streams that the node broke off some ten seconds before their deadlines, though their servers were sound and had only paused for a second. Requests that no server had answered yet ended with 502 in the same way.

Only then the node looked for another server. Where the queue had none in time, the retry budget, a key that was not confirmed, the rates of servers, a full queue, four refusals or one failure of the next server ended the stream.

Both attempts run for up to 200 ms. The one that sends data first goes on and the other one is cancelled; if the new one is refused or fails, the silent one just goes on, and another one is tried later within the budget. After 200 ms without a refusal the silent one is cancelled, as no two servers may work on a request for 400 ms. A stream that was given up so is kept until its deadline: refusals, an empty budget, unconfirmed keys and a full queue only delay its next attempt, and if the next server fails, it returns to one of those that had it.

Events of the attempt that was given up are dropped by its number; numbers are not used again, and the executor keeps attempts by request and number. Requests that are not idempotent are never sent twice, as before.

Ruled out by reading: DropConnections closes idle connections only, so other streams of the same server go on.

--- a/src/teaselbridge/decisions/admission.py
+++ b/src/teaselbridge/decisions/admission.py
@@ -8,6 +8,8 @@
 import typing
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from teaselbridge.decisions import calls
 
 SMOOTHING = 0.1
@@ -160,15 +162,23 @@
             )
         )
 
-    def find_shed_candidate(self) -> calls.Call | None:
-        """Return the request to shed first: last priority, last deadline."""
-        if not self._entries:
-            return None
+    def find_shed_candidate(
+        self, kept: collections.abc.Container[int] = ()
+    ) -> calls.Call | None:
+        """Return the request to shed first: last priority, last deadline.
+
+        :param kept: handles of those that are not shed.
+        """
         entry = max(
-            self._entries.values(),
+            (
+                entry
+                for entry in self._entries.values()
+                if entry.call.handle not in kept
+            ),
             key=lambda entry: (entry.call.route.priority, entry.deadline),
+            default=None,
         )
-        return entry.call
+        return None if entry is None else entry.call
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/teaselbridge/decisions/arrival.py
+++ b/src/teaselbridge/decisions/arrival.py
@@ -101,11 +101,12 @@
     """Shed one request if the queue is full.
 
     That is the waiting request of the lowest priority, or the new one where
-    its own priority is as low.
+    its own priority is as low. Streams that have begun are kept.
     """
     if len(state.queue) < state.options.queue:
         return []
-    candidate = state.queue.find_shed_candidate()
+    begun = {item.handle for item in state.requests.values() if item.streaming}
+    candidate = state.queue.find_shed_candidate(begun)
     shed = request
     priority = request.call.route.priority
     if candidate is not None and candidate.route.priority > priority:
--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -17,6 +17,7 @@
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import retry
 from teaselbridge.decisions import servers
+from teaselbridge.decisions import switching
 
 if typing.TYPE_CHECKING:
     from teaselbridge import clock
@@ -87,10 +88,15 @@
     request = _current(state, event.handle, event.attempt)
     if request is None:
         return []
+    is_current, settled = switching.settle(state, request, event, now)
+    if not is_current:
+        return settled
     if request.helper:
-        return origin.handle_answer(state, request, event.answer, now)
+        return settled + origin.handle_answer(
+            state, request, event.answer, now
+        )
     if request.call.is_relayed:
-        return relays.answer(state, request, event.answer, now)
+        return settled + relays.answer(state, request, event.answer, now)
     status = event.answer.status
     if status in RETRYABLE_STATUSES and not request.is_at_most_once:
         fault = calls.Fault(
@@ -115,6 +121,9 @@
     request = _current(state, event.handle, event.attempt)
     if request is None:
         return []
+    is_current, settled = switching.settle(state, request, event, now)
+    if not is_current:
+        return settled
     if request.helper:
         return origin.handle_failed(state, request, event.fault, now)
     if request.call.is_relayed:
@@ -135,6 +144,20 @@
     request = _current(state, event.handle, event.attempt)
     if request is None:
         return []
+    is_current, settled = switching.settle(state, request, event, now)
+    if not is_current:
+        return settled
+    return settled + _handle_relay_progress(state, request, event, now)
+
+
+def _handle_relay_progress(
+    state: states.State,
+    request: requests.Request,
+    event: events.HeadReceived
+    | events.StreamEventsReceived
+    | events.RelayEnded,
+    now: clock.Instant,
+) -> list[effects.Effect]:
     if request.helper:
         return origin.handle_progress(state, request, event, now)
     match event:
@@ -152,10 +175,9 @@
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
     """Enforce the deadline, end backoffs and leave reclaimed servers."""
-    if request.helper and request.remaining_ms(now) > 0:
-        return origin.tick(state, request, now)
     if request.call.is_relayed:
-        return relays.tick(state, request, now)
+        out = relays.tick(state, request, now)
+        return out + switching.tick(state, request, now)
     if request.remaining_ms(now) <= 0:
         return _handle_deadline(state, request, now)
     if drain.is_abandoned(request, now):
@@ -376,7 +398,7 @@
     state: states.State, handle: int, attempt: int
 ) -> requests.Request | None:
     request = state.requests.get(handle)
-    if request is None or request.attempt != attempt:
+    if request is None or not request.has_attempt(attempt):
         return None
     if request.phase is not requests.Phase.RUNNING:
         return None
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -29,6 +29,7 @@
     from teaselbridge import clock
     from teaselbridge.decisions import servers
     from teaselbridge.decisions import state as states
+    from teaselbridge.peers import messages
 
 # Bounds the work of one event.
 MAX_SET_ASIDE = 16
@@ -84,6 +85,10 @@
         if call is None:
             return
         request = state.requests[call.handle]
+        if _is_held_back(state, request, now):
+            state.queue.remove(call.handle)
+            set_aside.append(call)
+            continue
         refused = _refuse_waiting(state, request, now)
         if refused:
             yield from refused
@@ -97,7 +102,7 @@
             continue
         server = choose_server(state, request, now)
         if server is not None:
-            yield from _start_attempt(state, request, server, now)
+            yield from start_attempt(state, request, server, now)
             continue
         if not _has_free_server(state, call, now):
             return
@@ -122,14 +127,7 @@
 
     :return: no effects where a stream waits for a node that can help.
     """
-    pool = request.call.route.pool
-    helper = None
-    if not request.call.origin:
-        able = None
-        if not state.links.is_cut(pool):
-            staying = state.servers.staying(pool)
-            able = owners.list_owners(state, staying)
-        helper = origin.choose_helper(state, request, able)
+    helper = choose_helper(state, request)
     if helper is not None:
         return origin.forward(state, request, helper, now)
     if request.streaming:
@@ -137,6 +135,19 @@
     return relays.give_up(state, request, 'no node can send it to a server')
 
 
+def choose_helper(
+    state: states.State, request: requests.Request
+) -> messages.Member | None:
+    """Choose the node that gets a request that this one cannot send."""
+    if request.call.origin:
+        return None
+    pool = request.call.route.pool
+    able = None
+    if not state.links.is_cut(pool):
+        able = owners.list_owners(state, state.servers.staying(pool))
+    return origin.choose_helper(state, request, able)
+
+
 def _refuse_waiting(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
@@ -154,6 +165,19 @@
     return []
 
 
+def _is_held_back(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> bool:
+    """Return whether a request waits, though it must not be sent now.
+
+    Its server would have ended the stream that this node gave up.
+    """
+    if not (request.streaming and request.has_stopped_run):
+        return False
+    refusal = relay_checks.check_waiting_request(state, request, now)
+    return refusal is not None
+
+
 def _has_free_server(
     state: states.State, call: calls.Call, now: clock.Instant
 ) -> bool:
@@ -231,15 +255,18 @@
     untried = [
         server for server in candidates if server.host not in request.tried
     ]
+    if call.is_relayed and request.possible_runs >= call.route.attempts:
+        return [item for item in candidates if item.host in request.tried]
     return untried or candidates
 
 
-def _start_attempt(
+def start_attempt(
     state: states.State,
     request: requests.Request,
     server: servers.Server,
     now: clock.Instant,
 ) -> list[effects.Effect]:
+    """Start an attempt of a request, queued or not, at a server."""
     call = request.call
     state.queue.charge(
         call, state.index.get_workspace_weight(call.key.workspace)
@@ -251,7 +278,7 @@
     if not call.is_relayed:
         source = prompts.source(state, request, server, now)
     request.phase = requests.Phase.RUNNING
-    request.attempt += 1
+    request.begin_attempt()
     request.host = server.host
     request.tried.append(server.host)
     request.started_at = now.mono
--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -19,6 +19,7 @@
 from teaselbridge.decisions import relay_checks
 from teaselbridge.decisions import relays
 from teaselbridge.decisions import requests
+from teaselbridge.decisions import silence
 from teaselbridge.peers import messages
 
 if typing.TYPE_CHECKING:
@@ -40,7 +41,7 @@
     state.queue.remove(request.handle)
     call = request.call
     request.phase = requests.Phase.RUNNING
-    request.attempt += 1
+    request.begin_attempt()
     request.host = ''
     request.helper = helper.name
     request.peers_tried.append(helper.name)
@@ -185,24 +186,27 @@
     if _can_retry(state, request, fault, now):
         requests.enqueue(state, request)
         return out
+    if relays.retry_later(state, request, fault, now):
+        return out
     if request.streaming:
         return out + relays.end_broken_stream(state, request, fault, now)
     return out + relays.give_up(state, request, fault.detail)
 
 
-def tick(
+def find_silence(
     state: states.State, request: requests.Request, now: clock.Instant
-) -> list[effects.Effect]:
-    """Give up on a helper that is lost, if the request may run again."""
+) -> str:
+    """Return why a helper may be lost, empty if it is not.
+
+    One that still passes on events is not, whatever other nodes say of it.
+    """
     helper = state.membership.get_peer(request.helper)
     if helper is not None and helper.status is messages.Status.ALIVE:
-        return []
-    if not request.call.route.idempotent:
-        return []
-    fault = calls.Fault(
-        calls.FaultKind.SILENT, calls.RunStatus.UNKNOWN, 'the helper is lost'
-    )
-    return _cancel(state, request, fault, now)
+        return ''
+    silence_ms = now.mono - request.progressed_at
+    if not request.first and silence_ms < silence.STREAM_GAP_TIMEOUT_MS:
+        return ''
+    return f'the helper is lost, no data within {silence_ms} ms'
 
 
 def _handle_events(
@@ -213,7 +217,7 @@
 ) -> list[effects.Effect]:
     """Pass on stream events in their order."""
     request.event_count += event.count
-    fault = requests.check_event_order(request, event)
+    fault = requests.accept_events(request, event)
     if fault is not None:
         return _cancel(state, request, fault, now)
     return [
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -40,6 +40,8 @@
 # Linear backoff per refusal by a full server: a slot of a plain service
 # becomes free after about 15 ms.
 REFUSED_BACKOFF_MS = 15
+# Time after which a stream is tried again that this node gave up.
+STOPPED_RUN_BACKOFF_MS = 200
 # Time to learn whether a server that broke off an answer has crashed, before
 # the request is sent to another one.
 CRASH_CHECK_MS = 60
@@ -198,7 +200,7 @@
     silence.record_data(state, request, now)
     request.progressed_at = now.mono
     request.event_count += event.count
-    fault = requests.check_event_order(request, event)
+    fault = requests.accept_events(request, event)
     if fault is not None:
         return [
             *requests.cancel_attempt(state, request),
@@ -288,13 +290,15 @@
 
     :param answered: the server's own answer, none where it sent none.
     """
-    out = _record_server_fault(state, request, fault, now)
+    out = record_server_fault(state, request, fault, now)
     finish_prefill(state, request)
     requests.detach_from_server(state, request)
     requests.count_possible_run(request, fault)
-    if _can_retry(state, request, fault, now):
+    if can_retry(state, request, fault, now):
         out.append(effects.Count(effects.Counter.RETRIES, fault.kind.value))
         return out + _schedule_retry(state, request, fault, now)
+    if retry_later(state, request, fault, now):
+        return out
     if request.streaming:
         return out + end_broken_stream(state, request, fault, now)
     if answered is not None:
@@ -354,8 +358,7 @@
     if request.remaining_ms(now) <= 0:
         return _handle_deadline(state, request, now)
     if request.phase is requests.Phase.BACKOFF:
-        if request.due_at <= now.mono:
-            requests.enqueue(state, request)
+        _end_backoff(state, request, now)
         return []
     if request.phase is requests.Phase.QUEUED:
         if request.remaining_ms(now) < relay_checks.min_time_left_ms(
@@ -363,31 +366,20 @@
         ):
             detail = 'no server had a free slot in time'
             return give_up(state, request, detail)
-        return []
-    return _retry_if_silent(state, request, now)
+    return []
 
 
-def _retry_if_silent(
+def _end_backoff(
     state: states.State, request: requests.Request, now: clock.Instant
-) -> list[effects.Effect]:
-    """Retry an idempotent request whose server sends no data."""
-    silence_ms = silence.get_overdue_ms(state, request, now)
-    route = request.call.route
-    if not silence_ms:
-        return []
-    if not route.idempotent:
-        return links.probe_pool(state, route.pool, now)
-    if request.possible_runs + 1 >= route.attempts:
-        return []
-    fault = calls.Fault(
-        calls.FaultKind.SILENT,
-        calls.RunStatus.UNKNOWN,
-        f'no data within {silence_ms} ms',
-    )
-    if not _can_retry(state, request, fault, now, spend_budget=False):
-        return []
-    cancel = effects.CancelAttempt(request.handle, request.attempt)
-    return [cancel, *handle_attempt_failed(state, request, fault, None, now)]
+) -> None:
+    """Queue a request whose next attempt is due and may be made."""
+    if request.due_at > now.mono:
+        return
+    if request.needs_budget:
+        if not state.budgets.try_spend(request.call.route):
+            return
+        request.needs_budget = False
+    requests.enqueue(state, request)
 
 
 def _handle_deadline(
@@ -404,25 +396,61 @@
     return requests.refuse(state, request, refusal)
 
 
-def _can_retry(
+def retry_later(
     state: states.State,
     request: requests.Request,
     fault: calls.Fault,
     now: clock.Instant,
-    *,
-    spend_budget: bool = True,
 ) -> bool:
-    call = request.call
+    """Keep a stream that may not be retried now, but until its deadline.
+
+    Only one that this node itself gave up is kept: its server would have
+    ended it. Callers can continue any other one themselves.
+
+    :return: whether it is kept.
+    """
     if (
-        request.remaining_ms(now) < relay_checks.min_time_left_ms(call)
-        or not request.attached
-    ):
-        return False
-    if request.has_unnumbered or state.poison.is_refused(
-        call.fingerprint, now.wall
+        not (request.streaming and request.has_stopped_run)
+        or not _may_be_sent(state, request, now)
+        or (
+            fault.ran is not calls.RunStatus.NOT_RUN
+            and request.possible_runs > request.call.route.attempts
+        )
     ):
         return False
-    if suspects.check(state, call, now) is not None:
+    request.due_at = now.mono + STOPPED_RUN_BACKOFF_MS
+    request.needs_budget = True
+    return True
+
+
+def _may_be_sent(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> bool:
+    """Return whether a request may be sent once more at all."""
+    call = request.call
+    return (
+        request.remaining_ms(now) >= relay_checks.min_time_left_ms(call)
+        and request.attached
+        and not request.has_unnumbered
+        and not state.poison.is_refused(call.fingerprint, now.wall)
+        and suspects.check(state, call, now) is None
+    )
+
+
+def can_retry(
+    state: states.State,
+    request: requests.Request,
+    fault: calls.Fault,
+    now: clock.Instant,
+    *,
+    spend_budget: bool = True,
+) -> bool:
+    """Return whether a request may be retried now, after a fault.
+
+    :param spend_budget: whether to take the retry from the budget.
+    """
+    call = request.call
+    if not _may_be_sent(state, request, now):
         return False
     if fault.ran is calls.RunStatus.NOT_RUN:
         if request.refused_attempts >= MAX_REFUSED_ATTEMPTS:
@@ -458,12 +486,13 @@
     return []
 
 
-def _record_server_fault(
+def record_server_fault(
     state: states.State,
     request: requests.Request,
     fault: calls.Fault,
     now: clock.Instant,
 ) -> list[effects.Effect]:
+    """Record a fault of the server of a request's current attempt."""
     out = requests.report_fault(request, fault)
     server = state.servers.get(request.host)
     if server is None:
@@ -558,7 +587,7 @@
         requests.build_record(
             request,
             effects.Mark.ANSWERED,
-            f'{detail}, {request.attempt} attempts, {span} ms',
+            f'{detail}, {request.attempt_count} attempts, {span} ms',
         ),
     ]
 
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
 import typing
 
@@ -33,6 +34,34 @@
     FINISHED = 'finished'
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SilentAttempt:
+    """Attempt that goes on while the request is tried on another server.
+
+    Each field has the meaning and the name of that of a request.
+    """
+
+    attempt: int
+    host: str
+    helper: str
+    started_at: int
+    progressed_at: int
+    first: bool
+    first_token_at: int
+    event_count: int
+    uncached_tokens: int
+    is_only_prefill: bool
+    pace: float
+    held_tokens: int
+    silence_timeout_ms: int
+    expected_first_byte_ms: float
+
+
+_ATTEMPT_FIELDS = tuple(
+    field.name for field in dataclasses.fields(SilentAttempt)
+)
+
+
 class Request:
     """One request and its progress.
 
@@ -41,7 +70,12 @@
     :ivar attached: whether a caller is connected and waits for the answer.
     :ivar caller_handle: handle of the call that receives the output.
     :ivar finished: end of the stream, kept until a caller attaches.
-    :ivar attempt: number of the latest attempt.
+    :ivar attempt: number of the current attempt.
+    :ivar attempt_count: number of attempts so far.
+    :ivar silent: earlier attempt that is still running, none for none.
+    :ivar has_stopped_run: whether this node gave up a run that its server
+        had not ended, before another server had answered.
+    :ivar needs_budget: whether its next attempt waits for the retry budget.
     :ivar started_at: monotonic milliseconds at which that attempt started.
     :ivar progressed_at: monotonic milliseconds of its last progress.
     :ivar first: whether its first token or first byte is still awaited.
@@ -82,6 +116,10 @@
         self.caller_handle = call.handle
         self.finished: events.StreamEnded | None = None
         self.attempt = 0
+        self.attempt_count = 0
+        self.silent: SilentAttempt | None = None
+        self.has_stopped_run = False
+        self.needs_budget = False
         self.host = ''
         self.started_at = 0
         self.progressed_at = 0
@@ -166,6 +204,47 @@
         """Return the milliseconds left until the deadline."""
         return self.call.deadline - now.mono
 
+    def has_attempt(self, number: int) -> bool:
+        """Return whether an attempt is the current or the kept one."""
+        if number == self.attempt:
+            return True
+        return self.silent is not None and number == self.silent.attempt
+
+    def begin_attempt(self) -> None:
+        """Give the next attempt a number that no earlier one had."""
+        self.attempt_count += 1
+        self.attempt = self.attempt_count
+
+    def keep_silent_attempt(self) -> None:
+        """Keep the current attempt, as another one is about to begin."""
+        self.silent = self._save_attempt()
+        self.helper = ''
+        self.uncached_tokens = self.held_tokens = 0
+
+    def use_silent_attempt(self) -> None:
+        """Go on with the kept attempt; the current one has ended."""
+        silent = self.silent
+        assert silent is not None
+        self.silent = None
+        self.phase = Phase.RUNNING
+        self._load_attempt(silent)
+
+    def swap_attempts(self) -> None:
+        """Exchange the current attempt and the kept one."""
+        silent = self.silent
+        assert silent is not None
+        self.silent = self._save_attempt()
+        self._load_attempt(silent)
+
+    def _save_attempt(self) -> SilentAttempt:
+        return SilentAttempt(
+            **{name: getattr(self, name) for name in _ATTEMPT_FIELDS}
+        )
+
+    def _load_attempt(self, saved: SilentAttempt) -> None:
+        for name in _ATTEMPT_FIELDS:
+            setattr(self, name, getattr(saved, name))
+
 
 def check(
     state: states.State, call: calls.Call, now: clock.Instant
@@ -248,36 +327,50 @@
     ]
 
 
-def check_event_order(
+def accept_events(
     request: Request, event: events.StreamEventsReceived
 ) -> calls.Fault | None:
     """Check that stream events follow the last one, and remember them.
 
     :return: the fault, none where the events may be passed on.
     """
-    known = request.last_event
-    if event.first is None:
-        if not _has_data(event.data):
-            return None
-        if known is not None and request.numbered_attempt != request.attempt:
-            return calls.Fault(
-                calls.FaultKind.INVALID,
-                calls.RunStatus.UNKNOWN,
-                f'an event without a number after {known}',
-            )
+    fault = check_event_order(request, event)
+    if fault is not None:
+        return fault
+    if event.first is not None:
+        request.last_event = event.last
+        request.numbered_attempt = event.attempt
+    elif _has_data(event.data):
         request.has_unnumbered = True
-        return None
-    if known is not None and event.first <= known:
-        return calls.Fault(
-            calls.FaultKind.INVALID,
-            calls.RunStatus.UNKNOWN,
-            f'event {event.first} after {known}',
-        )
-    request.last_event = event.last
-    request.numbered_attempt = request.attempt
     return None
 
 
+def check_event_order(
+    request: Request, event: events.StreamEventsReceived
+) -> calls.Fault | None:
+    """Check that stream events follow the last one.
+
+    :return: the fault, none where they do.
+    """
+    known = request.last_event
+    if known is None:
+        return None
+    detail = ''
+    if event.first is not None and event.first <= known:
+        detail = f'event {event.first} after {known}'
+    elif (
+        event.first is None
+        and _has_data(event.data)
+        and request.numbered_attempt != event.attempt
+    ):
+        detail = f'an event without a number after {known}'
+    if not detail:
+        return None
+    return calls.Fault(
+        calls.FaultKind.INVALID, calls.RunStatus.UNKNOWN, detail
+    )
+
+
 def check_stream_end(
     request: Request, event: events.RelayEnded
 ) -> calls.Fault | None:
@@ -302,7 +395,7 @@
 def remove_request(
     state: states.State, request: Request
 ) -> list[effects.Effect]:
-    """Remove a request and cancel its attempt."""
+    """Remove a request and cancel its attempts."""
     out = cancel_attempt(state, request)
     state.queue.remove(request.handle)
     state.requests.pop(request.handle, None)
@@ -315,11 +408,18 @@
 def cancel_attempt(
     state: states.State, request: Request
 ) -> list[effects.Effect]:
-    """Cancel the running attempt of a request, if it has one."""
+    """Cancel the running attempts of a request, if it has any."""
     if request.phase is not Phase.RUNNING:
         return []
+    out: list[effects.Effect] = []
+    if request.silent is not None:
+        request.swap_attempts()
+        out.append(effects.CancelAttempt(request.handle, request.attempt))
+        detach_from_server(state, request)
+        request.use_silent_attempt()
+    out.append(effects.CancelAttempt(request.handle, request.attempt))
     detach_from_server(state, request)
-    return [effects.CancelAttempt(request.handle, request.attempt)]
+    return out
 
 
 def count_possible_run(request: Request, fault: calls.Fault) -> None:
--- a/src/teaselbridge/decisions/suspects.py
+++ b/src/teaselbridge/decisions/suspects.py
@@ -325,6 +325,8 @@
             return []
         if held:
             occupied.add(other.host)
+            if other.silent is not None:
+                occupied.add(other.silent.host)
     return [server for server in candidates if server.host not in occupied]
 
 
--- /dev/null
+++ b/src/teaselbridge/decisions/switching.py
@@ -0,0 +1,229 @@
+"""Moves requests from silent servers to others.
+
+Load pattern: a sound server pauses in an answer while the others are full. An
+idempotent request whose server sends no data is sent to another server while
+the first one works on. Of the two attempts that one goes on which sends data
+first, and the silent one if the other one is refused or fails. Neither is
+given up before, unless `MAX_OVERLAP_MS` pass without a refusal: two servers
+must not work on one request for long.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from teaselbridge.decisions import calls
+from teaselbridge.decisions import dispatch
+from teaselbridge.decisions import effects
+from teaselbridge.decisions import events
+from teaselbridge.decisions.forwarding import links
+from teaselbridge.decisions.forwarding import origin
+from teaselbridge.decisions import relay_checks
+from teaselbridge.decisions import relays
+from teaselbridge.decisions import requests
+from teaselbridge.decisions import silence
+
+if typing.TYPE_CHECKING:
+    from teaselbridge import clock
+    from teaselbridge.decisions import state as states
+
+# The platform allows 400 ms, of which ticks and the way to the server take a
+# part.
+MAX_OVERLAP_MS = 200
+# Time after which another server is tried once more, doubled per refusal.
+SWITCH_BACKOFF_MS = 150
+MAX_SWITCH_BACKOFF_DOUBLINGS = 4
+
+AttemptEvent: typing.TypeAlias = (
+    events.HeadReceived
+    | events.StreamEventsReceived
+    | events.RelayEnded
+    | events.AnswerReceived
+    | events.AttemptFailed
+)
+
+
+def tick(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Try another server if that of a running request is silent."""
+    if request.phase is not requests.Phase.RUNNING:
+        return []
+    if request.silent is not None:
+        if now.mono - request.started_at < MAX_OVERLAP_MS:
+            return []
+        request.has_stopped_run = True
+        return _stop_silent(state, request, now)
+    detail = _find_silence(state, request, now)
+    if not detail:
+        return []
+    out: list[effects.Effect] = []
+    if not request.helper:
+        out += links.probe_pool(state, request.call.route.pool, now)
+    if request.due_at > now.mono:
+        return out
+    fault = calls.Fault(
+        calls.FaultKind.SILENT, calls.RunStatus.UNKNOWN, detail
+    )
+    return out + _try_elsewhere(state, request, fault, now)
+
+
+def settle(
+    state: states.State,
+    request: requests.Request,
+    event: AttemptEvent,
+    now: clock.Instant,
+) -> tuple[bool, list[effects.Effect]]:
+    """Choose between two attempts of a request by an event of one of them.
+
+    The attempt that goes on is the current one afterwards.
+
+    :return: whether the event is still to be handled, and effects.
+    """
+    silent = request.silent
+    if silent is None:
+        return True, []
+    fault = _find_fault(request, event)
+    is_late = event.attempt == silent.attempt
+    if fault is not None:
+        if is_late:
+            request.swap_attempts()
+        return False, _end_failed(state, request, event, fault, now)
+    if is_late:
+        request.swap_attempts()
+        return True, _stop_newer(state, request)
+    if isinstance(event, events.HeadReceived) and request.streaming:
+        # An event may not follow.
+        return True, []
+    return True, _stop_silent(state, request, now)
+
+
+def _find_silence(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> str:
+    """Return why the server of a request may be lost, empty if it is not."""
+    if request.helper:
+        return origin.find_silence(state, request, now)
+    silence_ms = silence.get_overdue_ms(state, request, now)
+    return f'no data within {silence_ms} ms' if silence_ms else ''
+
+
+def _try_elsewhere(
+    state: states.State,
+    request: requests.Request,
+    fault: calls.Fault,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Start a second attempt, if all that it needs is there."""
+    route = request.call.route
+    if (
+        not route.idempotent
+        or request.possible_runs + 1 >= route.attempts
+        or not relays.can_retry(state, request, fault, now, spend_budget=False)
+        or relay_checks.check_waiting_request(state, request, now) is not None
+    ):
+        return []
+    server = state.servers.get(request.host)
+    if server is not None and not server.leaving:
+        request.failed_version = server.version
+    if dispatch.needs_other_node(state, request):
+        helper = dispatch.choose_helper(state, request)
+        if helper is None:
+            return []
+        request.keep_silent_attempt()
+        out = origin.forward(state, request, helper, now)
+    else:
+        server = dispatch.choose_server(state, request, now)
+        if server is None or server.host in request.tried:
+            return []
+        request.keep_silent_attempt()
+        out = dispatch.start_attempt(state, request, server, now)
+    state.budgets.try_spend(route)
+    return [effects.Count(effects.Counter.RETRIES, fault.kind.value), *out]
+
+
+def _find_fault(
+    request: requests.Request, event: AttemptEvent
+) -> calls.Fault | None:
+    """Return why an attempt cannot go on, none where it can."""
+    match event:
+        case events.AttemptFailed():
+            return event.fault
+        case events.AnswerReceived():
+            status = event.answer.status
+            if status < 500 and not request.streaming:
+                return None
+            return calls.Fault(
+                calls.FaultKind.ERROR,
+                calls.RunStatus.UNKNOWN,
+                f'status {status}',
+            )
+        case events.StreamEventsReceived():
+            return requests.check_event_order(request, event)
+        case events.RelayEnded():
+            return requests.check_stream_end(request, event)
+    return None
+
+
+def _end_failed(
+    state: states.State,
+    request: requests.Request,
+    event: AttemptEvent,
+    fault: calls.Fault,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """End the current attempt, which failed; the kept one goes on."""
+    out: list[effects.Effect] = []
+    if isinstance(event, events.StreamEventsReceived):
+        out.append(effects.CancelAttempt(request.handle, request.attempt))
+    out += relays.record_server_fault(state, request, fault, now)
+    if fault.ran is calls.RunStatus.NOT_RUN:
+        if request.host in request.tried:
+            # It may have room later.
+            request.tried.remove(request.host)
+        doublings = min(MAX_SWITCH_BACKOFF_DOUBLINGS, request.refused_attempts)
+        request.due_at = now.mono + (SWITCH_BACKOFF_MS << doublings)
+        request.refused_attempts += 1
+    requests.count_possible_run(request, fault)
+    requests.detach_from_server(state, request)
+    request.use_silent_attempt()
+    return out
+
+
+def _stop_newer(
+    state: states.State, request: requests.Request
+) -> list[effects.Effect]:
+    """Cancel the newer attempt, as the silent one has sent data.
+
+    The silent one is the current one, and the newer one is kept.
+    """
+    request.swap_attempts()
+    cancel = effects.CancelAttempt(request.handle, request.attempt)
+    requests.detach_from_server(state, request)
+    request.use_silent_attempt()
+    # Its delay says nothing of how fast prompts are read.
+    request.is_only_prefill = False
+    request.possible_runs += 1
+    request.may_have_run = True
+    return [cancel]
+
+
+def _stop_silent(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Cancel the silent attempt, as the newer one goes on."""
+    request.swap_attempts()
+    silence_ms = now.mono - request.progressed_at
+    fault = calls.Fault(
+        calls.FaultKind.SILENT,
+        calls.RunStatus.UNKNOWN,
+        f'no data within {silence_ms} ms',
+    )
+    out: list[effects.Effect] = [
+        effects.CancelAttempt(request.handle, request.attempt),
+        *relays.record_server_fault(state, request, fault, now),
+    ]
+    requests.count_possible_run(request, fault)
+    requests.detach_from_server(state, request)
+    request.use_silent_attempt()
+    return out
--- a/src/teaselbridge/runtime/relaying.py
+++ b/src/teaselbridge/runtime/relaying.py
@@ -39,7 +39,8 @@
             keep_alive_ms=keep_alive_ms,
             on_open=meter.count_connection,
         )
-        self._attempts_by_handle: dict[int, runners.Attempt] = {}
+        # By the handle of the request and the number of the attempt.
+        self._attempts: dict[tuple[int, int], runners.Attempt] = {}
         loop.handle(effects.RelayAttempt, self._start_attempt)
         loop.handle(effects.CancelAttempt, self._cancel_attempt)
         loop.handle(effects.DropConnections, self._drop_connections)
@@ -47,22 +48,24 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for attempt in list(self._attempts_by_handle.values()):
+        for attempt in list(self._attempts.values()):
             attempt.cancel()
-        self._attempts_by_handle.clear()
+        self._attempts.clear()
         await self._pool.close()
 
     def _start_attempt(self, effect: effects.RelayAttempt) -> None:
-        attempt = runners.Attempt(effect, self._loop.post, self._remove_ended)
-        self._attempts_by_handle[attempt.handle] = attempt
-        attempt.start(self._pool)
+        key = (effect.call.handle, effect.attempt)
+
+        def remove_ended(_: runners.Attempt) -> None:
+            self._attempts.pop(key, None)
 
-    def _remove_ended(self, attempt: runners.Attempt) -> None:
-        if self._attempts_by_handle.get(attempt.handle) is attempt:
-            del self._attempts_by_handle[attempt.handle]
+        attempt = runners.Attempt(effect, self._loop.post, remove_ended)
+        self._attempts[key] = attempt
+        attempt.start(self._pool)
 
     def _cancel_attempt(self, effect: effects.CancelAttempt) -> None:
-        attempt = self._attempts_by_handle.pop(effect.handle, None)
+        key = (effect.handle, effect.attempt)
+        attempt = self._attempts.pop(key, None)
         if attempt is not None:
             attempt.cancel()
 
