Deliver the last answer of a connection that closes

What callers saw: an answer that breaks off with a reset, although it was written whole, where more bytes came on a connection that closes after it: a next request, or the rest of a refused body. While a node stops, all its connections close after their answers.

Cause: uvicorn closes both directions at once. The kernel resets a connection that is closed with unread bytes, or to which bytes come later, and discards what it has not sent. A slow caller loses the end of its answer.

Change: after an answer only the direction to the caller is closed; the connection follows when the caller has closed its side, or after 1 s with nothing left to write (RFC 9112, 9.6). What comes until then is for nobody. An idle connection is closed at once as before: a request that crosses this close stays unread, and its caller may send it again.

Without further bytes the answer was whole before, also at a stop: the wait for open connections includes what is still to be written.

--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -13,6 +13,7 @@
 
 from teaselbridge import clock
 from teaselbridge.gateway import asgi
+from teaselbridge.runtime import lingering
 
 # Bounds the request line, the headers and what frames chunks of the body.
 MAX_HEAD_BYTES = 64 << 10
@@ -50,6 +51,7 @@
     # Longest time in which a request must be received.
     request_ms = 30_000
 
+    _lingering: lingering.LingeringTransport
     _timer: asyncio.TimerHandle | None = None
     _target = b''
     _has_head = False
@@ -63,13 +65,16 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer of the first request."""
-        super().connection_made(typing.cast(asyncio.Transport, transport))
+        self._lingering = lingering.LingeringTransport(
+            typing.cast(asyncio.Transport, transport)
+        )
+        super().connection_made(self._lingering)
         self._start_timer()
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes; stop the timer after a whole request."""
         self._unset_keepalive_if_required()
-        if self._is_stopped:
+        if self._is_stopped or self.transport.is_closing():
             return
         self._overhead_bytes += len(data)
         try:
@@ -110,10 +115,29 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timer."""
         self._cancel_timer()
+        self._lingering.connection_lost()
         super().connection_lost(exc)
         if isinstance(self.server_state, ServerState):
             self.server_state.lost.set()
 
+    def shutdown(self) -> None:
+        """Close the connection after its answers, or at once if it is idle.
+
+        A request that an idle caller sends at the same time stays unread, so
+        that its caller may send it again.
+        """
+        if self.transport.is_closing():
+            return
+        if self.cycle is None or self.cycle.response_complete:
+            self._lingering.close_at_once()
+        else:
+            self.cycle.keep_alive = False
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection."""
+        if not self.transport.is_closing():
+            self._lingering.close_at_once()
+
     def on_message_begin(self) -> None:
         """Begin a request."""
         if self._is_stopped:
--- a/tests/runtime/test_web.py
+++ b/tests/runtime/test_web.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import socket
 import time
 import typing
 
@@ -51,6 +52,47 @@
         await asgi.send_response(send, 200, [], b'<%s>' % body)
 
 
+class LargeApplication:
+    """Application whose answers are larger than the buffers on their way.
+
+    :ivar answered: set when an answer was written.
+    :ivar count: number of requests.
+    """
+
+    BODY = b'x' * (8 << 20)
+
+    def __init__(self) -> None:
+        self.answered = asyncio.Event()
+        self.count = 0
+
+    async def __call__(
+        self, scope: asgi.Message, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Answer a request and close its connection."""
+        self.count += 1
+        headers = [(b'connection', b'close')]
+        await asgi.send_response(send, 200, headers, self.BODY)
+        self.answered.set()
+
+
+@contextlib.asynccontextmanager
+async def serve_application(
+    app: Application | LargeApplication,
+) -> collections.abc.AsyncIterator[tuple[web.HttpListener, tuple[str, int]]]:
+    """Run an application; return its listener with its address."""
+    port = ports.find_free_port()
+    server = web.HttpListener(
+        app=typing.cast('typing.Any', app),
+        address=f'127.0.0.1:{port}',
+        graceful_s=1,
+    )
+    await server.start()
+    try:
+        yield server, ('127.0.0.1', port)
+    finally:
+        await server.abort()
+
+
 @contextlib.asynccontextmanager
 async def serve(
     request_ms: int = 30_000,
@@ -162,6 +204,80 @@
         self.run_coroutine(run())
 
 
+class TestClose(TestCase):
+    """A connection that the server closes delivers its last answer.
+
+    The kernel resets a connection that is closed with unread bytes, which
+    discards what was not sent yet.
+    """
+
+    async def _fetch(
+        self, app: LargeApplication, later: bytes, stop_s: float = 0
+    ) -> bytes:
+        """Return what a caller gets that reads late.
+
+        :param later: bytes that it sends while it waits for its answer.
+        :param stop_s: how long open responses may take at a stop of the
+            server that comes before it reads; 0 for no stop.
+        """
+        stops: list[asyncio.Future[None]] = []
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            async with serve_application(app) as (server, address):
+                await loop.sock_connect(caller, address)
+                await loop.sock_sendall(caller, GET)
+                await app.answered.wait()
+                await loop.sock_sendall(caller, later)
+                if stop_s:
+                    stops.append(asyncio.ensure_future(server.stop(stop_s)))
+                await asyncio.sleep(0.3)
+                received = b''
+                with contextlib.suppress(ConnectionError):
+                    while data := await loop.sock_recv(caller, 1 << 16):
+                        received += data
+                await asyncio.gather(*stops)
+                return received
+
+    # Guards against answers whose end is lost with a reset.
+    def test_unread_bytes_do_not_reset_the_answer(self) -> None:
+        async def run() -> None:
+            for later in (b'', GET, b'x' * 100_000):
+                app = LargeApplication()
+                received = await self._fetch(app, later)
+                _, _, body = received.partition(b'\r\n\r\n')
+                self.assertEqual(len(LargeApplication.BODY), len(body))
+                self.assertEqual(1, app.count)
+
+        self.run_coroutine(run())
+
+    def test_answer_is_written_before_the_end(self) -> None:
+        async def run() -> None:
+            for later in (b'', GET):
+                app = LargeApplication()
+                received = await self._fetch(app, later, stop_s=5)
+                _, _, body = received.partition(b'\r\n\r\n')
+                self.assertEqual(len(LargeApplication.BODY), len(body))
+
+        self.run_coroutine(run())
+
+    def test_connection_ends_if_its_caller_keeps_it_open(self) -> None:
+        async def run() -> None:
+            app = Application()
+            async with serve_application(app) as (server, address):
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(b'GET / HTTP/1.0\r\n\r\n')
+                self.assertIn(b'<>', await reader.read())
+                with self.assertRaises(ConnectionError):
+                    while True:
+                        writer.write(b'x')
+                        await writer.drain()
+                        await asyncio.sleep(0.05)
+
+        self.run_coroutine(run())
+
+
 class TestFraming(TestCase):
     """A request whose end others may read differently is refused."""
 
