Answer the requests behind one that closes its connection

What callers saw: of requests sent in a row on one connection to a stopping node, only the first was answered; the others were read, and the connection ended.

Cause: each answer of a stopping node says `Connection: close`, and the web server closes the connection after it, whatever waits behind it.

Change: while requests of a connection wait, an answer leaves it open; each gets its own answer in turn, which may be a refusal, and the last one closes the connection. What comes after an answer has said that it closes is not served, as RFC 9112, 9.6 wants it.

Evidence: of three requests in a row one was answered before, three now.

--- a/src/teaselbridge/gateway/asgi.py
+++ b/src/teaselbridge/gateway/asgi.py
@@ -18,6 +18,9 @@
 WRITE_EXTENSION = 'teaselbridge.write'
 # Extension of the scope whose ``target`` is that of the request line.
 TARGET_EXTENSION = 'teaselbridge.target'
+# Extension of the scope whose ``is_followed`` tells whether another request of
+# the connection waits for the answer to this one.
+FOLLOWED_EXTENSION = 'teaselbridge.followed'
 
 
 def get_target(scope: Message) -> bytes:
@@ -37,6 +40,12 @@
     return write
 
 
+def is_followed(scope: Message) -> bool:
+    """Return what the function of `FOLLOWED_EXTENSION` tells."""
+    extension = scope.get('extensions', {}).get(FOLLOWED_EXTENSION, {})
+    return 'is_followed' in extension and bool(extension['is_followed']())
+
+
 async def send_start(send: Send, status: int, headers: Headers) -> None:
     """Send the status and the headers of a response."""
     await send(
--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -65,14 +65,20 @@
         except ingress.RefusedError as error:
             attempt = names.first(scope['headers'], names.ATTEMPT_ID)
             self._record_refusal(attempt, error.refusal)
-            await self._send_refusal(send, error.refusal, attempt, close=True)
+            must_close = error.refusal.reason is calls.Reason.BAD_REQUEST
+            await self._send_refusal(
+                send,
+                error.refusal,
+                attempt,
+                close=must_close or self._is_last(scope),
+            )
             return
         queue = self._outlets.submit_call(call)
         disconnection = asyncio.ensure_future(
             _wait_for_disconnect(receive, queue)
         )
         try:
-            await self._send_output(call, queue, send, asgi.get_write(scope))
+            await self._send_output(call, queue, scope, send)
         finally:
             disconnection.cancel()
             self._outlets.close(call.handle)
@@ -124,14 +130,11 @@
         self,
         call: calls.Call,
         queue: outlets_module.OutputQueue,
+        scope: asgi.Message,
         send: asgi.Send,
-        write: asgi.Write | None,
     ) -> None:
-        """Send the output of a request until it ends.
-
-        :param write: function that stream events are written by while
-            nothing else is left to send, none to send all by ``send``.
-        """
+        """Send the output of a request until it ends."""
+        write = asgi.get_write(scope)
         pending: collections.deque[typing.Any] = collections.deque()
         is_started = False
         while True:
@@ -144,7 +147,8 @@
             output = pending.popleft()
             match output:
                 case effects.SendHead():
-                    await self._send_head(send, output.head)
+                    headers = self._encode_headers(output.head.headers, scope)
+                    await asgi.send_start(send, output.head.status, headers)
                     is_started = True
                 case effects.SendEvents():
                     data = output.data
@@ -165,49 +169,45 @@
                     # Broken off: it would look like a part of the stream.
                     return
                 case effects.SendAnswer():
-                    await self._send_answer(send, output.answer)
+                    answer = output.answer
+                    headers = self._encode_headers(answer.headers, scope)
+                    await asgi.send_response(
+                        send, answer.status, headers, answer.body
+                    )
                     return
                 case effects.SendRefusal():
-                    await self._send_refusal(send, output.refusal, call.key.id)
+                    await self._send_refusal(
+                        send,
+                        output.refusal,
+                        call.key.id,
+                        close=self._is_last(scope),
+                    )
                     return
                 case _:
                     return
 
-    async def _send_head(self, send: asgi.Send, head: calls.Head) -> None:
-        await asgi.send_start(
-            send, head.status, self._encode_headers(head.headers)
-        )
-
-    async def _send_answer(
-        self, send: asgi.Send, answer: calls.Answer
-    ) -> None:
-        headers = self._encode_headers(answer.headers)
-        await asgi.send_response(send, answer.status, headers, answer.body)
-
     async def _send_refusal(
         self,
         send: asgi.Send,
         refusal: calls.Refusal,
         request: str,
         *,
-        close: bool = False,
+        close: bool,
     ) -> None:
         body = ingress.encode_refusal_body(refusal)
         headers = ingress.build_refusal_headers(
             refusal, request, is_forwarded=self._is_forwarded
         )
-        if self._loop.state.drain is not None or (
-            close and refusal.reason is calls.Reason.BAD_REQUEST
-        ):
+        if close:
             headers.append(CLOSE_HEADER)
         await asgi.send_response(
             send, ingress.get_refusal_status(refusal), headers, body
         )
 
     def _encode_headers(
-        self, headers: tuple[calls.Header, ...]
+        self, headers: tuple[calls.Header, ...], scope: asgi.Message
     ) -> names.Headers:
-        """Encode response headers, and close the connection while draining."""
+        """Encode response headers, and close the connection after the last."""
         out = [
             (
                 header.name.lower().encode('latin-1'),
@@ -215,10 +215,19 @@
             )
             for header in headers
         ]
-        if self._loop.state.drain is not None:
+        if self._is_last(scope):
             out.append(CLOSE_HEADER)
         return out
 
+    def _is_last(self, scope: asgi.Message) -> bool:
+        """Return whether a connection is closed after an answer.
+
+        While the node stops, that is the answer to the last request that was
+        read: those before it would be closed over the others.
+        """
+        draining = self._loop.state.drain is not None
+        return draining and not asgi.is_followed(scope)
+
     def _record_refusal(self, request: str, refusal: calls.Refusal) -> None:
         """Record the refusal in the timeline."""
         state = self._loop.state
--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -175,6 +175,7 @@
             asgi.WRITE_EXTENSION: {
                 'write': functools.partial(_write_chunk, self.cycle)
             },
+            asgi.FOLLOWED_EXTENSION: {'is_followed': self._is_followed},
         }
 
     def on_body(self, body: bytes) -> None:
@@ -191,6 +192,10 @@
         if self._is_last_request:
             self._stop()
 
+    def _is_followed(self) -> bool:
+        """Return whether requests wait for the one that is served now."""
+        return bool(self.pipeline)
+
     def _offers_protocol(self) -> bool:
         """Return whether the library ends the request after its head.
 
--- a/tests/runtime/test_site.py
+++ b/tests/runtime/test_site.py
@@ -111,6 +111,30 @@
 
         self.run_coroutine(run())
 
+    # Guards against requests that are read and never answered, as the answer
+    # before them closes their connection.
+    def test_pipelined_requests_are_answered(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment() as trial:
+                for server in trial.list_servers('shop'):
+                    server.work_ms = 300.0
+                (node,) = trial.nodes
+                node.drain()
+                host, _, port = site.callers(node).rpartition(':')
+                reader, writer = await asyncio.open_connection(host, int(port))
+                for path in ('/orders/1', '/stock/1', '/orders/2'):
+                    headers = site.build_request_headers(site.WORKSPACE_KEY)
+                    lines = [f'POST {path} HTTP/1.1', 'Content-Length: 0']
+                    lines += [f'{key}: {headers[key]}' for key in headers]
+                    writer.write('\r\n'.join([*lines, '', '']).encode())
+                answers = await reader.read()
+                writer.close()
+                self.assertEqual(3, answers.count(b'HTTP/1.1 200 '))
+                self.assertEqual(3, answers.count(b' ran attempt-'))
+                self.assertEqual(1, answers.count(b'connection: close'))
+
+        self.run_coroutine(run())
+
     # Guards against a caller that cannot tell whether its order was run.
     def test_order_at_the_end_of_the_grace_period_is_answered(self) -> None:
         async def run() -> None:
