Wait at a stop for requests that have come in part

What callers saw: a connection closed without an answer, while the head of their next request was on its way to a stopping node. With a part of it read, they cannot tell whether it was.

Cause: the web server takes a connection for idle until it has a whole head.

Change: such a request is the last one of its connection, and is answered; the wait for it ends with that for open answers.

Evidence: after 1 byte, in the head, and in the body of a request the listener stops; the first two ended without an answer before, all get one now.

--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -58,6 +58,8 @@
     # Head of a request that offers another protocol, to be parsed again.
     _repeated_head = b''
     _is_last_request = False
+    # Whether a request has come in part.
+    _is_in_request = False
     # Whether nothing further is read as a request.
     _is_stopped = False
     _header_bytes = 0
@@ -123,12 +125,15 @@
     def shutdown(self) -> None:
         """Close the connection after its answers, or at once if it is idle.
 
-        A request that an idle caller sends at the same time stays unread, so
-        that its caller may send it again.
+        A request that has come in part is the last one. One that an idle
+        caller sends at the same time stays unread, so that its caller may send
+        it again.
         """
         if self.transport.is_closing():
             return
-        if self.cycle is None or self.cycle.response_complete:
+        if self._is_in_request:
+            self._is_last_request = True
+        elif self.cycle is None or self.cycle.response_complete:
             self._lingering.close_at_once()
         else:
             self.cycle.keep_alive = False
@@ -143,6 +148,7 @@
         if self._is_stopped:
             raise _RefusedError('after the last request')
         super().on_message_begin()
+        self._is_in_request = True
         self._has_head = False
         self._header_bytes = 0
 
@@ -188,6 +194,7 @@
         self._overhead_bytes = 0
         if self._repeated_head:
             return
+        self._is_in_request = False
         super().on_message_complete()
         if self._is_last_request:
             self._stop()
--- a/tests/runtime/test_web.py
+++ b/tests/runtime/test_web.py
@@ -204,6 +204,34 @@
         self.run_coroutine(run())
 
 
+class TestPartialRequests(TestCase):
+    """A request that has begun to arrive is answered before a stop."""
+
+    # Guards against a stop that cuts off requests that are on their way.
+    def test_rest_comes_after_the_stop(self) -> None:
+        async def run() -> None:
+            request = POST + b'Content-Length: 2\r\n\r\nab'
+            for size in (1, 20, len(POST) - 2, len(request) - 1):
+                app = Application()
+                async with serve_application(app) as (server, address):
+                    reader, writer = await asyncio.open_connection(*address)
+                    # Also a connection that was used before.
+                    writer.write(GET)
+                    await reader.readuntil(b'<>')
+                    writer.write(request[:size])
+                    await asyncio.sleep(0.05)
+                    stop = asyncio.ensure_future(server.stop(5))
+                    await asyncio.sleep(0.05)
+                    writer.write(request[size:])
+                    answer = await reader.read()
+                    self.assertIn(b'<ab>', answer)
+                    self.assertIn(b'connection: close', answer)
+                    writer.close()
+                    await stop
+
+        self.run_coroutine(run())
+
+
 class TestClose(TestCase):
     """A connection that the server closes delivers its last answer.
 
