--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -14,6 +14,7 @@
 from teaselbridge import clock
 from teaselbridge.gateway import asgi
 from teaselbridge.runtime import lingering
+from teaselbridge.runtime import unframed
 
 # Bounds the request line, the headers and what frames chunks of the body.
 MAX_HEAD_BYTES = 64 << 10
@@ -172,6 +173,9 @@
         # The target is passed on as it is, whatever its form.
         self.url = b'/'
         super().on_headers_complete()
+        if self.scope['http_version'] == '1.0':
+            cycle: typing.Any = self.cycle
+            cycle.send = unframed.Sender(cycle).send
         path, _, query = target.partition(b'?')
         self.scope['raw_path'] = path
         self.scope['path'] = urllib.parse.unquote(path.decode('ascii'))
