--- a/tests/failures/test_site_broken_answers.py
+++ b/tests/failures/test_site_broken_answers.py
@@ -187,20 +187,35 @@
 
 async def call(trial: site.Trial, path: str, attempt: str) -> Received:
     """Send a request and return what a strict caller receives."""
+    received, _ = await exchange(trial, path, attempt, '1.1')
+    return parse(received)
+
+
+async def exchange(
+    trial: site.Trial, path: str, attempt: str, version: str
+) -> tuple[bytes, bool]:
+    """Send a request.
+
+    :return: what is received until the connection ends, and whether it is
+        reset.
+    """
     host, port = site.callers(trial.nodes[0]).split(':')
     reader, writer = await asyncio.open_connection(host, int(port))
     headers = site.build_request_headers(
         site.WORKSPACE_KEY, Teaselbridge_Attempt_Id=attempt
     )
-    lines = [f'POST {path} HTTP/1.1', 'Content-Length: 0', 'Connection: close']
+    lines = [f'POST {path} HTTP/{version}', 'Content-Length: 0']
+    lines += ['Connection: close']
     lines += [f'{name}: {value}' for name, value in headers.items()]
     writer.write('\r\n'.join((*lines, '', '')).encode())
     received = b''
+    is_reset = True
     with contextlib.suppress(ConnectionError):
         while data := await reader.read(65_536):
             received += data
+        is_reset = False
     writer.close()
-    return parse(received)
+    return received, is_reset
 
 
 def parse(received: bytes) -> Received:
@@ -371,3 +386,53 @@
 
     def test_helpers(self) -> None:
         self._check_all(is_helper=True)
+
+
+class TestOldCallers(base.TestCase):
+    """Callers that speak HTTP/1.0 can tell whole streams from broken ones."""
+
+    # Guards against chunks for callers that know none, and against a broken
+    # stream that looks complete as its connection was closed.
+    def test_streams(self) -> None:
+        async def run() -> None:
+            async with (
+                site.run_deployment() as trial,
+                run_server(trial, is_helper=False) as server,
+            ):
+                resets = 0
+                for number, framing in itertools.product(
+                    range(len(STREAMS)), broken.Framing
+                ):
+                    attempt = f'{framing.value[:3]}-{number}'
+                    answer = broken.build_answer(
+                        200,
+                        framing,
+                        request=attempt,
+                        kind='text/event-stream',
+                        content=STREAMS[number],
+                    )
+                    for cut in (0, 1):
+                        plan = Plan(
+                            answer,
+                            len(answer.data) - cut,
+                            broken.Ending.CLOSED,
+                        )
+                        server.plans[attempt] = plan
+                        found, is_reset = await exchange(
+                            trial, '/stream/once/1', attempt, '1.0'
+                        )
+                        head, _, body = found.partition(b'\r\n\r\n')
+                        where = f'{plan.name}: {found!r}, {is_reset=}'
+                        self.assertNotIn(b'chunked', head, where)
+                        if plan.is_whole:
+                            self.assertFalse(is_reset, where)
+                            self.assertEqual(answer.content, body, where)
+                        elif is_reset:
+                            # The reset may discard what was sent before.
+                            self.assertIn(body, (b'', *STREAMS), where)
+                            resets += 1
+                        else:
+                            self.assertIn(b'HTTP/1.1 502 ', head, where)
+                self.assertGreater(resets, 0)
+
+        self.run_coroutine(run())
