Pass on an answer without a body to a stream as a whole

Callers of a streaming route saw a 204 of their server as it was, but a resumable request then ran at a second server as well, whose events have no place after a 204. Both servers had a fault counted against them. The same for HEAD requests on such routes.

Cause: the 204 has no length, and no type or that of events, so that it was read as a stream without a stated end, and one that ends without an event is cut (check_stream_end). That it can have no body was known to the connection only.

Evidence: test_stream_is_answered_204 fails before (two runs of a resumable request), and test_answers_without_a_body (204, and 200 to a HEAD request).

Change: an answer that has no body by its status or method is no stream. It is delivered as a whole answer; once a stream has begun it is a failed attempt, as any answer is.

--- a/src/teaselbridge/platform/connections.py
+++ b/src/teaselbridge/platform/connections.py
@@ -67,6 +67,11 @@
         """Whether the status says that the request succeeded."""
         return FIRST_FINAL_STATUS <= self.status < 300
 
+    @property
+    def has_body(self) -> bool:
+        """Whether a body may follow, unless the request was a ``HEAD``."""
+        return self.status not in BODILESS_STATUSES
+
     @property
     def is_framed(self) -> bool:
         """Whether the answer states its end.
@@ -470,7 +475,7 @@
             return
         _check_transfer_encoding(head)
         self._head = head
-        if self._is_bodiless or status in BODILESS_STATUSES:
+        if self._is_bodiless or not head.has_body:
             self._is_complete = True
             if head.is_framed:
                 # The parser would wait for the body that was stated.
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -139,7 +139,13 @@
             or head.status == MISDIRECTED_STATUS
         ):
             self._use = _Use.IGNORED
-        elif call.stream and head.is_success and _may_hold_events(head):
+        elif (
+            call.stream
+            and call.method != 'HEAD'
+            and head.is_success
+            and head.has_body
+            and _may_hold_events(head)
+        ):
             self._use = _Use.STREAM
 
     def handle_data(self, data: bytes) -> None:
--- a/tests/failures/test_site_broken_answers.py
+++ b/tests/failures/test_site_broken_answers.py
@@ -91,12 +91,13 @@
     """Server that answers each request as planned for its attempt id.
 
     :ivar plans: plans by attempt id.
+    :ivar served: attempt ids of the requests.
     :ivar kept_count: requests on connections that had served one before.
     """
 
     def __init__(self) -> None:
         self.plans: dict[str, Plan] = {}
-        self.served: set[str] = set()
+        self.served: list[str] = []
         self.kept_count = 0
         self.address = ''
 
@@ -114,7 +115,7 @@
                 attempt = found.decode()
                 self.kept_count += is_kept
                 plan = self.plans[attempt]
-                self.served.add(attempt)
+                self.served.append(attempt)
                 writer.write(plan.answer.data[: plan.count])
                 await writer.drain()
                 if plan.ending is broken.Ending.RESET:
@@ -388,6 +389,38 @@
         self._check_all(is_helper=True)
 
 
+class TestAnswersWithoutABody(base.TestCase):
+    """Statuses that have no body are whole after their head."""
+
+    # Guards against a stream that is run again, as its 204 looks cut.
+    def test_stream_is_answered_204(self) -> None:
+        async def run() -> None:
+            async with (
+                site.run_deployment() as trial,
+                run_server(trial, is_helper=False) as server,
+            ):
+                for path in ('/stream/1', '/stream/once/1'):
+                    answer = broken.build_answer(
+                        204,
+                        broken.Framing.NONE,
+                        request=path,
+                        kind='text/event-stream',
+                        content=b'',
+                    )
+                    server.plans[path] = Plan(
+                        answer, len(answer.data), broken.Ending.CLOSED
+                    )
+                    received = await call(trial, path, path)
+                    self.assertEqual(204, received.status)
+                    self.assertTrue(received.has_stamp)
+                    self.assertTrue(received.is_complete)
+                    self.assertEqual(1, server.served.count(path))
+                for known in trial.nodes[0].loop.state.servers.all:
+                    self.assertEqual(0, known.faults)
+
+        self.run_coroutine(run())
+
+
 class TestOldCallers(base.TestCase):
     """Callers that speak HTTP/1.0 can tell whole streams from broken ones."""
 
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -502,6 +502,23 @@
         assert isinstance(ended, events.RelayEnded)
         self.assertTrue(ended.is_framed)
 
+    # Guards against a sound answer that counts as a stream that was cut.
+    def test_answers_without_a_body(self) -> None:
+        head = b'HTTP/1.1 %d Any\r\nTeaselbridge-Attempt-Id: '
+        head += ID[1].encode() + b'\r\n\r\n'
+        for method, status in (('POST', 204), ('HEAD', 200)):
+            call = dataclasses.replace(self.EFFECT.call, method=method)
+            (event,) = [
+                event
+                for event in relay(
+                    msgspec.structs.replace(self.EFFECT, call=call),
+                    head % status,
+                )
+                if not isinstance(event, TERMS)
+            ]
+            assert isinstance(event, events.AnswerReceived), event
+            self.assertEqual(status, event.answer.status)
+
     # Guards against a broken-off stream that looks complete.
     def test_end_inside_an_event(self) -> None:
         *_, failed = self._relay(self.UNFRAMED, b'data: a\n\ndata: b')
