--- a/src/teaselbridge/runtime/lingering.py
+++ b/src/teaselbridge/runtime/lingering.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 import typing
 
 from teaselbridge import clock
@@ -28,6 +30,7 @@
         super().__init__()
         self._transport = transport
         self._is_ended = False
+        self._is_unframed = False
         self._timer: asyncio.TimerHandle | None = None
         # Each event of a stream is written, so that this is no method.
         self.write = transport.write  # type: ignore[method-assign]
@@ -38,6 +41,22 @@
         """Return what is known of the connection."""
         return self._transport.get_extra_info(name, default)
 
+    def set_unframed(self, enabled: bool) -> None:
+        """Set whether `close` would read as the end of the answer.
+
+        The connection is then reset instead, by any close of it.
+        """
+        if self.is_closing():
+            return
+        self._is_unframed = enabled
+        if enabled:
+            self._transport.set_write_buffer_limits(0)
+        self._transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            struct.pack('ii', int(enabled), 0),
+        )
+
     def pause_reading(self) -> None:
         """Stop to read."""
         self._transport.pause_reading()
@@ -58,6 +77,9 @@
         """End the direction to the peer when all was written."""
         if self.is_closing():
             return
+        if self._is_unframed:
+            self.close_at_once()
+            return
         self._is_ended = True
         if not self._transport.can_write_eof():
             self._transport.close()
--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -175,7 +175,7 @@
         super().on_headers_complete()
         if self.scope['http_version'] == '1.0':
             cycle: typing.Any = self.cycle
-            cycle.send = unframed.Sender(cycle).send
+            cycle.send = unframed.Sender(cycle, self._lingering).send
         path, _, query = target.partition(b'?')
         self.scope['raw_path'] = path
         self.scope['path'] = urllib.parse.unquote(path.decode('ascii'))
--- a/src/teaselbridge/runtime/unframed.py
+++ b/src/teaselbridge/runtime/unframed.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-import socket
-import struct
 import typing
 
 if typing.TYPE_CHECKING:
     from uvicorn.protocols.http import httptools_impl
 
     from teaselbridge.gateway import asgi
+    from teaselbridge.runtime import lingering
 
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -25,10 +24,16 @@
     for any reason: otherwise what was sent would look complete.
 
     :param cycle: request of an HTTP/1.0 caller.
+    :param transport: transport of its connection.
     """
 
-    def __init__(self, cycle: httptools_impl.RequestResponseCycle) -> None:
+    def __init__(
+        self,
+        cycle: httptools_impl.RequestResponseCycle,
+        transport: lingering.LingeringTransport,
+    ) -> None:
         self._cycle = cycle
+        self._transport = transport
         self._send: asgi.Send = typing.cast('asgi.Send', cycle.send)
         self._is_unframed = False
 
@@ -40,8 +45,7 @@
             if self._is_unframed:
                 # Neither is the library to send chunks.
                 cycle.chunked_encoding = False
-                cycle.transport.set_write_buffer_limits(0)
-                self._set_reset(True)
+                self._transport.set_unframed(True)
         elif self._is_unframed:
             # The library compares each part with the length that is left.
             cycle.expected_content_length = len(message.get('body', b''))
@@ -50,7 +54,7 @@
                 message = {'type': message['type'], 'body': b''}
                 # Nothing is left that the end of the process could discard.
                 await cycle.flow.drain()
-                self._set_reset(False)
+                self._transport.set_unframed(False)
         await self._send(message)
 
     def _needs_end(self, message: asgi.Message) -> bool:
@@ -63,14 +67,3 @@
                 for name, _ in message['headers']
             )
         )
-
-    def _set_reset(self, enabled: bool) -> None:
-        """Set whether the connection is reset when it is closed."""
-        transport = self._cycle.transport
-        if transport.is_closing():
-            return
-        transport.get_extra_info('socket').setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_LINGER,
-            struct.pack('ii', int(enabled), 0),
-        )
