Read the sockets before servers are judged silent

A node that got no processor time for 0.6 s or more gave up sound servers: their events had come in time, but waited in its sockets. The next server then had to read the prompt again, and callers saw a pause, or the end of the stream where no server took its rest.

Cause: the clock that decided was that of the handling. The timer of the tick only wakes a task; where work of one turn of the event loop lasted long after that, the task ran at the start of the next turn, before the sockets polled in it were read, and with the time after the stall.

A tick now notes the time, lets the event loop poll and read the sockets, and is posted then with that time. A server that is really silent is found after the same time as before. The cost is two turns of the event loop per tick.

--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -19,7 +19,13 @@
 
 
 class Ticked(msgspec.Struct, frozen=True):
-    """Periodic tick, at which the reducer does all work that is due."""
+    """Periodic tick, at which the reducer does all work that is due.
+
+    :param heard_until: monotonic milliseconds; all that came before was
+        handled. None where that is the time of the tick.
+    """
+
+    heard_until: int | None = None
 
 
 class DelayElapsed(msgspec.Struct, frozen=True):
--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -193,9 +193,7 @@
     return out + relays.give_up(state, request, fault.detail)
 
 
-def find_silence(
-    state: states.State, request: requests.Request, now: clock.Instant
-) -> str:
+def find_silence(state: states.State, request: requests.Request) -> str:
     """Return why a helper may be lost, empty if it is not.
 
     One that still passes on events is not, whatever other nodes say of it.
@@ -203,7 +201,7 @@
     helper = state.membership.get_peer(request.helper)
     if helper is not None and helper.status is messages.Status.ALIVE:
         return ''
-    silence_ms = now.mono - request.progressed_at
+    silence_ms = state.heard_until - request.progressed_at
     if not request.first and silence_ms < silence.STREAM_GAP_TIMEOUT_MS:
         return ''
     return f'the helper is lost, no data within {silence_ms} ms'
--- a/src/teaselbridge/decisions/membership.py
+++ b/src/teaselbridge/decisions/membership.py
@@ -143,7 +143,7 @@
     membership = state.membership
     out: list[effects.Effect] = []
     for sequence, probe in list(membership.probes.items()):
-        elapsed = now.mono - probe.sent
+        elapsed = state.heard_until - probe.sent
         peer = membership.peers.get(probe.name)
         if peer is None or peer.last_heard_at > probe.sent:
             del membership.probes[sequence]
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -125,6 +125,9 @@
         ):
             return attempts.handle_relay_progress(state, event, now)
         case events.Ticked():
+            state.heard_until = now.mono
+            if event.heard_until is not None:
+                state.heard_until = event.heard_until
             return _tick(state, now)
         case events.DelayElapsed():
             return orders.apply_step(state, state.ledger.tick(now), now)
--- a/src/teaselbridge/decisions/silence.py
+++ b/src/teaselbridge/decisions/silence.py
@@ -51,10 +51,11 @@
     if request.phase is not requests.Phase.RUNNING:
         return 0
     _record_overdue_lag(state, request, now)
-    waited_ms = now.mono - request.progressed_at
+    # What came since may wait in the sockets of a node that stood still.
+    waited_ms = state.heard_until - request.progressed_at
     allowed_ms = _first_byte_timeout_ms(state, request)
     if not request.first:
-        allowed_ms = _stream_gap_timeout_ms(state, request, now)
+        allowed_ms = _stream_gap_timeout_ms(state, request)
     if waited_ms < allowed_ms or not _has_untried_server(state, request, now):
         return 0
     return waited_ms
@@ -121,7 +122,7 @@
     if server is None or not request.first:
         return
     expected_ms = _expected_at_pace(request, server, now)
-    late = now.mono - request.started_at - expected_ms
+    late = state.heard_until - request.started_at - expected_ms
     late = min(prefill.MAX_LAG_MS, late - LAG_TOLERANCE_MS)
     if late > server.get_lag_ms(now):
         server.lag_ms = late
@@ -143,7 +144,7 @@
 
 
 def _stream_gap_timeout_ms(
-    state: states.State, request: requests.Request, now: clock.Instant
+    state: states.State, request: requests.Request
 ) -> int:
     """Return the timeout between two events of a stream in milliseconds.
 
@@ -154,7 +155,7 @@
     server = state.servers.get(request.host)
     if (
         server is None
-        or now.mono - server.last_heard_at < STREAM_GAP_TIMEOUT_MS
+        or state.heard_until - server.last_heard_at < STREAM_GAP_TIMEOUT_MS
     ):
         return BUSY_STREAM_GAP_TIMEOUT_MS
     return STREAM_GAP_TIMEOUT_MS
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -86,6 +86,8 @@
     ``status_queries`` holds the handles of status queries that wait for the
     ledger. ``last_adopted_handle`` is the last handle given to a request that
     a peer handed over; these handles count down from -1.
+    ``heard_until`` is the moment, in monotonic milliseconds, before which all
+    that came from servers and peers was handled at the last tick.
     ``keyvalue_answered_at`` is when the key-value service last answered, in
     monotonic milliseconds.
 
@@ -139,6 +141,7 @@
         self.scaling = scaling.Scaling()
         self.rollouts = rollouts.Rollouts()
         self.configured = False
+        self.heard_until = 0
         self.keyvalue_answered_at = 0
         self.keyvalue_up = True
         self.drain: drain.Drain | None = None
--- a/src/teaselbridge/decisions/switching.py
+++ b/src/teaselbridge/decisions/switching.py
@@ -103,7 +103,7 @@
 ) -> str:
     """Return why the server of a request may be lost, empty if it is not."""
     if request.helper:
-        return origin.find_silence(state, request, now)
+        return origin.find_silence(state, request)
     silence_ms = silence.get_overdue_ms(state, request, now)
     return f'no data within {silence_ms} ms' if silence_ms else ''
 
--- a/src/teaselbridge/runtime/loop.py
+++ b/src/teaselbridge/runtime/loop.py
@@ -29,6 +29,8 @@
 ERROR_LOG_INTERVAL_MS = 1_000
 ERROR_FRAMES = 4
 MAX_ERROR_CHARS = 400
+# Turns of the event loop after which the sockets have been polled and read.
+POLLING_TURNS = 2
 # Metrics are fetched every few seconds.
 GAUGE_INTERVAL_MS = 1_000
 # A delay of the loop is forgotten after one to two of these.
@@ -173,7 +175,7 @@
         loop = asyncio.get_running_loop()
         next_gauges_at = 0
         while True:
-            self.post(events.Ticked())
+            await self._post_tick()
             now = self.now().mono
             if now >= next_gauges_at:
                 next_gauges_at = now + GAUGE_INTERVAL_MS
@@ -184,6 +186,18 @@
             )
             await self._tick_waiter
 
+    async def _post_tick(self) -> None:
+        """Post a tick once all is handled that came before it.
+
+        After a stall this task may run before the sockets are polled. One
+        turn of the event loop ends what was polled before, the next one
+        handles what was polled since.
+        """
+        heard_until = self.now().mono
+        for _ in range(POLLING_TURNS):
+            await asyncio.sleep(0)
+        self.post(events.Ticked(heard_until))
+
     def _is_busy(self) -> bool:
         """Return whether work may be due at each of the shortest ticks."""
         state = self._state
--- a/tests/decisions/test_switching.py
+++ b/tests/decisions/test_switching.py
@@ -237,6 +237,41 @@
             self.check_goes_on(first)
 
 
+class TestStalls(SilenceTestCase):
+    """A server is not silent for what the node itself has not read."""
+
+    def _tick_late(self, heard_until: int) -> list[effects.Effect]:
+        self.now += SILENCE_MS
+        return self.post(events.Ticked(heard_until))
+
+    # Guards against sound servers that are given up by a node that stood
+    # still.
+    def test_stall_is_no_silence(self) -> None:
+        for begin in (self.arrive, self.begin):
+            begin()
+            found = get_attempts(self._tick_late(self.now + TICK_MS))
+            self.assertEqual([], found)
+            self.post(events.CallerDisconnected(HANDLE))
+
+    def test_silence_while_all_was_read(self) -> None:
+        self.begin()
+        found = get_attempts(self._tick_late(self.now + SILENCE_MS))
+        self.assertEqual(1, len(found))
+
+    # Guards against peers that are suspected by a node that stood still.
+    def test_stall_loses_no_peer(self) -> None:
+        me = self.state.membership.me
+        member = dataclasses.replace(me, name='x', peers='at-x')
+        peer = members.Peer(member)
+        self.state.membership.peers['x'] = peer
+        self.wait(10 * TICK_MS)
+        self.assertTrue(self.state.membership.probes)
+        self._tick_late(self.now)
+        self.assertIs(messages.Status.ALIVE, peer.member.status)
+        self._tick_late(self.now + SILENCE_MS)
+        self.assertIs(messages.Status.SUSPECT, peer.member.status)
+
+
 class TestTwoAttempts(SilenceTestCase):
     """Two servers work on one request until one of them goes on."""
 
--- a/tests/failures/test_site_broken_streams.py
+++ b/tests/failures/test_site_broken_streams.py
@@ -113,14 +113,25 @@
 ) -> collections.abc.AsyncIterator[None]:
     """Let some engines be the only ones of the pool."""
     servers = []
-    for number, engine in enumerate(engines):
+    for engine in engines:
         server = await asyncio.start_server(engine.handle, '127.0.0.1', 0)
         servers.append(server)
         host, port = server.sockets[0].getsockname()[:2]
         engine.address = f'{host}:{port}'
+    await register_engines(trial, *(engine.address for engine in engines))
+    try:
+        yield
+    finally:
+        for server in servers:
+            server.close()
+
+
+async def register_engines(trial: site.Trial, *addresses: str) -> None:
+    """Replace the engines of a deployment, and wait until all nodes know."""
+    for number, address in enumerate(addresses):
         entry = {
             'service': 'engines',
-            'address': engine.address,
+            'address': address,
             'zone': 'zone-a',
             'version': 'v1',
             'state': 'ready',
@@ -132,12 +143,11 @@
         )
     for known in trial.list_servers('engines'):
         await trial.store.remove(known.key)
-    wanted = {engine.address for engine in engines}
     for node in trial.nodes:
         state = node.loop.state
         await site.until(
             lambda state=state: (
-                wanted
+                set(addresses)
                 == {
                     item.row.address
                     for item in state.servers.all
@@ -145,11 +155,6 @@
                 }
             )
         )
-    try:
-        yield
-    finally:
-        for server in servers:
-            server.close()
 
 
 async def read_stream(trial: site.Trial, path: str) -> tuple[bytes, bytes]:
--- a/tests/runtime/test_loop.py
+++ b/tests/runtime/test_loop.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 import typing
+from unittest import mock
 
 import testtools
 
@@ -212,10 +214,75 @@
                 timeline=timeline.Timeline(node='n', most=100),
             )
             ticks = asyncio.ensure_future(loop.run_ticks())
-            await asyncio.sleep(0)
+            await asyncio.sleep(0.01)
             time.sleep(0.4)
             await asyncio.sleep(0.01)
             ticks.cancel()
             return loop.lag_ms
 
         self.assertGreater(asyncio.run(run()), 200)
+
+
+class _StallingClock(clock.Clock):
+    """Clock of a process that stands still before it reads the time.
+
+    :ivar stall: function that is called once instead of the stall.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.stall: typing.Callable[[], None] | None = None
+
+    def now(self) -> clock.Instant:
+        """Return the time after a stall."""
+        stall, self.stall = self.stall, None
+        if stall is not None:
+            stall()
+        return super().now()
+
+
+class TestStalls(testtools.TestCase):
+    """What came during a stall is handled before the next tick."""
+
+    # Guards against servers and peers that count as silent while what they
+    # sent waits in the sockets.
+    def test_sockets_are_read_before_a_tick(self) -> None:
+        order = asyncio.run(self._run())
+        self.assertEqual('read', order[0])
+
+    async def _run(self) -> list[str]:
+        """Return what happened after a stall in which a byte came."""
+        order: list[str] = []
+        sender, receiver = socket.socketpair()
+        stalling_clock = _StallingClock()
+        loop = loops.Loop(
+            state=samples.state(bounds.Bounds()),
+            clock=stalling_clock,
+            meter=metrics.Meter(),
+            timeline=timeline.Timeline(node='n', most=100),
+        )
+        with (
+            sender,
+            receiver,
+            mock.patch.object(
+                reducer,
+                'reduce',
+                lambda *_: order.append('tick') or [],
+            ),
+        ):
+
+            def read() -> None:
+                order.append('read')
+                receiver.recv(1)
+
+            asyncio.get_running_loop().add_reader(receiver, read)
+            ticks = asyncio.ensure_future(loop.run_ticks())
+            while not order:
+                await asyncio.sleep(0)
+            order.clear()
+            stalling_clock.stall = lambda: sender.send(b'x') and None
+            while len(order) < 2:
+                await asyncio.sleep(0.01)
+            ticks.cancel()
+            asyncio.get_running_loop().remove_reader(receiver)
+        return order
