Take a connection that opened during a stall for open

A node that stood still for longer than 0.3 s while it probed its links took them for cut, though all servers had accepted its connections. It announced so to the other nodes and forwarded the requests of its callers, until a later probe showed the opposite.

The end of the time limit and the opened connection were found in the same turn of the event loop; a task that is cancelled while its result waits ends without it, so that the probe failed.

The probe now waits on the connection without cancelling it, and for a short second time, in which the event loop polls the sockets, before it gives up.

--- a/src/teaselbridge/runtime/checks.py
+++ b/src/teaselbridge/runtime/checks.py
@@ -63,11 +63,18 @@
 async def _accepts_connections(address: str) -> bool:
     """Return whether a port accepts a connection and keeps it open."""
     host, _, port = address.rpartition(':')
+    opening = asyncio.ensure_future(asyncio.open_connection(host, int(port)))
     try:
-        async with asyncio.timeout(clock.seconds(PROBE_TIMEOUT_MS)):
-            reader, writer = await asyncio.open_connection(host, int(port))
+        await asyncio.wait({opening}, timeout=clock.seconds(PROBE_TIMEOUT_MS))
+        # The connection may be open, if only this process stood still.
+        await asyncio.wait({opening}, timeout=clock.seconds(PROBE_OPEN_MS))
+        if not opening.done():
+            return False
+        reader, writer = opening.result()
     except OSError:
         return False
+    finally:
+        opening.cancel()
     try:
         async with asyncio.timeout(clock.seconds(PROBE_OPEN_MS)):
             await reader.read(1)
