Tell of each end without a whole answer who ended it

A stream that the node broke off counted as "answered"; a caller that left and a response that the web server cut at the end of a shutdown left no line at all; the text of most refusals went to the caller only.

Change: decisions/ends has the causes and one function that builds the count and the line; requests.refuse, requests.break_off (for what relays wrote twice) and the close of a connection use it. A request keeps the latest attempt that the node cancelled itself, and why. The web server's cuts are told from callers that left by the cancelled task, also of answers that the reducer no longer holds. Ticks that are more than 250 ms late leave a node-late line, a histogram has the lag, and node-stopped names what was open. No decision changes. Streams that are broken off no longer count as answered and are no part of the latency of whole answers.

--- a/src/teaselbridge/decisions/arrival.py
+++ b/src/teaselbridge/decisions/arrival.py
@@ -41,10 +41,10 @@
         ),
     ]
     if drain.is_closed_to_new_requests(state, now) and not call.is_relayed:
-        return out + drain.redirect_or_refuse(state, request)
+        return out + drain.redirect_or_refuse(state, request, now)
     refusal = check_new_request(state, call, now)
     if refusal is not None:
-        return out + requests.refuse(state, request, refusal)
+        return out + requests.refuse(state, request, refusal, now)
     if request.has_all_tokens:
         return out + completions.finish_at_token_limit(state, request)
     out += _shed_if_full(state, request, now)
--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -229,7 +229,7 @@
     if fault.ran is calls.RunStatus.NOT_RUN and request.attempt == 1:
         request.in_doubt = False
     if request.is_at_most_once and fault.ran is not calls.RunStatus.NOT_RUN:
-        return out + _refuse_outcome_unknown(state, request, fault)
+        return out + _refuse_outcome_unknown(state, request, fault, now)
     if request.is_at_most_once:
         request.in_doubt = False
     if not _can_retry(state, request, fault, now):
@@ -333,13 +333,16 @@
 
 
 def _refuse_outcome_unknown(
-    state: states.State, request: requests.Request, fault: calls.Fault
+    state: states.State,
+    request: requests.Request,
+    fault: calls.Fault,
+    now: clock.Instant,
 ) -> list[effects.Effect]:
     detail = f'the server may have run the request: {fault.detail}'
     refusal = calls.Refusal(
         calls.Reason.OUTCOME_UNKNOWN, calls.RunStatus.UNKNOWN, detail
     )
-    return requests.refuse(state, request, refusal)
+    return requests.refuse(state, request, refusal, now)
 
 
 def _handle_deadline(
@@ -356,7 +359,7 @@
             calls.RunStatus.UNKNOWN,
             'a duplicate of the request is still running',
         )
-        return requests.refuse(state, request, refusal)
+        return requests.refuse(state, request, refusal, now)
     if request.is_at_most_once and request.phase is requests.Phase.RUNNING:
         return orders.handle_deadline(state, request, refusal, now)
     return orders.refuse_and_close(state, request, refusal, now)
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -7,6 +7,7 @@
 from teaselbridge.decisions import active
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import ends
 from teaselbridge.decisions.forwarding import origin
 from teaselbridge.decisions.limits import owners
 from teaselbridge.decisions.limits import room
@@ -132,7 +133,8 @@
         return origin.forward(state, request, helper, now)
     if request.streaming:
         return []
-    return relays.give_up(state, request, 'no node can send it to a server')
+    detail = 'no node can send it to a server'
+    return relays.give_up(state, request, ends.Cause.NODE, detail, now)
 
 
 def choose_helper(
@@ -159,7 +161,8 @@
         refusal = relay_checks.check_waiting_request(state, request, now)
         if refusal is None:
             return []
-        return requests.refuse(state, request, refusal)
+        cause = ends.Cause.NODE
+        return requests.refuse(state, request, refusal, now, cause)
     if _cannot_finish_in_time(state, request, now):
         return _refuse_too_late(state, request, now)
     return []
--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -15,6 +15,7 @@
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import completions
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import ends
 from teaselbridge.decisions import leases
 from teaselbridge.decisions import membership
 from teaselbridge.decisions import orders
@@ -107,7 +108,7 @@
 
 
 def redirect_or_refuse(
-    state: states.State, request: requests.Request
+    state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
     """Redirect a new request, of which nothing has run, to another node."""
     peer = _choose_peer(state, request)
@@ -118,7 +119,7 @@
             'this node is stopping and knows no other live node',
             requests.MIN_RETRY_AFTER_MS,
         )
-        return requests.refuse(state, request, refusal)
+        return requests.refuse(state, request, refusal, now)
     out = requests.remove_request(state, request)
     out.append(effects.Count(effects.Counter.MOVED, 'turned away'))
     out.append(effects.SendRedirect(request.caller_handle, peer.callers))
@@ -223,7 +224,14 @@
     for request in list(state.requests.values()):
         if request.call.is_relayed:
             refusal = _build_refusal(state, now)
-            out += relays.give_up(state, request, refusal.detail, refusal)
+            out += relays.give_up(
+                state,
+                request,
+                ends.Cause.STOPPING,
+                refusal.detail,
+                now,
+                refusal,
+            )
     return out
 
 
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -534,6 +534,7 @@
     UNDECODABLE = 'undecodable'
     DUTY = 'duty'
     ERRORS = 'errors'
+    ENDED = 'ended'
 
 
 class Count(msgspec.Struct, frozen=True):
@@ -582,6 +583,7 @@
     NODE_ACTIVE = 'node-active'
     NODE_IDLE = 'node-idle'
     NODE_DRAINING = 'node-draining'
+    NODE_LATE = 'node-late'
     NODE_STOPPED = 'node-stopped'
     NODE_WITHDRAWN = 'node-withdrawn'
     NODE_RESTORED = 'node-restored'
@@ -614,6 +616,7 @@
     FORWARDED = 'request-forwarded'
     ANSWERED = 'request-answered'
     REFUSED = 'request-refused'
+    ENDED = 'request-ended'
     CLAIMED = 'request-claimed'
     MOVED = 'request-moved'
     ADOPTED = 'request-adopted'
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -39,9 +39,14 @@
 
 
 class CallerDisconnected(msgspec.Struct, frozen=True):
-    """Close of the connection by a request's caller."""
+    """Close of the connection by a request's caller.
+
+    :param is_cut: whether the web server closed it instead, at the end of a
+        graceful shutdown.
+    """
 
     handle: int
+    is_cut: bool = False
 
 
 class TokenReceived(msgspec.Struct, frozen=True):
--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -15,6 +15,7 @@
 from teaselbridge.decisions import active
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import ends
 from teaselbridge.decisions import events
 from teaselbridge.decisions import relay_checks
 from teaselbridge.decisions import relays
@@ -188,9 +189,9 @@
         return out
     if relays.retry_later(state, request, fault, now):
         return out
-    if request.streaming:
-        return out + relays.end_broken_stream(state, request, fault, now)
-    return out + relays.give_up(state, request, fault.detail)
+    return out + relays.give_up(
+        state, request, ends.Cause.HELPER, fault.detail, now
+    )
 
 
 def find_silence(state: states.State, request: requests.Request) -> str:
@@ -233,6 +234,7 @@
     now: clock.Instant,
 ) -> list[effects.Effect]:
     """Give up on a helper that has not ended the request."""
+    ends.note_cancellation(request, fault, now)
     cancel = effects.CancelAttempt(request.handle, request.attempt)
     return [cancel, *handle_failed(state, request, fault, now)]
 
--- a/src/teaselbridge/decisions/orders.py
+++ b/src/teaselbridge/decisions/orders.py
@@ -44,7 +44,7 @@
     """Claim a request in the ledger before it may be sent to a server."""
     refusal = _check_id_time(request, now)
     if refusal is not None:
-        return requests.refuse(state, request, refusal)
+        return requests.refuse(state, request, refusal, now)
     request.phase = requests.Phase.CLAIMING
     if not request.token:
         me = state.options.me
@@ -83,7 +83,7 @@
     out: list[effects.Effect] = []
     if request.is_at_most_once and request.token and not request.in_doubt:
         out += close(state, request, now)
-    return out + requests.refuse(state, request, refusal)
+    return out + requests.refuse(state, request, refusal, now)
 
 
 def close(
@@ -106,7 +106,7 @@
     its outcome is still stored and a retry finds it.
     """
     if now.mono > request.call.deadline + POST_DEADLINE_TIMEOUT_MS:
-        return requests.refuse(state, request, refusal)
+        return requests.refuse(state, request, refusal, now)
     if not request.attached:
         return []
     request.attached = False
@@ -324,7 +324,8 @@
     """Handle the result of a duplicate's lookup."""
     existing = settled.claim
     if settled.failed:
-        return _refuse_in_doubt(state, request, 'the ledger cannot be read')
+        cause = 'the ledger cannot be read'
+        return _refuse_in_doubt(state, request, cause, now)
     if existing is None or existing.stage is claims.Stage.NOT_RUN:
         return claim(state, request, now)
     return _handle_duplicate(state, request, existing, now)
@@ -341,9 +342,8 @@
         request.answer = existing.answer
         return _deliver_answer(state, request, stored=True)
     if not _is_running(state, existing):
-        return _refuse_in_doubt(
-            state, request, f'node {existing.node} is gone'
-        )
+        cause = f'node {existing.node} is gone'
+        return _refuse_in_doubt(state, request, cause, now)
     request.phase = requests.Phase.DUPLICATE
     request.due_at = now.mono + DUPLICATE_POLL_INTERVAL_MS
     return []
@@ -362,14 +362,17 @@
 
 
 def _refuse_in_doubt(
-    state: states.State, request: requests.Request, cause: str
+    state: states.State,
+    request: requests.Request,
+    cause: str,
+    now: clock.Instant,
 ) -> list[effects.Effect]:
     """Refuse a claimed request whose outcome is unknown."""
     detail = f'it was claimed before and has no outcome: {cause}'
     refusal = calls.Refusal(
         calls.Reason.OUTCOME_UNKNOWN, calls.RunStatus.UNKNOWN, detail
     )
-    return requests.refuse(state, request, refusal)
+    return requests.refuse(state, request, refusal, now)
 
 
 def _deliver_answer(
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -135,7 +135,7 @@
             state.arrivals.record(now)
             return arrival.handle_call_arrived(state, event, now)
         case events.CallerDisconnected():
-            return requests.handle_caller_disconnected(state, event)
+            return requests.handle_caller_disconnected(state, event, now)
         case events.StreamEnded():
             return attempts.handle_stream_ended(state, event, now)
         case events.AnswerReceived():
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -14,6 +14,7 @@
 from teaselbridge.decisions import active
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import ends
 from teaselbridge.decisions import events
 from teaselbridge.decisions.forwarding import links
 from teaselbridge.decisions.limits import room
@@ -202,6 +203,7 @@
     request.event_count += event.count
     fault = requests.accept_events(request, event)
     if fault is not None:
+        ends.note_cancellation(request, fault, now)
         return [
             *requests.cancel_attempt(state, request),
             *handle_attempt_failed(state, request, fault, None, now),
@@ -299,47 +301,28 @@
         return out + _schedule_retry(state, request, fault, now)
     if retry_later(state, request, fault, now):
         return out
-    if request.streaming:
-        return out + end_broken_stream(state, request, fault, now)
-    if answered is not None:
+    if answered is not None and not request.streaming:
         return out + _deliver_answer(state, request, answered, now)
-    return out + give_up(state, request, fault.detail)
-
-
-def end_broken_stream(
-    state: states.State,
-    request: requests.Request,
-    fault: calls.Fault,
-    now: clock.Instant,
-) -> list[effects.Effect]:
-    """End a stream that cannot be continued."""
-    detail = f'stream broken: {fault.detail}'
-    return [
-        *report_answered(request, detail, now),
-        effects.SendFinish(request.caller_handle, False),
-        *requests.remove_request(state, request),
-    ]
+    cause = ends.get_fault_cause(fault)
+    return out + give_up(state, request, cause, fault.detail, now)
 
 
 def give_up(
     state: states.State,
     request: requests.Request,
+    cause: ends.Cause,
     detail: str,
+    now: clock.Instant,
     not_run: calls.Refusal | None = None,
 ) -> list[effects.Effect]:
     """Refuse a request, or abort its stream if that has begun.
 
+    :param cause: who ends it.
     :param not_run: refusal where no server ran it, none for that of a pool
         without a server.
     """
     if request.streaming:
-        out = requests.remove_request(state, request)
-        out.append(
-            requests.build_record(
-                request, effects.Mark.REFUSED, f'stream aborted: {detail}'
-            )
-        )
-        return [*out, effects.SendFinish(request.caller_handle, False)]
+        return requests.break_off(state, request, cause, detail, now)
     if request.may_have_run or request.phase is requests.Phase.RUNNING:
         refusal = calls.Refusal(
             calls.Reason.SERVER_FAILED, calls.RunStatus.UNKNOWN, detail
@@ -348,7 +331,7 @@
         refusal = not_run or relay_checks.build_refusal(
             state, calls.Reason.NO_SERVER, detail
         )
-    return requests.refuse(state, request, refusal)
+    return requests.refuse(state, request, refusal, now, cause)
 
 
 def tick(
@@ -365,7 +348,7 @@
             request.call
         ):
             detail = 'no server had a free slot in time'
-            return give_up(state, request, detail)
+            return give_up(state, request, ends.Cause.NODE, detail, now)
     return []
 
 
@@ -386,14 +369,13 @@
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
     running = request.phase is requests.Phase.RUNNING
+    detail = 'the deadline has passed'
     if request.streaming or not (running or request.may_have_run):
-        return give_up(state, request, 'the deadline has passed')
+        return give_up(state, request, ends.Cause.DEADLINE, detail, now)
     refusal = calls.Refusal(
-        calls.Reason.TIMEOUT,
-        calls.RunStatus.UNKNOWN,
-        'the deadline has passed',
+        calls.Reason.TIMEOUT, calls.RunStatus.UNKNOWN, detail
     )
-    return requests.refuse(state, request, refusal)
+    return requests.refuse(state, request, refusal, now)
 
 
 def retry_later(
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -8,6 +8,7 @@
 
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import ends
 from teaselbridge.decisions.room import memory
 from teaselbridge.tables import model
 
@@ -101,6 +102,7 @@
         elsewhere.
     :ivar expected_first_byte_ms: predicted time to the first byte.
     :ivar helper: node that the running attempt was forwarded to.
+    :ivar cancellation: latest attempt that this node cancelled.
     :ivar last_event: number of the last event passed on to the caller.
     :ivar numbered_attempt: number of the latest attempt whose events had
         numbers.
@@ -152,6 +154,7 @@
         self.numbered_attempt = 0
         self.has_unnumbered = False
         self.helper = ''
+        self.cancellation: ends.Cancellation | None = None
 
     @property
     def handle(self) -> int:
@@ -272,12 +275,18 @@
 
 
 def refuse(
-    state: states.State, request: Request, refusal: calls.Refusal
+    state: states.State,
+    request: Request,
+    refusal: calls.Refusal,
+    now: clock.Instant,
+    cause: ends.Cause | None = None,
 ) -> list[effects.Effect]:
     """Remove a request and send its caller a refusal.
 
     A stream that has begun is broken off instead, as nothing but events may
     follow its start.
+
+    :param cause: who ends the request, none where the refusal tells it.
     """
     out = remove_request(state, request)
     route = request.call.route.name
@@ -286,14 +295,30 @@
         counter = effects.Counter.LATE
     out.append(effects.Count(counter, f'{route}:{refusal.reason.value}'))
     detail = f'{refusal.reason.value}, ran {refusal.ran.value}'
-    if refusal.log_detail:
-        detail += f': {refusal.log_detail}'
-    out.append(build_record(request, effects.Mark.REFUSED, detail))
+    detail += f': {refusal.log_detail or refusal.detail}'
+    if cause is None:
+        cause = ends.get_refusal_cause(refusal.reason)
+    sent = ends.Sent.NOTHING
     if request.attached and request.streaming:
+        sent = ends.Sent.PART
         out.append(effects.SendFinish(request.caller_handle, False))
     elif request.attached:
+        sent = ends.Sent.REFUSAL
         out.append(effects.SendRefusal(request.caller_handle, refusal))
-    return out
+    return ends.report(request, cause, sent, detail, now) + out
+
+
+def break_off(
+    state: states.State,
+    request: Request,
+    cause: ends.Cause,
+    detail: str,
+    now: clock.Instant,
+) -> list[effects.Effect]:
+    """Remove a request whose stream has begun, and break the stream off."""
+    out = ends.report(request, cause, ends.Sent.PART, detail, now)
+    out += remove_request(state, request)
+    return [*out, effects.SendFinish(request.caller_handle, False)]
 
 
 def build_record(
@@ -479,7 +504,9 @@
 
 
 def handle_caller_disconnected(
-    state: states.State, event: events.CallerDisconnected
+    state: states.State,
+    event: events.CallerDisconnected,
+    now: clock.Instant,
 ) -> list[effects.Effect]:
     """Handle the disconnect of a caller.
 
@@ -492,7 +519,11 @@
     request.attached = False
     if request.uses_claim:
         return []
-    return remove_request(state, request)
+    cause = ends.Cause.CUT if event.is_cut else ends.Cause.CALLER
+    sent = ends.Sent.PART if request.streaming else ends.Sent.NOTHING
+    detail = f'disconnected while {request.phase.value}'
+    out = ends.report(request, cause, sent, detail, now)
+    return out + remove_request(state, request)
 
 
 def _count_held(state: states.State, call: calls.Call) -> int:
--- a/src/teaselbridge/decisions/switching.py
+++ b/src/teaselbridge/decisions/switching.py
@@ -15,6 +15,7 @@
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import dispatch
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import ends
 from teaselbridge.decisions import events
 from teaselbridge.decisions.forwarding import links
 from teaselbridge.decisions.forwarding import origin
@@ -219,6 +220,7 @@
         calls.RunStatus.UNKNOWN,
         f'no data within {silence_ms} ms',
     )
+    ends.note_cancellation(request, fault, now)
     out: list[effects.Effect] = [
         effects.CancelAttempt(request.handle, request.attempt),
         *relays.record_server_fault(state, request, fault, now),
--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -13,6 +13,7 @@
 
 from teaselbridge.decisions import calls
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import ends
 from teaselbridge.decisions import freshness
 from teaselbridge.gateway import asgi
 from teaselbridge.platform import ingress
@@ -61,7 +62,11 @@
         try:
             call = await self._read_call(scope, receive)
         except CallerDisconnectedError:
+            self._record_unread(scope, ends.Cause.CALLER)
             return
+        except asyncio.CancelledError:
+            self._record_unread(scope, ends.Cause.CUT)
+            raise
         except ingress.RefusedError as error:
             attempt = names.first(scope['headers'], names.ATTEMPT_ID)
             self._record_refusal(attempt, error.refusal)
@@ -77,11 +82,16 @@
         disconnection = asyncio.ensure_future(
             _wait_for_disconnect(receive, queue)
         )
+        is_cut = False
         try:
             await self._send_output(call, queue, scope, send)
+        except asyncio.CancelledError:
+            is_cut = True
+            self._record_unsent(call)
+            raise
         finally:
             disconnection.cancel()
-            self._outlets.close(call.handle)
+            self._outlets.close(call.handle, is_cut=is_cut)
 
     async def _read_call(
         self, scope: asgi.Message, receive: asgi.Receive
@@ -241,6 +251,37 @@
                 mark=effects.Mark.REFUSED, request=request, detail=detail
             )
         )
+        self._loop.execute(ends.count(ends.Cause.NODE, ends.Sent.REFUSAL))
+
+    def _record_unread(self, scope: asgi.Message, cause: ends.Cause) -> None:
+        """Record a request whose connection was closed before its end."""
+        attempt = names.first(scope['headers'], names.ATTEMPT_ID)
+        self._record_end(attempt, cause, ends.Sent.NOTHING, 'not read whole')
+
+    def _record_unsent(self, call: calls.Call) -> None:
+        """Record an answer that the web server cut while it was sent.
+
+        Other requests are still held, and the reducer records their end.
+        """
+        if call.handle not in self._loop.state.requests:
+            self._record_end(
+                call.key.id,
+                ends.Cause.CUT,
+                ends.Sent.PART,
+                'the answer was not sent whole',
+            )
+
+    def _record_end(
+        self, request: str, cause: ends.Cause, sent: ends.Sent, detail: str
+    ) -> None:
+        self._loop.execute(ends.count(cause, sent))
+        self._loop.record(
+            effects.RecordEntry(
+                mark=effects.Mark.ENDED,
+                request=request,
+                detail=ends.describe(detail, cause, sent),
+            )
+        )
 
 
 async def _read_body(receive: asgi.Receive, most: int) -> bytes:
--- a/src/teaselbridge/runtime/lingering.py
+++ b/src/teaselbridge/runtime/lingering.py
@@ -57,6 +57,10 @@
             struct.pack('ii', int(enabled), 0),
         )
 
+    def get_write_buffer_size(self) -> int:
+        """Return the number of bytes that were not sent yet."""
+        return self._transport.get_write_buffer_size()
+
     def pause_reading(self) -> None:
         """Stop to read."""
         self._transport.pause_reading()
--- a/src/teaselbridge/runtime/loop.py
+++ b/src/teaselbridge/runtime/loop.py
@@ -35,6 +35,8 @@
 GAUGE_INTERVAL_MS = 1_000
 # A delay of the loop is forgotten after one to two of these.
 LAG_SPAN_MS = 5_000
+# A tick that is later than this is logged.
+MAX_TICK_LAG_MS = 250
 
 EffectHandler: typing.TypeAlias = (
     'collections.abc.Callable[[typing.Any], None]'
@@ -185,6 +187,7 @@
                 TICK_INTERVAL_MS if self._is_busy() else IDLE_TICK_INTERVAL_MS
             )
             await self._tick_waiter
+            self._record_lag()
 
     async def _post_tick(self) -> None:
         """Post a tick once all is handled that came before it.
@@ -219,12 +222,22 @@
         )
 
     def _end_tick_wait(self) -> None:
-        now = self.now()
-        self._lag.record(now.mono - self._next_tick_at, now)
         waiter = self._tick_waiter
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
+    def _record_lag(self) -> None:
+        """Measure how late the tick that is due now comes."""
+        now = self.now()
+        lag_ms = max(0, now.mono - self._next_tick_at)
+        self._lag.record(lag_ms, now)
+        self._meter.observe_lag(lag_ms)
+        if lag_ms > MAX_TICK_LAG_MS:
+            detail = f'{lag_ms} ms, {len(self._state.requests)} held'
+            self.record(
+                effects.RecordEntry(mark=effects.Mark.NODE_LATE, detail=detail)
+            )
+
     def _process(self, event: events.Event) -> None:
         """Pass an event to the reducer and execute the effects.
 
--- a/src/teaselbridge/runtime/outlets.py
+++ b/src/teaselbridge/runtime/outlets.py
@@ -73,10 +73,13 @@
         self._loop.post(event)
         return queue
 
-    def close(self, handle: int) -> None:
-        """Remove a queue after the last output or a disconnect."""
+    def close(self, handle: int, *, is_cut: bool = False) -> None:
+        """Remove a queue after the last output or a disconnect.
+
+        :param is_cut: whether the web server ended the response.
+        """
         del self._queues[handle]
-        self._loop.post(events.CallerDisconnected(handle))
+        self._loop.post(events.CallerDisconnected(handle, is_cut))
 
     def _put_output(self, output: Output) -> None:
         queue = self._queues.get(output.handle)
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -261,15 +261,27 @@
         Tasks that do not end in time are left to the end of the process.
         """
         graceful_s = self._get_graceful_s()
+        opened = self._describe_open()
         await asyncio.gather(
             asyncio.sleep(LAST_MESSAGES_S),
             *(item.stop(graceful_s) for item in self._request_listeners),
             *(item.stop() for item in self._auxiliary_listeners),
         )
         running = await self._close(MAX_TASK_END_S)
-        detail = f'{running} tasks have not ended' if running else ''
+        detail = f'at first {opened}; at last {self._describe_open()}'
+        if running:
+            detail += f'; {running} tasks have not ended'
         self._record(effects.Mark.NODE_STOPPED, detail)
 
+    def _describe_open(self) -> str:
+        """Describe what callers and other nodes have not got yet."""
+        found = [item.count_open() for item in self._request_listeners]
+        return (
+            f'{len(self._loop.state.requests)} held,'
+            f' {sum(item.count for item in found)} connections open,'
+            f' {sum(item.unsent_bytes for item in found)} bytes unsent'
+        )
+
     def _get_graceful_s(self) -> float:
         """Return how long open responses may take, in seconds.
 
--- a/src/teaselbridge/runtime/web.py
+++ b/src/teaselbridge/runtime/web.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import ssl
 import typing
@@ -81,6 +82,18 @@
             await asyncio.wait(self.server_state.tasks)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenConnections:
+    """Open connections of a listener.
+
+    :param count: number of them.
+    :param unsent_bytes: bytes that wait to be sent on them.
+    """
+
+    count: int
+    unsent_bytes: int
+
+
 class HttpListener:
     """HTTP server of a node for one address.
 
@@ -184,6 +197,16 @@
         config: typing.Any = self._server.config
         config.timeout_graceful_shutdown = span_s
 
+    def count_open(self) -> OpenConnections:
+        """Count the connections that are open."""
+        count = unsent_bytes = 0
+        for connection in self._server.server_state.connections:
+            count += 1
+            transport = getattr(connection, 'transport', None)
+            if transport is not None:
+                unsent_bytes += transport.get_write_buffer_size()
+        return OpenConnections(count, unsent_bytes)
+
     async def abort(self) -> None:
         """Stop listening and abort all connections."""
         for listener in getattr(self._server, 'servers', []):
--- a/src/teaselbridge/telemetry/metrics.py
+++ b/src/teaselbridge/telemetry/metrics.py
@@ -16,6 +16,8 @@
 # few seconds.
 BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 4, 8)
 
+LAG_BUCKETS_S = (0.005, 0.025, 0.1, 0.25, 0.5, 1, 2, 4)
+
 
 class Meter:
     """All metrics of one process."""
@@ -36,6 +38,12 @@
             buckets=BUCKETS_S,
             registry=self._registry,
         )
+        self._lag = prometheus_client.Histogram(
+            'teaselbridge_loop_lag_seconds',
+            'How much later than due the event loop runs its timer.',
+            buckets=LAG_BUCKETS_S,
+            registry=self._registry,
+        )
         self._keyvalue = prometheus_client.Counter(
             'teaselbridge_keyvalue_calls',
             'Calls to the key-value service, by kind and purpose.',
@@ -117,6 +125,10 @@
         span = effect.elapsed_ms / clock.SECOND_MS
         self._spans.labels(effect.span.value, effect.label).observe(span)
 
+    def observe_lag(self, lag_ms: int) -> None:
+        """Add the lag of the event loop to its histogram."""
+        self._lag.observe(lag_ms / clock.SECOND_MS)
+
     def count_keyvalue(self, kind: str, purpose: str) -> None:
         """Count a call to the key-value service.
 
--- a/tests/decisions/sharing/test_load.py
+++ b/tests/decisions/sharing/test_load.py
@@ -224,7 +224,13 @@
         )
         (entry,) = [
             effect
-            for effect in requests.refuse(state, request, refusal)
+            for effect in requests.refuse(
+                state, request, refusal, samples.instant(100)
+            )
             if isinstance(effect, effects.RecordEntry)
         ]
-        self.assertEqual('workspace-rate-limit, ran no: level', entry.detail)
+        self.assertEqual(
+            'workspace-rate-limit, ran no: level; ended by node, refusal sent,'
+            ' 0 attempts, 9900 ms left',
+            entry.detail,
+        )
--- a/tests/decisions/test_begun_streams.py
+++ b/tests/decisions/test_begun_streams.py
@@ -60,7 +60,7 @@
         refusal = relay_checks.build_refusal(
             state, calls.Reason.NO_SERVER, 'none'
         )
-        self._check_broken(requests.refuse(state, request, refusal))
+        self._check_broken(requests.refuse(state, request, refusal, NOW))
 
     def test_end_without_an_event(self) -> None:
         for helper in ('', 'other'):
--- a/tests/runtime/test_loop.py
+++ b/tests/runtime/test_loop.py
@@ -193,6 +193,25 @@
 
         asyncio.run(run())
 
+    # Guards against a process that is held up without a trace in its log.
+    def test_late_tick_is_recorded(self) -> None:
+        async def run(hold_up_s: float) -> list[str]:
+            loop = self._build_loop()
+            task = asyncio.ensure_future(loop.run_ticks())
+            await asyncio.sleep(0.01)
+            # The loop stands still.
+            time.sleep(hold_up_s)  # noqa: ASYNC251
+            await asyncio.sleep(0.01)
+            task.cancel()
+            return [
+                entry.detail
+                for entry in loop.timeline.select(timeline.Filter())
+                if entry.mark == 'node-late'
+            ]
+
+        (detail,) = asyncio.run(run(0.6))
+        self.assertRegex(detail, r'^[3-9]\d\d+ ms, 0 held$')
+
 
 class TestLag(testtools.TestCase):
     """The loop knows how late its timers are."""
--- a/tests/runtime/test_site.py
+++ b/tests/runtime/test_site.py
@@ -15,8 +15,10 @@
 from testtools import matchers
 
 from teaselbridge.decisions import effects
+from teaselbridge.decisions import requests
 from teaselbridge.runtime import site as sites
 from teaselbridge.settings import model
+from teaselbridge.telemetry import timeline
 from tests.failures import base
 from tests.failures import site
 
@@ -242,3 +244,87 @@
                 self.assertLess(time.monotonic() - signalled, site.GRACE_S)
 
         self.run_coroutine(run())
+
+
+class TestEnds(base.TestCase):
+    """What the web server or a caller ends is recorded."""
+
+    def _list_entries(
+        self, node: sites.SiteNode, mark: effects.Mark
+    ) -> list[timeline.Entry]:
+        wanted = timeline.Filter(mark=mark.value)
+        return list(node.loop.timeline.select(wanted))
+
+    # Guards against responses that are cut without a line.
+    def test_stream_at_the_end_of_the_shutdown(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment() as trial:
+                for server in trial.list_servers('engines'):
+                    server.events = 100
+                    server.event_ms = 100.0
+                (node,) = trial.nodes
+                call = asyncio.ensure_future(trial.call('/stream/x'))
+                await site.until(
+                    lambda: any(
+                        item.streaming
+                        for item in node.loop.state.requests.values()
+                    )
+                )
+                await node.stop()
+                await asyncio.wait([call])
+                self.assertIsNotNone(call.exception())
+                (entry,) = self._list_entries(node, effects.Mark.ENDED)
+                self.assertIn('ended by cut, part sent', entry.detail)
+                (entry,) = self._list_entries(node, effects.Mark.NODE_STOPPED)
+                self.assertEqual(
+                    'at first 1 held, 1 connections open, 0 bytes unsent;'
+                    ' at last 0 held, 0 connections open, 0 bytes unsent',
+                    entry.detail,
+                )
+
+        self.run_coroutine(run())
+
+    def test_caller_that_leaves(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment() as trial:
+                for server in trial.list_servers('shop'):
+                    server.work_ms = 10_000.0
+                (node,) = trial.nodes
+                call = asyncio.ensure_future(trial.call('/orders/1'))
+                await site.until(
+                    lambda: any(
+                        item.phase is requests.Phase.RUNNING
+                        for item in node.loop.state.requests.values()
+                    )
+                )
+                call.cancel()
+                await site.until(
+                    lambda: self._list_entries(node, effects.Mark.ENDED)
+                )
+                (entry,) = self._list_entries(node, effects.Mark.ENDED)
+                self.assertIn('ended by caller, nothing sent', entry.detail)
+
+        self.run_coroutine(run())
+
+    def test_caller_that_leaves_before_its_request_is_read(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment() as trial:
+                (node,) = trial.nodes
+                host, _, port = site.callers(node).rpartition(':')
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.write(
+                    b'POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\n'
+                    b'Teaselbridge-Attempt-Id: part\r\n'
+                    b'Content-Length: 4\r\n\r\nbo'
+                )
+                await writer.drain()
+                await asyncio.sleep(0.1)
+                writer.close()
+                await site.until(
+                    lambda: self._list_entries(node, effects.Mark.ENDED)
+                )
+                (entry,) = self._list_entries(node, effects.Mark.ENDED)
+                self.assertEqual('part', entry.request)
+                self.assertIn('not read whole; ended by caller', entry.detail)
+
+        self.run_coroutine(run())
