End a stream that its next server breaks off at once

A stream that this node had given up was kept until its deadline even after another server had sent events of it: if that server then broke it off, the caller waited for seconds, instead of continuing it by a new request at once. The mark that it was given up now ends with the next event. Without the change of accept_events, test_next_server_breaks_off fails.

Besides, the choice among servers that had a request already is limited to such streams, and links are probed when a second attempt starts, as often as before, rather than at each tick while an idempotent request is silent.

--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -258,7 +258,10 @@
     untried = [
         server for server in candidates if server.host not in request.tried
     ]
-    if call.is_relayed and request.possible_runs >= call.route.attempts:
+    if (
+        request.has_stopped_run
+        and request.possible_runs >= call.route.attempts
+    ):
         return [item for item in candidates if item.host in request.tried]
     return untried or candidates
 
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -75,7 +75,7 @@
     :ivar attempt_count: number of attempts so far.
     :ivar silent: earlier attempt that is still running, none for none.
     :ivar has_stopped_run: whether this node gave up a run that its server
-        had not ended, before another server had answered.
+        had not ended, and no other server has sent events since.
     :ivar needs_budget: whether its next attempt waits for the retry budget.
     :ivar started_at: monotonic milliseconds at which that attempt started.
     :ivar progressed_at: monotonic milliseconds of its last progress.
@@ -362,6 +362,7 @@
     fault = check_event_order(request, event)
     if fault is not None:
         return fault
+    request.has_stopped_run = False
     if event.first is not None:
         request.last_event = event.last
         request.numbered_attempt = event.attempt
--- a/src/teaselbridge/decisions/switching.py
+++ b/src/teaselbridge/decisions/switching.py
@@ -58,15 +58,18 @@
     detail = _find_silence(state, request, now)
     if not detail:
         return []
-    out: list[effects.Effect] = []
-    if not request.helper:
-        out += links.probe_pool(state, request.call.route.pool, now)
+    route = request.call.route
+    if not route.idempotent:
+        return links.probe_pool(state, route.pool, now)
     if request.due_at > now.mono:
-        return out
+        return []
     fault = calls.Fault(
         calls.FaultKind.SILENT, calls.RunStatus.UNKNOWN, detail
     )
-    return out + _try_elsewhere(state, request, fault, now)
+    out = _try_elsewhere(state, request, fault, now)
+    if request.silent is not None and request.silent.host:
+        out += links.probe_pool(state, route.pool, now)
+    return out
 
 
 def settle(
@@ -118,8 +121,7 @@
     """Start a second attempt, if all that it needs is there."""
     route = request.call.route
     if (
-        not route.idempotent
-        or request.possible_runs + 1 >= route.attempts
+        request.possible_runs + 1 >= route.attempts
         or not relays.can_retry(state, request, fault, now, spend_budget=False)
         or relay_checks.check_waiting_request(state, request, now) is not None
     ):
--- a/tests/decisions/test_switching.py
+++ b/tests/decisions/test_switching.py
@@ -470,6 +470,15 @@
         self.assertEqual(2, len(hosts))
         self._check_ended_by(retried)
 
+    # Guards against a caller that waits for a stream that its server ended.
+    def test_next_server_breaks_off(self) -> None:
+        attempt = self._give_up()
+        self.head(attempt)
+        self.send(attempt, 2)
+        out = self.fail(attempt, CUT)
+        self.assertIn(effects.SendFinish(HANDLE, False), out)
+        self.check_idle()
+
     def test_end_by_the_deadline(self) -> None:
         attempt: effects.RelayAttempt | None = self._give_up()
         while HANDLE in self.state.requests:
