Learn no speed from a first byte that came too late

Cause: a request whose first byte was overdue used to be cancelled, so that its delay never became a sample. It now goes on where no other server takes it, and a prompt that had met a queue which the node did not know was timed as if the engine had read nothing else. Only those with a second attempt were left out.

From the moment at which a server counts as silent, the attempt is no sample.

--- a/src/teaselbridge/decisions/switching.py
+++ b/src/teaselbridge/decisions/switching.py
@@ -58,6 +58,8 @@
     detail = _find_silence(state, request, now)
     if not detail:
         return []
+    # A late first byte says nothing of how fast prompts are read.
+    request.is_only_prefill = False
     route = request.call.route
     if not route.idempotent:
         return links.probe_pool(state, route.pool, now)
@@ -204,8 +206,6 @@
     cancel = effects.CancelAttempt(request.handle, request.attempt)
     requests.detach_from_server(state, request)
     request.use_silent_attempt()
-    # Its delay says nothing of how fast prompts are read.
-    request.is_only_prefill = False
     request.possible_runs += 1
     request.may_have_run = True
     return [cancel]
