Accept few connections in one step

Callers of a node whose descriptors were used up waited: the loop stood still, the node lost its leases, and its log grew by hundreds of thousands of lines.

Cause: asyncio calls accept() as often as the backlog is long (2,048) whenever the listening socket is readable. At EMFILE it logs a traceback, pauses for a second, and yet goes on with the next try.

Change: the library gets a backlog of 16, and the socket one of 2,048 again after the start, which is what the kernel had before; LISTEN_BACKLOG says so now.

Not measured: bursts of new connections, of which 16 are accepted in each step of the loop.

--- a/src/teaselbridge/runtime/listening.py
+++ b/src/teaselbridge/runtime/listening.py
@@ -16,7 +16,7 @@
 
     from teaselbridge.settings import model
 
-LISTEN_BACKLOG = 1_024
+LISTEN_BACKLOG = 2_048
 # The kernel closes a connection whose data stays unacknowledged this long.
 TCP_USER_TIMEOUT_MS = 20_000
 
--- a/src/teaselbridge/runtime/web.py
+++ b/src/teaselbridge/runtime/web.py
@@ -22,6 +22,9 @@
 KEEP_ALIVE_TIMEOUT_S = 30
 GRACEFUL_TIMEOUT_S = 2
 REQUEST_TIMEOUT_MS = 30_000
+# Connections that are accepted in one step. Without a free descriptor the
+# library tries, and logs an error, that many times.
+MAX_ACCEPTED_AT_ONCE = 16
 
 
 class SignalFreeServer(uvicorn.Server):
@@ -132,6 +135,7 @@
                 date_header=False,
                 lifespan='off',
                 timeout_keep_alive=keep_alive_s,
+                backlog=MAX_ACCEPTED_AT_ONCE,
                 ssl_certfile=None if tls is None else tls.certificate,
                 ssl_keyfile=None if tls is None else tls.key,
             )
@@ -159,6 +163,9 @@
         )
         while not self._server.started and not self._task.done():
             await asyncio.sleep(0.001)
+        if self._server.started:
+            # The library has set it to its own.
+            self._socket.listen(listening.LISTEN_BACKLOG)
 
     def reload_tls(self) -> str:
         """Reload the certificate files for new connections.
--- a/tests/failures/processes.py
+++ b/tests/failures/processes.py
@@ -7,6 +7,7 @@
 import dataclasses
 import os
 import pathlib
+import resource
 import signal
 import sys
 import tempfile
@@ -72,6 +73,17 @@
                 stderr=log,
             )
 
+    def use_up_descriptors(self, left: int) -> None:
+        """Lower the limit of open descriptors to those in use and some.
+
+        :param left: how many more it may open.
+        """
+        assert self._process is not None
+        pid = self._process.pid
+        used = len(os.listdir(f'/proc/{pid}/fd'))
+        _, most = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (used + left, most))
+
     def stop(self) -> None:
         """Send SIGTERM."""
         assert self._process is not None
