End streams that can go on nowhere, and hold up nobody by the others

The callers of such a stream waited 11 s though it could go on nowhere: its servers had left, or its key was revoked. And a server that had refused a request counted as one that may run it again, so that three servers ran a request of two attempts.

Change: a kept stream waits outside the queue between its attempts. It ends at once if its key is revoked, or if it has used all attempts and none of the servers that ran it stays.

--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -86,10 +86,11 @@
         if call is None:
             return
         request = state.requests[call.handle]
-        if _is_held_back(state, request, now):
-            state.queue.remove(call.handle)
-            set_aside.append(call)
-            continue
+        if request.streaming and request.has_stopped_run:
+            held = _hold_back(state, request, now)
+            if held is not None:
+                yield from held
+                continue
         refused = _refuse_waiting(state, request, now)
         if refused:
             yield from refused
@@ -98,8 +99,7 @@
             passed = _pass_on(state, request, now)
             yield from passed
             if not passed:
-                state.queue.remove(call.handle)
-                set_aside.append(call)
+                _set_aside(state, request, set_aside, now)
             continue
         server = choose_server(state, request, now)
         if server is not None:
@@ -107,8 +107,24 @@
             continue
         if not _has_free_server(state, call, now):
             return
-        state.queue.remove(call.handle)
-        set_aside.append(call)
+        _set_aside(state, request, set_aside, now)
+
+
+def _set_aside(
+    state: states.State,
+    request: requests.Request,
+    set_aside: list[calls.Call],
+    now: clock.Instant,
+) -> None:
+    """Take a request that waits for a server that is not free off the queue.
+
+    A stream that this node gave up may wait for longer than one event.
+    """
+    state.queue.remove(request.handle)
+    if request.streaming and request.has_stopped_run:
+        relays.postpone(request, now)
+    else:
+        set_aside.append(request.call)
 
 
 def needs_other_node(state: states.State, request: requests.Request) -> bool:
@@ -141,7 +157,10 @@
     state: states.State, request: requests.Request
 ) -> messages.Member | None:
     """Choose the node that gets a request that this one cannot send."""
-    if request.call.origin:
+    runs = request.possible_runs
+    if request.call.origin or (
+        request.has_stopped_run and runs >= request.call.route.attempts
+    ):
         return None
     pool = request.call.route.pool
     able = None
@@ -168,17 +187,43 @@
     return []
 
 
-def _is_held_back(
+def _hold_back(
     state: states.State, request: requests.Request, now: clock.Instant
-) -> bool:
-    """Return whether a request waits, though it must not be sent now.
+) -> list[effects.Effect] | None:
+    """Postpone a stream that must not be sent now, but may be later.
 
     Its server would have ended the stream that this node gave up.
+
+    :return: none where it may be sent now; effects that end it where it never
+        may.
     """
-    if not (request.streaming and request.has_stopped_run):
-        return False
-    refusal = relay_checks.check_waiting_request(state, request, now)
-    return refusal is not None
+    if relay_checks.is_key_revoked(state, request.call):
+        return relays.give_up(
+            state,
+            request,
+            ends.Cause.NODE,
+            relay_checks.REVOKED_DETAIL,
+            now,
+        )
+    if not _may_go_on(state, request):
+        detail = 'no server is left that may go on with it'
+        return relays.give_up(state, request, ends.Cause.NODE, detail, now)
+    if relay_checks.check_waiting_request(state, request, now) is None:
+        return None
+    state.queue.remove(request.handle)
+    relays.postpone(request, now)
+    return []
+
+
+def _may_go_on(state: states.State, request: requests.Request) -> bool:
+    """Return whether a server is left that may run a request.
+
+    After as many runs as the route allows, only those that had it are.
+    """
+    if request.possible_runs < request.call.route.attempts:
+        return True
+    staying = state.servers.staying(request.call.route.pool)
+    return any(server.host in request.run_hosts for server in staying)
 
 
 def _has_free_server(
@@ -262,7 +307,7 @@
         request.has_stopped_run
         and request.possible_runs >= call.route.attempts
     ):
-        return [item for item in candidates if item.host in request.tried]
+        return [item for item in candidates if item.host in request.run_hosts]
     return untried or candidates
 
 
--- a/src/teaselbridge/decisions/relay_checks.py
+++ b/src/teaselbridge/decisions/relay_checks.py
@@ -30,6 +30,7 @@
 # until all nodes know of a lost server.
 MIN_RETRY_AFTER_MS = 150
 RETRY_AFTER_JITTER_MS = 350
+REVOKED_DETAIL = 'the workspace key was revoked'
 RATES_DETAIL = 'all servers limit the rate of requests'
 
 
@@ -117,15 +118,21 @@
             calls.Reason.KEYS_NOT_CONFIRMED,
             'workspace keys are not confirmed',
         )
-    workspace = state.index.find_workspace_by_key(call.credential)
-    if workspace is None or workspace.name != call.key.workspace:
-        detail = 'the workspace key was revoked'
+    if is_key_revoked(state, call):
         return _build_waiting_refusal(
-            state, request, calls.Reason.BAD_KEY, detail
+            state, request, calls.Reason.BAD_KEY, REVOKED_DETAIL
         )
     return None
 
 
+def is_key_revoked(state: states.State, call: calls.Call) -> bool:
+    """Return whether the key of a request is no longer its workspace's."""
+    if not call.credential:
+        return False
+    workspace = state.index.find_workspace_by_key(call.credential)
+    return workspace is None or workspace.name != call.key.workspace
+
+
 def _check_rates_on_arrival(
     state: states.State, call: calls.Call, now: clock.Instant
 ) -> calls.Refusal | None:
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -400,11 +400,17 @@
         )
     ):
         return False
-    request.due_at = now.mono + STOPPED_RUN_BACKOFF_MS
+    postpone(request, now)
     request.needs_budget = True
     return True
 
 
+def postpone(request: requests.Request, now: clock.Instant) -> None:
+    """Let a stream that this node gave up wait for its next attempt."""
+    request.phase = requests.Phase.BACKOFF
+    request.due_at = now.mono + STOPPED_RUN_BACKOFF_MS
+
+
 def _may_be_sent(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> bool:
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -84,6 +84,7 @@
     :ivar event_count: number of stream events that it received.
     :ivar base: number of tokens received before it started.
     :ivar tried: hosts that the request was sent to.
+    :ivar run_hosts: hosts of failed attempts that may have run it.
     :ivar failed_version: version of the server that failed it last.
     :ivar due_at: monotonic milliseconds of the next step.
     :ivar token: unique token of its claim.
@@ -131,6 +132,7 @@
         self.base = 0
         self.tokens = list(call.resumed)
         self.tried: list[str] = []
+        self.run_hosts: set[str] = set()
         self.failed_version = ''
         self.due_at = 0
         self.token = ''
@@ -453,6 +455,7 @@
     if fault.ran is calls.RunStatus.UNKNOWN:
         request.possible_runs += 1
         request.may_have_run = True
+        request.run_hosts.add(request.host)
     request.in_doubt = request.may_have_run
 
 
--- a/tests/decisions/test_switching.py
+++ b/tests/decisions/test_switching.py
@@ -9,11 +9,13 @@
 
 from teaselbridge.decisions import bounds
 from teaselbridge.decisions import calls
+from teaselbridge.decisions import dispatch
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import events
 from teaselbridge.decisions import freshness
 from teaselbridge.decisions import members
 from teaselbridge.decisions import reducer
+from teaselbridge.decisions import requests
 from teaselbridge.peers import messages
 from teaselbridge.tables import join
 from teaselbridge.tables import model
@@ -503,6 +505,89 @@
         self.assertIn(HANDLE, self.state.requests)
 
 
+class TestNoWayOn(SilenceTestCase):
+    """A stream that was given up ends at once where it never can go on."""
+
+    def _give_up(self) -> effects.RelayAttempt:
+        """Return the second attempt of a stream, after the overlap."""
+        self.earn_retry()
+        self.begin()
+        second = self.wait_for_attempt()
+        assert second is not None
+        self.wait(5 * TICK_MS)
+        return second
+
+    def _check_ends(self) -> None:
+        self.earn_retry()
+        out = self.wait(500)
+        self.assertEqual([], get_attempts(out))
+        self.assertIn(effects.SendFinish(HANDLE, False), out)
+        self.check_idle()
+
+    # Guards against a caller that waits until its deadline for servers that
+    # have left.
+    def test_servers_that_had_it_leave(self) -> None:
+        second = self._give_up()
+        self.fail(second, CUT)
+        for host in {item.host for item in get_attempts(self.out)}:
+            server = self.state.servers.get(host)
+            assert server is not None
+            server.leaving = True
+        self._check_ends()
+
+    # Guards against a caller that waits until its deadline for a key that
+    # is not valid again.
+    def test_key_was_revoked(self) -> None:
+        second = self._give_up()
+        self.fail(second, REFUSED)
+        self.state.index = join.Index(configuration=model.Configuration())
+        self._check_ends()
+
+    # Guards against a third server that runs a request of two attempts.
+    def test_server_that_refused_did_not_run_it(self) -> None:
+        self.earn_retry()
+        self.fail(self.arrive(), REFUSED)
+        first = self.wait_for_attempt()
+        assert first is not None
+        self.head(first)
+        self.send(first, 1)
+        self.earn_retry()
+        second = self.wait_for_attempt()
+        assert second is not None
+        self.wait(5 * TICK_MS)
+        for attempt in (first, second):
+            server = self.state.servers.get(attempt.host)
+            assert server is not None
+            server.inflight += server.slots
+        self.fail(second, CUT)
+        self.earn_retry()
+        self.assertEqual([], get_attempts(self.wait()))
+
+    # Guards against new requests that wait behind streams that cannot go on.
+    def test_others_are_sent_meanwhile(self) -> None:
+        known = list(self.state.servers.all)
+        for server in known:
+            server.slots = 100
+        for number in range(2, 2 + 2 * dispatch.MAX_SET_ASIDE):
+            call = samples.relayed(
+                number, deadline=DEADLINE, streaming=True, resumable=True
+            )
+            call = dataclasses.replace(call, stream=True, credential='k')
+            self.post(events.CallArrived(call))
+            request = self.state.requests[number]
+            requests.cancel_attempt(self.state, request)
+            request.streaming = request.has_stopped_run = True
+            request.possible_runs = request.call.route.attempts
+            request.run_hosts.add(request.host)
+            requests.enqueue(self.state, request)
+        for server in known:
+            server.backoff_until = DEADLINE
+        free = samples.row('free')
+        self.state.servers.add(free, 'v', samples.instant(self.now))
+        self.wait(2 * TICK_MS)
+        self.assertEqual('free', self.arrive().host)
+
+
 class TestHelpers(SilenceTestCase):
     """A forwarded stream goes on while its helper passes on events."""
 
