Judge the end of a stream by its own attempt

Callers saw a whole stream that was broken off: its server sent all events without a length, paused before it closed, and another one had sent its head meanwhile. The end was checked against the events of the newer attempt, which had none, so that both sound servers got a fault.

The number of events of the attempt that has ended decides now. The new test fails before.

--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -404,9 +404,14 @@
 ) -> calls.Fault | None:
     """Check that a stream did not just close its connection.
 
+    The event may be of the current attempt or of the kept one.
+
     :return: the fault, none where the end may be passed on.
     """
-    if event.is_framed or request.event_count or not request.streaming:
+    event_count = request.event_count
+    if request.silent is not None and event.attempt == request.silent.attempt:
+        event_count = request.silent.event_count
+    if event.is_framed or event_count or not request.streaming:
         return None
     return calls.Fault(
         calls.FaultKind.CUT,
--- a/tests/decisions/test_switching.py
+++ b/tests/decisions/test_switching.py
@@ -588,6 +588,21 @@
         self.assertEqual('free', self.arrive().host)
 
 
+class TestEnds(SilenceTestCase):
+    """The end of a stream is judged by the attempt that it belongs to."""
+
+    # Guards against a whole stream that is broken off as another server has
+    # sent its head meanwhile.
+    def test_silent_server_ends_without_a_length(self) -> None:
+        first = self.begin()
+        second = self.wait_for_attempt()
+        assert second is not None
+        self.head(second)
+        out = self.post(events.RelayEnded(HANDLE, first.attempt, False))
+        self.assertIn(effects.SendFinish(HANDLE, True), out)
+        self.check_idle()
+
+
 class TestHelpers(SilenceTestCase):
     """A forwarded stream goes on while its helper passes on events."""
 
