--- a/src/teaselbridge/backends/progress.py
+++ b/src/teaselbridge/backends/progress.py
@@ -19,7 +19,8 @@
     """Timer that ends an attempt unless it is restarted in time.
 
     While the event loop stands still, data of the server waits unread, so
-    that the span by which the timer fires late does not count.
+    that the span by which the timer fires late does not count, but only once
+    without progress: a loop that is always late ends attempts too.
 
     :param timeout: timeout that ends the attempt.
     """
@@ -28,9 +29,11 @@
         self._timeout = timeout
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
+        self._is_extended = False
 
     def restart(self, span_ms: int) -> None:
         """Allow some milliseconds from now until the next progress."""
+        self._is_extended = False
         self._start(self._loop.time() + clock.seconds(span_ms))
 
     def cancel(self) -> None:
@@ -46,7 +49,8 @@
     def _expire(self, due: float) -> None:
         now = self._loop.time()
         late = now - due
-        if late > MAX_TIMER_DELAY_S:
+        if late > MAX_TIMER_DELAY_S and not self._is_extended:
+            self._is_extended = True
             self._start(now + late)
         else:
             self._timeout.reschedule(now)
--- /dev/null
+++ b/tests/backends/test_progress.py
@@ -0,0 +1,48 @@
+"""Tests of the timeout of attempts that make no progress."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import testtools
+
+from teaselbridge.backends import progress
+
+SPAN_MS = 300
+
+
+class TestProgressTimer(testtools.TestCase):
+    """The timer ends a block without progress, and no other one."""
+
+    def _run(self, step_s: float, restarts: int) -> float:
+        """Return after how long a block ends.
+
+        :param step_s: for how long the loop stands still in each step.
+        :param restarts: steps with progress.
+        """
+
+        async def run() -> float:
+            began = time.monotonic()
+            try:
+                async with progress.run_timer(SPAN_MS) as timer:
+                    for step in range(round(5 / step_s)):
+                        time.sleep(step_s)
+                        await asyncio.sleep(0)
+                        if step < restarts:
+                            timer.restart(SPAN_MS)
+            except TimeoutError:
+                return time.monotonic() - began
+            raise AssertionError('the timer has not ended the block')
+
+        return asyncio.run(run())
+
+    def test_no_progress(self) -> None:
+        self.assertLess(self._run(0.01, 0), 2)
+
+    def test_progress(self) -> None:
+        self.assertGreater(self._run(0.01, 50), 0.7)
+
+    # Guards against attempts that a busy node never gives up.
+    def test_loop_is_always_late(self) -> None:
+        self.assertLess(self._run(0.2, 0), 2)
