Let no two servers work on a request where ticks come late

Two servers could work on one request for 600 ms, where 400 are allowed: the overlap of a silent attempt and the next one ends at a tick, which a busy node handles late. Found by the review at the reducer.

Where the last two ticks were more than 150 ms apart, the silent attempt is cancelled in the step that starts the next one; what is then left of the stream is kept as before. test_late_ticks fails before. A tick that is late for the first time after the next attempt has begun still extends the overlap.

--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -125,6 +125,9 @@
         ):
             return attempts.handle_relay_progress(state, event, now)
         case events.Ticked():
+            if state.ticked_at:
+                state.tick_gap_ms = now.mono - state.ticked_at
+            state.ticked_at = now.mono
             state.heard_until = now.mono
             if event.heard_until is not None:
                 state.heard_until = event.heard_until
--- a/src/teaselbridge/decisions/switching.py
+++ b/src/teaselbridge/decisions/switching.py
@@ -31,6 +31,8 @@
 # The platform allows 400 ms, of which ticks and the way to the server take a
 # part.
 MAX_OVERLAP_MS = 200
+# With more between ticks the end of the overlap would come too late.
+MAX_TICK_GAP_MS = 150
 # Time after which another server is tried once more, doubled per refusal.
 SWITCH_BACKOFF_MS = 150
 MAX_SWITCH_BACKOFF_DOUBLINGS = 4
@@ -53,8 +55,7 @@
     if request.silent is not None:
         if now.mono - request.started_at < MAX_OVERLAP_MS:
             return []
-        request.has_stopped_run = True
-        return _stop_silent(state, request, now)
+        return _give_up_silent(state, request, now)
     detail = _find_silence(state, request, now)
     if not detail:
         return []
@@ -71,6 +72,8 @@
     out = _try_elsewhere(state, request, fault, now)
     if request.silent is not None and request.silent.host:
         out += links.probe_pool(state, route.pool, now)
+    if request.silent is not None and state.tick_gap_ms > MAX_TICK_GAP_MS:
+        out += _give_up_silent(state, request, now)
     return out
 
 
@@ -212,6 +215,14 @@
     return [cancel]
 
 
+def _give_up_silent(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Cancel the silent attempt though the newer one has sent nothing."""
+    request.has_stopped_run = True
+    return _stop_silent(state, request, now)
+
+
 def _stop_silent(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
--- a/tests/decisions/test_switching.py
+++ b/tests/decisions/test_switching.py
@@ -366,6 +366,18 @@
         self.check_idle()
 
     # Guards against a request on which two servers work for long.
+    # Guards against two servers at work for longer than is allowed, at a
+    # node whose ticks come late.
+    def test_late_ticks(self) -> None:
+        first = self.begin()
+        for _ in range(8):
+            self.now += MAX_TWICE_MS + TICK_MS
+            out = self.post(events.Ticked())
+            if get_attempts(out):
+                self.assertEqual(1, len(get_cancelled(out, first)))
+                return
+        raise AssertionError('no second attempt')
+
     def test_both_are_silent(self) -> None:
         first, second = self._switch()
         began = self.now
