--- a/src/teaselbridge/decisions/switching.py
+++ b/src/teaselbridge/decisions/switching.py
@@ -1,11 +1,10 @@
 """Moves requests from silent servers to others.
 
-Load pattern: a sound server pauses in an answer while the others are full. An
-idempotent request whose server sends no data is sent to another server while
-the first one works on. Of the two attempts that one goes on which sends data
-first, and the silent one if the other one is refused or fails. Neither is
-given up before, unless `MAX_OVERLAP_MS` pass without a refusal: two servers
-must not work on one request for long.
+A sound server may pause in an answer while the others are full. An idempotent
+request whose server sends no data is therefore sent to another server while
+the first one works on. The attempt that sends data first goes on; if the newer
+one is refused or fails before, the silent one does. The silent one is given up
+after `MAX_OVERLAP_MS`, as two servers must not work on one request for long.
 """
 
 from __future__ import annotations
--- a/src/teaselbridge/runtime/lingering.py
+++ b/src/teaselbridge/runtime/lingering.py
@@ -21,7 +21,7 @@
     """Transport whose `close` ends only the direction to the peer.
 
     The connection is closed once the peer has closed its side, or after
-    `LINGER_MS`. What is received until then is for nobody.
+    `LINGER_MS`. What is received until then is dropped.
 
     :param transport: transport of the connection.
     """
