--- a/tests/failures/processes.py
+++ b/tests/failures/processes.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 import tempfile
+import threading
 import time
 import typing
 
@@ -90,6 +91,24 @@
         self._process.send_signal(signal.SIGTERM)
         self.stopped_at = time.monotonic()
 
+    def kill_after(self, delay_s: float) -> None:
+        """Kill the process after a delay, however late the event loop is."""
+        timer = threading.Timer(delay_s, self._kill_if_running)
+        timer.daemon = True
+        timer.start()
+
+    def _kill_if_running(self) -> None:
+        if self.is_running:
+            assert self._process is not None
+            with contextlib.suppress(ProcessLookupError):
+                self._process.kill()
+
+    @property
+    def was_killed(self) -> bool:
+        """Whether SIGKILL ended the process."""
+        process = self._process
+        return process is not None and process.returncode == -signal.SIGKILL
+
     async def wait(self) -> float:
         """Wait until the process has ended.
 
--- a/tests/failures/stops.py
+++ b/tests/failures/stops.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import itertools
 import random
 import re
@@ -26,6 +27,8 @@
 # A server still at work in the last part of the grace period excuses the end
 # of a request that was sent while callers could not know better.
 LAST_PART = 1 / 6
+# Timeout of all routes of `site`.
+ROUTE_TIMEOUT_MS = 15_000
 SEND_INTERVAL_S = 0.1
 KEPT_CONNECTIONS = 40
 # A refusal is early if it comes within this time of the request.
@@ -38,7 +41,8 @@
     """One request and how it ended for its caller.
 
     :param sent_s: when it was sent, in seconds after SIGTERM.
-    :param deadline_s: when its caller gives up, likewise.
+    :param deadline_s: when its caller gives up or its route's timeout is
+        reached, likewise.
     :param ended_s: when its answer or its connection ended, likewise.
     :param status: status of the answer, 0 where none came.
     :param is_whole: whether the answer is complete.
@@ -143,22 +147,29 @@
 
     :param build_request: function that returns a target and the time that
         the caller has, in milliseconds; 0 to send no deadline.
+    :param interval_s: time between two requests, in seconds.
+    :param kept: number of connections that are kept.
     """
 
     def __init__(
         self,
         node: processes.NodeProcess,
         build_request: collections.abc.Callable[[], tuple[str, int]],
+        *,
+        interval_s: float = SEND_INTERVAL_S,
+        kept: int = KEPT_CONNECTIONS,
     ) -> None:
         self.sent: list[Sent] = []
         self._node = node
         self._build_request = build_request
+        self._interval_s = interval_s
+        self._keep = kept
         self._kept: list[Connection] = []
         self._calls: list[asyncio.Task[None]] = []
 
     async def open(self) -> None:
         """Open the connections that are kept, and use each of them once."""
-        for _ in range(KEPT_CONNECTIONS):
+        for _ in range(self._keep):
             connection = await Connection.open(self._node.callers)
             headers = site.build_request_headers(site.WORKSPACE_KEY)
             status, _, _ = await connection.call('/stock/1', headers)
@@ -169,7 +180,7 @@
         """Send until the process is gone, then wait for all answers."""
         while self._node.is_running:
             self._calls.append(asyncio.create_task(self._send()))
-            await asyncio.sleep(SEND_INTERVAL_S)
+            await asyncio.sleep(self._interval_s)
         await asyncio.gather(*self._calls)
         for connection in self._kept:
             connection.close()
@@ -199,7 +210,8 @@
             attempt=attempt,
             target=target,
             sent_s=begun,
-            deadline_s=begun + (deadline_ms or 15_000) / 1_000,
+            deadline_s=begun
+            + min(deadline_ms or ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS) / 1_000,
         )
         self.sent.append(sent)
         status, whole, stays_open = await connection.call(target, headers)
@@ -212,9 +224,14 @@
 
 
 def build_callers(
-    node: processes.NodeProcess, source: random.Random
+    node: processes.NodeProcess,
+    source: random.Random,
+    *,
+    interval_s: float = SEND_INTERVAL_S,
+    kept: int = KEPT_CONNECTIONS,
 ) -> list[Caller]:
     """Build a caller for each kind of request."""
+    build = functools.partial(Caller, node, interval_s=interval_s, kept=kept)
 
     def build_stream(path: str) -> tuple[str, int]:
         events = source.randint(10, 150)
@@ -231,10 +248,10 @@
         return f'/stock/1?work-ms={work_ms}', source.choice((800, 3_000, 0))
 
     return [
-        Caller(node, build_question),
-        Caller(node, build_booking),
-        Caller(node, lambda: build_stream('/stream/x')),
-        Caller(node, lambda: build_stream('/stream/once/x')),
+        build(build_question),
+        build(build_booking),
+        build(lambda: build_stream('/stream/x')),
+        build(lambda: build_stream('/stream/once/x')),
     ]
 
 
