Keep a silent server until the request was sent to another one

Callers whose server paused could get a 502, or a stream that was begun anew, although that server would have answered: it was given up 200 ms after a second attempt began, and at once where ticks came late, though the second server may take 400 ms to accept the connection, or never do.

Until a byte of the request is sent there, no second server works on it. The runtime now posts an event when it sends the request of an attempt that runs beside a silent one, and the 200 ms count from then. If the connection fails, nothing was given up. On a node whose ticks come late the silent server is given up at that event, no longer before it. Other attempts post no such event, so that they cost no more than before.

Its test of late ticks asks for the cancellation at that event instead of at the tick, and besides for none before; all other assertions and bounds are as they were.

--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -71,6 +71,7 @@
     :param origin: name of this node, if the request goes to another node
         instead of a server; else empty.
     :param is_counted: whether this node has counted a run for usage.
+    :param reports_sending: whether to post ``events.AttemptSent``.
     """
 
     call: calls.Call
@@ -85,6 +86,7 @@
     source: str = ''
     origin: str = ''
     is_counted: bool = False
+    reports_sending: bool = False
 
 
 class CancelAttempt(msgspec.Struct, frozen=True):
@@ -494,7 +496,7 @@
 
 
 class Wake(msgspec.Struct, frozen=True):
-    """Command to post ``events.Woke`` sooner than the next tick.
+    """Command to post ``events.DelayElapsed`` sooner than the next tick.
 
     :param delay_ms: milliseconds from now.
     """
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -224,6 +224,16 @@
     detail: str
 
 
+class AttemptSent(msgspec.Struct, frozen=True):
+    """Sending of the request of an attempt, on an open connection.
+
+    It is posted only where ``effects.RelayAttempt`` asks for it.
+    """
+
+    handle: int
+    attempt: int
+
+
 class AttemptFailed(msgspec.Struct, frozen=True):
     """End of an attempt without an answer."""
 
@@ -619,6 +629,7 @@
     | StreamEnded
     | CacheCopied
     | AnswerReceived
+    | AttemptSent
     | AttemptFailed
     | HeadReceived
     | StreamEventsReceived
--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -67,6 +67,7 @@
             new_connection=request.is_at_most_once,
             origin=state.options.me.name,
             is_counted=request.began,
+            reports_sending=request.silent is not None,
         ),
     ]
 
--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -37,6 +37,7 @@
 from teaselbridge.decisions import servers
 from teaselbridge.decisions import steps
 from teaselbridge.decisions import suspects
+from teaselbridge.decisions import switching
 from teaselbridge.decisions import tickets
 from teaselbridge.decisions import usage
 from teaselbridge.decisions import usage_exchange
@@ -170,6 +171,8 @@
             return servers.handle_hosts_read(state, event, now)
         case events.ReclaimAnnounced():
             return servers.handle_reclaim_announced(state, event, now)
+        case events.AttemptSent():
+            return switching.handle_attempt_sent(state, event, now)
         case events.LoadReported():
             return servers.handle_load_reported(state, event, now)
         case events.LoadMissing():
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -148,6 +148,7 @@
             urgency=min(9, call.route.priority) if is_engine else None,
             new_connection=request.is_at_most_once,
             source=source,
+            reports_sending=request.silent is not None,
         ),
     ]
 
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -78,6 +78,8 @@
         had not ended, and no other server has sent events since.
     :ivar needs_budget: whether its next attempt waits for the retry budget.
     :ivar started_at: monotonic milliseconds at which that attempt started.
+    :ivar sent_at: monotonic milliseconds at which its request was sent, none
+        where that is not known.
     :ivar progressed_at: monotonic milliseconds of its last progress.
     :ivar first: whether its first token or first byte is still awaited.
     :ivar first_token_at: monotonic milliseconds of its first token.
@@ -125,6 +127,7 @@
         self.needs_budget = False
         self.host = ''
         self.started_at = 0
+        self.sent_at: int | None = None
         self.progressed_at = 0
         self.first = True
         self.first_token_at = 0
@@ -219,6 +222,7 @@
         """Give the next attempt a number that no earlier one had."""
         self.attempt_count += 1
         self.attempt = self.attempt_count
+        self.sent_at = None
 
     def keep_silent_attempt(self) -> None:
         """Keep the current attempt, as another one is about to begin."""
--- a/src/teaselbridge/decisions/switching.py
+++ b/src/teaselbridge/decisions/switching.py
@@ -4,7 +4,9 @@
 request whose server sends no data is therefore sent to another server while
 the first one works on. The attempt that sends data first goes on; if the newer
 one is refused or fails before, the silent one does. The silent one is given up
-after `MAX_OVERLAP_MS`, as two servers must not work on one request for long.
+at most `MAX_OVERLAP_MS` after the request was sent to the other server, as two
+servers must not work on one request for long. Until it was sent there, the
+first one works on it alone.
 """
 
 from __future__ import annotations
@@ -52,9 +54,7 @@
     if request.phase is not requests.Phase.RUNNING:
         return []
     if request.silent is not None:
-        if now.mono - request.started_at < MAX_OVERLAP_MS:
-            return []
-        return _give_up_silent(state, request, now)
+        return _end_overlap(state, request, now)
     detail = _find_silence(state, request, now)
     if not detail:
         return []
@@ -71,11 +71,24 @@
     out = _try_elsewhere(state, request, fault, now)
     if request.silent is not None and request.silent.host:
         out += links.probe_pool(state, route.pool, now)
-    if request.silent is not None and state.tick_gap_ms > MAX_TICK_GAP_MS:
-        out += _give_up_silent(state, request, now)
     return out
 
 
+def handle_attempt_sent(
+    state: states.State, event: events.AttemptSent, now: clock.Instant
+) -> list[effects.Effect]:
+    """Begin the time for which two servers may work on a request."""
+    request = state.requests.get(event.handle)
+    if (
+        request is None
+        or request.silent is None
+        or request.attempt != event.attempt
+    ):
+        return []
+    request.sent_at = now.mono
+    return _end_overlap(state, request, now)
+
+
 def settle(
     state: states.State,
     request: requests.Request,
@@ -106,6 +119,22 @@
     return True, _stop_silent(state, request, now)
 
 
+def _get_overlap_ms(state: states.State) -> int:
+    """Return how long a silent attempt is kept beside a newer one."""
+    return 0 if state.tick_gap_ms > MAX_TICK_GAP_MS else MAX_OVERLAP_MS
+
+
+def _end_overlap(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Give up the silent attempt of a request if its time has passed."""
+    if request.sent_at is None or now.mono - request.sent_at < _get_overlap_ms(
+        state
+    ):
+        return []
+    return _give_up_silent(state, request, now)
+
+
 def _find_silence(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> str:
--- a/src/teaselbridge/platform/connections.py
+++ b/src/teaselbridge/platform/connections.py
@@ -130,10 +130,16 @@
     """A request in progress.
 
     :param receiver: receiver of the answer.
+    :param on_sent: function that is called as the request is sent.
     """
 
-    def __init__(self, receiver: Receiver) -> None:
+    def __init__(
+        self,
+        receiver: Receiver,
+        on_sent: collections.abc.Callable[[], None] | None = None,
+    ) -> None:
         self.receiver: Receiver | None = receiver
+        self.on_sent = on_sent
         self.connection: Connection | None = None
         self.opening: asyncio.Task[None] | None = None
 
@@ -182,6 +188,7 @@
         *,
         is_head: bool = False,
         new_connection: bool = False,
+        on_sent: collections.abc.Callable[[], None] | None = None,
     ) -> Exchange:
         """Send a request; the receiver is called later, never by this call.
 
@@ -191,8 +198,10 @@
             has no body.
         :param new_connection: whether to open a connection for this request
             alone.
+        :param on_sent: function that is called as the request is sent on an
+            open connection, which this call may do.
         """
-        exchange = Exchange(receiver)
+        exchange = Exchange(receiver, on_sent)
         connection = None if new_connection else self._take_idle(address)
         if connection is not None:
             connection.start(exchange, receiver, request, is_head)
@@ -401,6 +410,8 @@
             )
             return
         self._transport.write(request)
+        if exchange.on_sent is not None:
+            exchange.on_sent()
 
     def is_quiet(self) -> bool:
         """Return whether the connection is open and nothing was received.
--- a/src/teaselbridge/platform/runners.py
+++ b/src/teaselbridge/platform/runners.py
@@ -109,6 +109,7 @@
             self,
             is_head=effect.call.method == 'HEAD',
             new_connection=effect.new_connection,
+            on_sent=self._post_sent if effect.reports_sending else None,
         )
 
     def cancel(self) -> None:
@@ -186,6 +187,10 @@
         )
         self._finish(fault)
 
+    def _post_sent(self) -> None:
+        effect = self._effect
+        self._post(events.AttemptSent(effect.call.handle, effect.attempt))
+
     def _finish(self, fault: calls.Fault) -> None:
         effect = self._effect
         self._on_end(self)
--- a/tests/decisions/test_switching.py
+++ b/tests/decisions/test_switching.py
@@ -33,6 +33,12 @@
     calls.FaultKind.BUSY, calls.RunStatus.NOT_RUN, 'status 503, not run'
 )
 CUT = calls.Fault(calls.FaultKind.CUT, calls.RunStatus.UNKNOWN, 'closed')
+UNCONNECTED = calls.Fault(
+    calls.FaultKind.CONNECT, calls.RunStatus.NOT_RUN, 'timeout'
+)
+# Time after which a connection that is not accepted counts as failed.
+CONNECT_MS = 400
+ANSWER = calls.Answer(200, (), b'answer')
 FAILED = calls.Answer(500, (), b'failed')
 FINAL = (effects.SendFinish, effects.SendRefusal, effects.SendAnswer)
 
@@ -72,14 +78,27 @@
             out += self.post(events.Ticked())
         return out
 
-    def wait_for_attempt(self) -> effects.RelayAttempt | None:
-        """Wait for the next attempt, for `SILENCE_MS` at the most."""
+    def wait_for_attempt(
+        self, *, is_sent: bool = True
+    ) -> effects.RelayAttempt | None:
+        """Wait for the next attempt, for `SILENCE_MS` at the most.
+
+        :param is_sent: whether its server accepts the connection at once.
+        """
         for _ in range(0, SILENCE_MS, TICK_MS):
             for item in self.wait(TICK_MS):
                 if isinstance(item, effects.RelayAttempt):
+                    if is_sent:
+                        self.send_request(item)
                     return item
         return None
 
+    def send_request(
+        self, attempt: effects.RelayAttempt
+    ) -> list[effects.Effect]:
+        """Send the request of an attempt, whose connection is open."""
+        return self.post(events.AttemptSent(HANDLE, attempt.attempt))
+
     def arrive(self, **route: object) -> effects.RelayAttempt:
         """Send the request to the node and return its attempt."""
         fields = {'streaming': True, 'resumable': True, 'attempts': 2, **route}
@@ -373,7 +392,9 @@
         for _ in range(8):
             self.now += MAX_TWICE_MS + TICK_MS
             out = self.post(events.Ticked())
-            if get_attempts(out):
+            for second in get_attempts(out):
+                self.assertEqual([], get_cancelled(out, first))
+                out = self.send_request(second)
                 self.assertEqual(1, len(get_cancelled(out, first)))
                 return
         raise AssertionError('no second attempt')
@@ -419,6 +440,44 @@
         self.assertIsNone(self.wait_for_attempt())
 
 
+class TestConnecting(SilenceTestCase):
+    """A silent server is kept until the request was sent to another one."""
+
+    def _begin(self, *, begun: bool) -> effects.RelayAttempt:
+        if begun:
+            return self.begin()
+        return self.arrive(streaming=False, resumable=False)
+
+    def _check_connect_fails(self, *, begun: bool, tick_ms: int) -> None:
+        first = self._begin(begun=begun)
+        out: list[effects.Effect] = []
+        while not get_attempts(out):
+            self.now += tick_ms
+            out = self.post(events.Ticked())
+        (second,) = get_attempts(out)
+        out += self.wait(CONNECT_MS)
+        self.assertEqual([], get_cancelled(out, first, second))
+        self.assertEqual([], get_finals(self.fail(second, UNCONNECTED)))
+        if begun:
+            self.check_goes_on(first)
+            return
+        answered = events.AnswerReceived(HANDLE, first.attempt, ANSWER)
+        sent = effects.SendAnswer(HANDLE, ANSWER, False)
+        self.assertIn(sent, self.post(answered))
+        self.check_idle()
+
+    # Guards against a slow answer that is replaced by an error, and a stream
+    # that begins anew, as the next server accepts no connection.
+    def test_next_server_accepts_no_connection(self) -> None:
+        for begun in (False, True):
+            self._check_connect_fails(begun=begun, tick_ms=TICK_MS)
+
+    # The same at a node whose ticks come late.
+    def test_late_ticks(self) -> None:
+        for begun in (False, True):
+            self._check_connect_fails(begun=begun, tick_ms=MAX_TWICE_MS)
+
+
 class TestGivenUp(SilenceTestCase):
     """A stream that this node itself gave up is kept until its deadline."""
 
--- a/tests/failures/test_site_pauses.py
+++ b/tests/failures/test_site_pauses.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import re
+import socket
 import typing
 
 from teaselbridge.standins import runner as runners
@@ -19,6 +20,8 @@
 # Event after which a server pauses.
 PAUSED_AFTER = 3
 PAUSE_S = 1.0
+# More connections than a listener holds that accepts none.
+FULL_BACKLOG = 8
 STREAM = b''.join(runners.event(number) for number in range(1, EVENTS + 1))
 HEAD = raw.head(200, raw.STREAM_TYPE, 'Transfer-Encoding: chunked')
 
@@ -82,6 +85,21 @@
     writer.write(raw.END_CHUNK)
 
 
+@contextlib.contextmanager
+def listen_full() -> collections.abc.Iterator[str]:
+    """Yield an address at which connections are neither opened nor refused."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        host, port = listener.getsockname()
+        for _ in range(FULL_BACKLOG):
+            client = stack.enter_context(socket.socket())
+            client.setblocking(False)
+            client.connect_ex((host, port))
+        yield f'{host}:{port}'
+
+
 class TestPauses(base.TestCase):
     """A server that pauses is not given up before another one goes on."""
 
@@ -129,3 +147,30 @@
     # The same where the next server is slower than the first one's pause.
     def test_rest_is_slow(self) -> None:
         self._check_answers(delay_s=1.0)
+
+    # Guards against a server that is given up for one that accepts no
+    # connection.
+    def test_next_server_hangs(self) -> None:
+        engine = PausingEngine(iter(()))
+
+        async def run() -> None:
+            async with site.run_deployment() as trial:
+                async with raw.run_engines(trial, engine):
+                    call = asyncio.ensure_future(
+                        raw.read_stream(trial, '/stream/1')
+                    )
+                    state = trial.nodes[0].loop.state
+                    await site.until(
+                        lambda: any(
+                            item.last_event for item in state.requests.values()
+                        )
+                    )
+                    with listen_full() as address:
+                        await raw.register_engines(
+                            trial, engine.address, address
+                        )
+                        _, body = await call
+                    self.assertEqual((STREAM, True), raw.decode_chunks(body))
+                    self.assertEqual([], engine.resumed_after)
+
+        self.run_coroutine(run())
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -332,6 +332,29 @@
         self.assertIs(calls.RunStatus.NOT_RUN, fault.ran)
 
 
+class TestSending(testtools.TestCase):
+    """An attempt tells when its request was sent, where it has to."""
+
+    EFFECT = msgspec.structs.replace(EFFECT, reports_sending=True)
+    SENT = events.AttemptSent(EFFECT.call.handle, EFFECT.attempt)
+
+    def test_open_connection(self) -> None:
+        found = relay(self.EFFECT, b'HTTP/1.1 500 Any\r\n\r\n')
+        self.assertEqual(self.SENT, found[0])
+        self.assertEqual(1, found.count(self.SENT))
+
+    def test_nobody_asked(self) -> None:
+        found = relay(EFFECT, b'HTTP/1.1 500 Any\r\n\r\n')
+        self.assertNotIn(self.SENT, found)
+
+    # Guards against a server that is given up for one that cannot be reached.
+    def test_no_connection(self) -> None:
+        effect = msgspec.structs.replace(self.EFFECT, address='127.0.0.1:1')
+        (failed,) = asyncio.run(run_to_end(effect))
+        assert isinstance(failed, events.AttemptFailed)
+        self.assertIs(calls.FaultKind.CONNECT, failed.fault.kind)
+
+
 class TestTerms(testtools.TestCase):
     """Each answer tells the terms on which its server takes requests."""
 
