--- a/tests/failures/processes.py
+++ b/tests/failures/processes.py
@@ -87,8 +87,7 @@
 
     def stop(self) -> None:
         """Send SIGTERM."""
-        assert self._process is not None
-        self._process.send_signal(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
         self.stopped_at = time.monotonic()
 
     def kill_after(self, delay_s: float) -> None:
@@ -109,6 +108,11 @@
         process = self._process
         return process is not None and process.returncode == -signal.SIGKILL
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self._process is not None
+        self._process.send_signal(number)
+
     async def wait(self) -> float:
         """Wait until the process has ended.
 
