Take a repeated SIGTERM for the one before

Callers whose requests a stopping node had accepted, as they end before its stop, got 502 or a broken stream up to 600 ms earlier than the node had counted on, if SIGTERM came again.

The delay with which SIGTERM is handled widens the margin before the end of the grace period. A second SIGTERM was compared with the arrival of the first one, so that the whole time between them counted as delay.

A node that stops already has nothing to learn from another signal: the grace period counts from the first one.

--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -220,11 +220,15 @@
     def drain(self, since: int | None = None) -> None:
         """Begin a graceful shutdown within the grace period.
 
+        A repeated request changes nothing: the grace period has begun.
+
         :param since: when the grace period began, in monotonic milliseconds;
             now if none.
         """
         site = self._settings.site
         assert site is not None
+        if self._loop.state.drain is not None:
+            return
         now = self._loop.now().mono
         began = now if since is None else since
         grace_ms = round(clocks.SECOND_MS * site.bounds.grace_s)
--- a/tests/runtime/test_site.py
+++ b/tests/runtime/test_site.py
@@ -23,6 +23,20 @@
 from tests.failures import site
 
 
+def _build_settings(
+    *,
+    grace_s: float,
+    store: str = '127.0.0.1:1',
+    duties: str = '127.0.0.1:2',
+) -> model.Settings:
+    settings = site.build_settings(0, store, duties)
+    assert settings.site is not None
+    bounds = dataclasses.replace(settings.site.bounds, grace_s=grace_s)
+    return dataclasses.replace(
+        settings, site=dataclasses.replace(settings.site, bounds=bounds)
+    )
+
+
 class TestReload(testtools.TestCase):
     """Settings are reloaded on request; invalid ones change nothing."""
 
@@ -191,13 +205,7 @@
     # Guards against final answers that a busy node has no time to send.
     def test_busy_node_stops_earlier(self) -> None:
         async def run() -> None:
-            settings = site.build_settings(0, '127.0.0.1:1', '127.0.0.1:2')
-            assert settings.site is not None
-            bounds = model.Bounds(grace_s=8)
-            settings = dataclasses.replace(
-                settings,
-                site=dataclasses.replace(settings.site, bounds=bounds),
-            )
+            settings = _build_settings(grace_s=8)
             spans = []
             for late_ms in (0, 200, 2_000):
                 node = sites.SiteNode(settings=settings, path='unused')
@@ -215,6 +223,26 @@
 
         self.run_coroutine(run())
 
+    # Guards against a node that takes the time since the first signal for a
+    # delay of its loop, and ends requests that it has accepted.
+    def test_repeated_signal_changes_nothing(self) -> None:
+        async def run() -> None:
+            node = sites.SiteNode(
+                settings=_build_settings(grace_s=8), path='unused'
+            )
+            since = node.loop.now().mono
+            deadlines = []
+            for _ in range(2):
+                node.drain(since)
+                drain = node.loop.state.drain
+                assert drain is not None
+                deadlines.append(drain.stop_deadline)
+                time.sleep(0.5)
+            await node.abort()
+            self.assertEqual(deadlines[0], deadlines[1])
+
+        self.run_coroutine(run())
+
     # Guards against a process that is killed as a task of it does not end.
     def test_task_that_does_not_end(self) -> None:
         async def ignore_cancellation() -> None:
