Judge the end of a drain with the delay of the loop then

Callers of a stopping node got the final answer to their request after the end of the grace period, where the process is killed and nothing comes at all, if the event loop became late after SIGTERM.

The margin before the end of the grace period was computed once, with the delay that was known when SIGTERM was handled.

Evidence: test_loop_is_blocked_after_the_signal stops the event loop for 0.8 s at 3 s and at 7.3 s after SIGTERM.

A stopping node now looks every 50 ms how late its loop was, and stops earlier if that widens the margin, which still stays within the last sixth. Requests that came late were accepted if they end before the stop; as the stop may now move, they are accepted only if they end before its earliest moment (test_stop_may_come_earlier).

--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -44,12 +44,15 @@
     :param since: when the drain was requested.
     :param began: when it began, which may be later.
     :param stop_deadline: deadline by which the node must have stopped.
+    :param sure_until: until when it surely runs, even if the deadline is
+        shortened.
     :param is_stopped: whether the effect that stops the runtime was returned.
     """
 
     since: int
     began: int
     stop_deadline: int
+    sure_until: int
     is_stopped: bool = False
 
 
@@ -57,11 +60,18 @@
     state: states.State, event: events.DrainRequested, now: clock.Instant
 ) -> list[effects.Effect]:
     """Start the graceful shutdown, or shorten its deadline."""
-    if state.drain is not None:
-        state.drain.stop_deadline = min(state.drain.stop_deadline, event.by)
+    drain = state.drain
+    if drain is not None:
+        drain.stop_deadline = min(drain.stop_deadline, event.by)
+        drain.sure_until = min(drain.sure_until, drain.stop_deadline)
         return []
     since = now.mono if event.since is None else event.since
-    state.drain = Drain(since=since, began=now.mono, stop_deadline=event.by)
+    state.drain = Drain(
+        since=since,
+        began=now.mono,
+        stop_deadline=event.by,
+        sure_until=event.by if event.sure_until is None else event.sure_until,
+    )
     me = state.options.me
     detail = (
         f'{event.by - now.mono} ms left, {len(state.requests)} held,'
@@ -99,7 +109,7 @@
     :return: the refusal, none where the request is accepted.
     """
     drain = state.drain
-    if drain is None or call.deadline <= drain.stop_deadline:
+    if drain is None or call.deadline <= drain.sure_until:
         return None
     listed_until = drain.since + state.options.address_list_max_age_ms
     if now.mono < listed_until - ARRIVAL_MARGIN_MS:
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -614,10 +614,13 @@
 
     :param by: monotonic milliseconds by which it must have stopped.
     :param since: when the request was made, likewise; none for now.
+    :param sure_until: earliest moment to which a later request may shorten
+        the deadline, likewise; none for `by`.
     """
 
     by: int
     since: int | None = None
+    sure_until: int | None = None
 
 
 Event = (
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -49,6 +49,8 @@
 # node needs more, but takes no more than a part of the grace period.
 STOP_MARGIN_MS = 600
 MAX_STOP_MARGIN_SHARE = 0.15
+# Interval at which a stopping node looks whether its event loop is late.
+LAG_CHECK_INTERVAL_MS = 50
 # Part of the margin in which these answers may reach their callers. The rest
 # is for the end of the process.
 ANSWERING_SHARE = 0.5
@@ -232,10 +234,39 @@
         now = self._loop.now().mono
         began = now if since is None else since
         grace_ms = round(clocks.SECOND_MS * site.bounds.grace_s)
-        lag_ms = max(now - began, self._loop.lag_ms)
-        self._stop_margin_ms = _get_stop_margin_ms(grace_ms, lag_ms)
-        span = max(0, grace_ms - self._stop_margin_ms)
-        self._loop.post(events.DrainRequested(began + span, began))
+        self._request_drain(began, grace_ms, now - began)
+        self._tasks.start(self._follow_lag(began, grace_ms))
+
+    def _request_drain(
+        self, began: int, grace_ms: int, own_lag_ms: int
+    ) -> None:
+        """Let the drain end as early as the event loop is late.
+
+        :param began: when the grace period began, in monotonic milliseconds.
+        :param own_lag_ms: delay of the caller by the event loop.
+        """
+        lag_ms = max(own_lag_ms, self._loop.lag_ms)
+        margin_ms = _get_stop_margin_ms(grace_ms, lag_ms)
+        drain = self._loop.state.drain
+        if drain is not None and margin_ms <= self._stop_margin_ms:
+            return
+        self._stop_margin_ms = margin_ms
+        self._loop.post(
+            events.DrainRequested(
+                by=began + max(0, grace_ms - margin_ms),
+                since=began,
+                sure_until=began
+                + max(0, grace_ms - _get_max_stop_margin_ms(grace_ms)),
+            )
+        )
+
+    async def _follow_lag(self, began: int, grace_ms: int) -> None:
+        """Stop earlier if the event loop becomes late during the drain."""
+        while True:
+            due = self._loop.now().mono + LAG_CHECK_INTERVAL_MS
+            await asyncio.sleep(clocks.seconds(LAG_CHECK_INTERVAL_MS))
+            lag_ms = max(0, self._loop.now().mono - due)
+            self._request_drain(began, grace_ms, lag_ms)
 
     def reload(self) -> None:
         """Read the settings file again and apply its bounds.
@@ -443,10 +474,14 @@
 
     :param lag_ms: recent delay of the loop.
     """
-    most = max(STOP_MARGIN_MS, round(MAX_STOP_MARGIN_SHARE * grace_ms))
+    most = _get_max_stop_margin_ms(grace_ms)
     return min(STOP_MARGIN_MS + 2 * lag_ms, most)
 
 
+def _get_max_stop_margin_ms(grace_ms: int) -> int:
+    return max(STOP_MARGIN_MS, round(MAX_STOP_MARGIN_SHARE * grace_ms))
+
+
 def _build_bounds(site: model.Site) -> bounds_module.Bounds:
     """Convert the bounds of the settings to those of the reducer."""
     site_bounds = site.bounds
--- a/tests/decisions/test_drain.py
+++ b/tests/decisions/test_drain.py
@@ -89,6 +89,19 @@
     def test_deadline_is_before_the_stop(self) -> None:
         self.assertEqual([], self._arrive(5_000, STOP_AT))
 
+    # Guards against late requests that are accepted and broken off, as the
+    # node becomes busy and stops earlier.
+    def test_stop_may_come_earlier(self) -> None:
+        sure_until = STOP_AT - 600
+        state = samples.state(bounds.Bounds())
+        for event in (
+            events.DrainRequested(STOP_AT, 0, sure_until),
+            events.DrainRequested(sure_until, 0, sure_until),
+        ):
+            drain.handle_drain_requested(state, event, samples.instant(0))
+            self.assertEqual(1, len(self._arrive(5_000, STOP_AT, state)))
+            self.assertEqual([], self._arrive(5_000, sure_until, state))
+
     def test_callers_may_still_have_the_address(self) -> None:
         self.assertEqual([], self._arrive(1_000, STOP_AT + 1_000))
 
--- a/tests/runtime/test_site.py
+++ b/tests/runtime/test_site.py
@@ -7,6 +7,7 @@
 import dataclasses
 import pathlib
 import signal
+import socket
 import tempfile
 import time
 
@@ -37,6 +38,21 @@
     )
 
 
+def _call_order(address: str) -> tuple[bytes, float]:
+    """Send an order from a thread.
+
+    :return: the answer, and when it came by the monotonic clock.
+    """
+    host, _, port = address.rpartition(':')
+    headers = site.build_request_headers(site.WORKSPACE_KEY)
+    lines = ['POST /orders/1 HTTP/1.1', 'Content-Length: 0']
+    lines += [f'{name}: {value}' for name, value in headers.items()]
+    with socket.create_connection((host, int(port))) as caller:
+        caller.sendall('\r\n'.join([*lines, '', '']).encode())
+        answer = caller.recv(1 << 16)
+        return answer, time.monotonic()
+
+
 class TestReload(testtools.TestCase):
     """Settings are reloaded on request; invalid ones change nothing."""
 
@@ -223,6 +239,45 @@
 
         self.run_coroutine(run())
 
+    # Guards against a node that becomes busy after the signal, and whose final
+    # answers come after the end of the grace period.
+    def test_loop_is_blocked_after_the_signal(self) -> None:
+        grace_s = 8.0
+
+        async def run() -> None:
+            async with site.run_deployment(0) as trial:
+                for server in trial.list_servers('shop'):
+                    server.work_ms = 30_000.0
+                node = sites.SiteNode(
+                    settings=_build_settings(
+                        grace_s=grace_s,
+                        store=trial.store_host.address,
+                        duties=trial.duties_host.address,
+                    ),
+                    path='unused',
+                )
+                trial.nodes.append(node)
+                state = node.loop.state
+                stopped = asyncio.ensure_future(node.run())
+                await site.until(lambda: len(state.servers.all) == 4)
+                call = asyncio.ensure_future(
+                    asyncio.to_thread(_call_order, site.callers(node))
+                )
+                await site.until(lambda: state.requests)
+                signalled = time.monotonic()
+                signal.raise_signal(signal.SIGTERM)
+                for begin_s in (3.0, grace_s - 0.7):
+                    left_s = signalled + begin_s - time.monotonic()
+                    await asyncio.wait([stopped], timeout=max(0.0, left_s))
+                    time.sleep(0.8)
+                await stopped
+                trial.nodes.remove(node)
+                answer, answered_at = await call
+                self.assertIn(b'HTTP/1.1 502', answer)
+                self.assertLess(answered_at - signalled, grace_s)
+
+        self.run_coroutine(run())
+
     # Guards against a node that takes the time since the first signal for a
     # delay of its loop, and ends requests that it has accepted.
     def test_repeated_signal_changes_nothing(self) -> None:
