Answer what waits in the kernel when a listener stops

Callers whose connection waited in the accept queue, or whose request waited in the socket buffer of an idle connection, got a reset without an answer when the node closed its listeners.

The listening socket and idle connections were closed in the same turn of the event loop, after a stall before either was read. The kernel resets what it has received for a socket that is closed.

Before it closes anything, a listener now accepts until no connection waits, at most as many as its queue holds and for at most half of its time, and reads each connection.

--- a/src/teaselbridge/runtime/web.py
+++ b/src/teaselbridge/runtime/web.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import select
 import socket
 import ssl
 import typing
@@ -25,6 +26,12 @@
 # Connections that are accepted in one step. Without a free descriptor the
 # library tries, and logs an error, that many times.
 MAX_ACCEPTED_AT_ONCE = 16
+# Turns of the event loop after which what an accepted connection has received
+# is read: its task, its registration, the poll that finds the bytes, and one
+# for a request that came in several parts.
+READING_TURNS = 4
+# Part of the time for open responses that is spent on waiting connections.
+MAX_ACCEPTING_SHARE = 0.5
 
 
 class SignalFreeServer(uvicorn.Server):
@@ -63,7 +70,16 @@
         """Close idle connections and wait until the others are closed.
 
         The library polls for that, which takes a fifth of a second at least.
+        The kernel resets connections with unread bytes, and those that wait
+        to be accepted, so that both are read before.
         """
+        now = asyncio.get_running_loop().time()
+        graceful_s: float = self.config.timeout_graceful_shutdown or 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(
+                now + MAX_ACCEPTING_SHARE * graceful_s
+            ):
+                await self._read_waiting(sockets or ())
         for server in self.servers:
             server.close()
         for listener in sockets or ():
@@ -71,12 +87,24 @@
         for connection in list(self.server_state.connections):
             connection.shutdown()
         try:
-            async with asyncio.timeout(self.config.timeout_graceful_shutdown):
+            async with asyncio.timeout_at(now + graceful_s):
                 await self._wait_until_closed()
         except TimeoutError:
             for task in self.server_state.tasks:
                 task.cancel()
 
+    async def _read_waiting(
+        self, listeners: collections.abc.Sequence[socket.socket]
+    ) -> None:
+        """Accept the connections that wait, and read what was received."""
+        most = listening.LISTEN_BACKLOG // MAX_ACCEPTED_AT_ONCE
+        for _ in range(most):
+            if not _has_waiting(listeners):
+                break
+            await asyncio.sleep(0)
+        for _ in range(READING_TURNS):
+            await asyncio.sleep(0)
+
     async def _wait_until_closed(self) -> None:
         while self.server_state.connections and not self.force_exit:
             self.server_state.lost.clear()
@@ -85,6 +113,15 @@
             await asyncio.wait(self.server_state.tasks)
 
 
+def _has_waiting(listeners: collections.abc.Sequence[socket.socket]) -> bool:
+    """Return whether connections wait to be accepted."""
+    poll = select.poll()
+    for listener in listeners:
+        if listener.fileno() >= 0:
+            poll.register(listener, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenConnections:
     """Open connections of a listener.
--- a/tests/runtime/test_web.py
+++ b/tests/runtime/test_web.py
@@ -232,6 +232,48 @@
         self.run_coroutine(run())
 
 
+class TestWaitingRequests(TestCase):
+    """What the kernel has received before a stop is answered."""
+
+    def _stop(self, count: int, *, is_kept: bool) -> list[bytes]:
+        """Return what callers get that send just before a stop.
+
+        :param count: number of callers.
+        :param is_kept: whether their connections were used before.
+        """
+        answers: list[bytes] = []
+
+        async def run() -> None:
+            async with serve_application(Application()) as (server, address):
+                callers = [socket.socket() for _ in range(count)]
+                loop = asyncio.get_running_loop()
+                for caller in callers:
+                    caller.connect(address)
+                    caller.setblocking(False)
+                    if is_kept:
+                        await loop.sock_sendall(caller, GET)
+                        await loop.sock_recv(caller, 1 << 16)
+                for caller in callers:
+                    caller.send(GET)
+                await server.stop(5)
+                for caller in callers:
+                    with caller, contextlib.suppress(ConnectionError):
+                        answers.append(await loop.sock_recv(caller, 1 << 16))
+
+        self.run_coroutine(run())
+        return answers
+
+    # Guards against connections that are reset in the accept queue, or before
+    # their request is read.
+    def test_connections_in_the_accept_queue(self) -> None:
+        answers = self._stop(200, is_kept=False)
+        self.assertEqual(200, sum(b'<>' in answer for answer in answers))
+
+    def test_unread_requests_of_kept_connections(self) -> None:
+        answers = self._stop(20, is_kept=True)
+        self.assertEqual(20, sum(b'<>' in answer for answer in answers))
+
+
 class TestClose(TestCase):
     """A connection that the server closes delivers its last answer.
 
