Bound the memory for large bodies of requests

A node that got many large requests at once exceeded the memory of its host. The platform kills such a process, and its callers lose everything that it holds.

The size of each body was bounded (4 MB), their sum was not.

What it does not bound: 64 KB of each body, and answers of servers.

Bodies now share 32 MB beyond 64 KB of each. What has no room is refused with 503 and not run, and what follows of its body is dropped, as for a body that is too large. To wait instead could block all of them: each would hold the room that another one needs.

--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -16,6 +16,7 @@
 from teaselbridge.decisions import ends
 from teaselbridge.decisions import freshness
 from teaselbridge.gateway import asgi
+from teaselbridge.gateway import bodies
 from teaselbridge.platform import ingress
 from teaselbridge.platform import names
 
@@ -37,6 +38,7 @@
 
     :param loop: event loop of the reducer.
     :param outlets: queues of output for the waiting callers.
+    :param room: room for large bodies, shared by the listeners of a node.
     :param is_forwarded: whether it serves other nodes, which forward
         requests, instead of callers.
     """
@@ -46,12 +48,14 @@
         *,
         loop: loops.Loop,
         outlets: outlets_module.OutputQueues,
+        room: bodies.Room,
         is_forwarded: bool = False,
     ) -> None:
         self._is_forwarded = is_forwarded
         self._added_header_bytes = ADDED_HEADER_BYTES if is_forwarded else 0
         self._loop = loop
         self._outlets = outlets
+        self._room = room
 
     async def __call__(
         self, scope: asgi.Message, receive: asgi.Receive, send: asgi.Send
@@ -59,8 +63,21 @@
         """Serve one request."""
         if scope['type'] != 'http':
             return
+        claim = bodies.Claim(self._room)
         try:
-            call = await self._read_call(scope, receive)
+            await self._serve(scope, receive, send, claim)
+        finally:
+            claim.release()
+
+    async def _serve(
+        self,
+        scope: asgi.Message,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        claim: bodies.Claim,
+    ) -> None:
+        try:
+            call = await self._read_call(scope, receive, claim)
         except CallerDisconnectedError:
             self._record_unread(scope, ends.Cause.CALLER)
             return
@@ -94,10 +111,11 @@
             self._outlets.close(call.handle, is_cut=is_cut)
 
     async def _read_call(
-        self, scope: asgi.Message, receive: asgi.Receive
+        self, scope: asgi.Message, receive: asgi.Receive, claim: bodies.Claim
     ) -> calls.Call:
         """Read and check one request.
 
+        :param claim: room that its body takes.
         :raises CallerDisconnectedError: the caller disconnected.
         :raises ingress.RefusedError: the request is refused.
         """
@@ -111,7 +129,7 @@
             raise ingress.refused(
                 calls.Reason.HEADERS_TOO_LARGE, f'{size} bytes of headers'
             )
-        body = await _read_body(receive, limits.body_bytes)
+        body = await _read_body(receive, limits.body_bytes, claim)
         if not state.configured:
             raise ingress.refused(
                 calls.Reason.WITHDRAWN, 'no configuration is known yet'
@@ -284,12 +302,15 @@
         )
 
 
-async def _read_body(receive: asgi.Receive, most: int) -> bytes:
+async def _read_body(
+    receive: asgi.Receive, most: int, claim: bodies.Claim
+) -> bytes:
     """Read the request body.
 
     :param most: largest body in bytes.
+    :param claim: room that it takes.
     :raises CallerDisconnectedError: the caller disconnected.
-    :raises ingress.RefusedError: the body is too large.
+    :raises ingress.RefusedError: the body is too large, or there is no room.
     """
     chunks: list[bytes] = []
     size = 0
@@ -303,6 +324,10 @@
             raise ingress.refused(
                 calls.Reason.TOO_LARGE, f'more than {most} bytes'
             )
+        if not claim.grow(size):
+            raise ingress.refused(
+                calls.Reason.OVERLOAD, 'too many bytes of bodies are held'
+            )
         chunks.append(chunk)
         if not message.get('more_body', False):
             return b''.join(chunks)
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -18,6 +18,7 @@
 from teaselbridge.decisions.sharing import rates
 from teaselbridge.decisions import state as states
 from teaselbridge import errors
+from teaselbridge.gateway import bodies
 from teaselbridge.gateway import relay
 from teaselbridge.peers import messages
 from teaselbridge.peers import transport as transports
@@ -439,12 +440,14 @@
         """Build the listeners for callers and for other nodes."""
         listen = self._settings.listen
         outlets = outlets_module.OutputQueues(loop=self._loop)
+        room = bodies.Room()
         addresses = {False: listen.callers, True: listen.forwarding}
         return [
             self._build_listener(
                 relay.IngressApplication(
                     loop=self._loop,
                     outlets=outlets,
+                    room=room,
                     is_forwarded=is_forwarded,
                 ),
                 address,
