Join the backlog of a slow caller once

All callers of a node waited for seconds when one that had read its stream slowly became ready again, or left: the event loop stood still.

What had waited was joined by appending one event after the other to immutable bytes, so that the backlog was copied once for each of them.

Evidence: test_backlog_is_joined_once failed before, with 500,499 bytes copied for a backlog of 1,000 bytes.

The pieces are collected and joined in one step.

--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -179,12 +179,12 @@
                     await asgi.send_start(send, output.head.status, headers)
                     is_started = True
                 case effects.SendEvents():
-                    data = output.data
+                    pieces = [output.data]
                     while pending and isinstance(
                         pending[0], effects.SendEvents
                     ):
-                        data += pending.popleft().data
-                    await asgi.send_body(send, data, more=True)
+                        pieces.append(pending.popleft().data)
+                    await asgi.send_body(send, b''.join(pieces), more=True)
                 case effects.SendFinish():
                     if output.whole:
                         await asgi.send_body(send, b'', more=False)
