Give up callers that let too much of their stream wait

A node whose callers did not read their streams kept what servers sent without a bound. A process that exceeds the memory of its host is killed, and its callers lose everything that it holds.

Only plain answers and single events were bounded, not what waits for a caller.

Not bounded: the sum over callers, and plain answers of up to 8 MB each that wait for callers.

Once more than 8 MB of a stream wait, as much as a plain answer may have, the connection is reset. To stop reading from the server instead would look like its silence.

--- a/src/teaselbridge/gateway/asgi.py
+++ b/src/teaselbridge/gateway/asgi.py
@@ -12,10 +12,14 @@
     Send = collections.abc.Callable[[Message], collections.abc.Awaitable[None]]
     Headers = list[tuple[bytes, bytes]]
     Write = collections.abc.Callable[[bytes], bool]
+    Abort = collections.abc.Callable[[], None]
 
 # Extension of the scope whose ``write`` writes a part of a started response
 # without a coroutine. It returns false where that is not possible now.
 WRITE_EXTENSION = 'teaselbridge.write'
+# Extension of the scope whose ``abort`` closes the connection at once and
+# discards what was not sent.
+ABORT_EXTENSION = 'teaselbridge.abort'
 # Extension of the scope whose ``target`` is that of the request line.
 TARGET_EXTENSION = 'teaselbridge.target'
 # Extension of the scope whose ``is_followed`` tells whether another request of
@@ -40,6 +44,13 @@
     return write
 
 
+def get_abort(scope: Message) -> Abort | None:
+    """Return the function of `ABORT_EXTENSION`, none where there is none."""
+    extension = scope.get('extensions', {}).get(ABORT_EXTENSION, {})
+    abort: Abort | None = extension.get('abort')
+    return abort
+
+
 def is_followed(scope: Message) -> bool:
     """Return what the function of `FOLLOWED_EXTENSION` tells."""
     extension = scope.get('extensions', {}).get(FOLLOWED_EXTENSION, {})
--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -96,6 +96,7 @@
             )
             return
         queue = self._outlets.submit_call(call)
+        queue.abort = asgi.get_abort(scope)
         disconnection = asyncio.ensure_future(
             _wait_for_disconnect(receive, queue)
         )
--- a/src/teaselbridge/runtime/outlets.py
+++ b/src/teaselbridge/runtime/outlets.py
@@ -28,15 +28,36 @@
 )
 
 
+# A caller whose stream has a larger backlog is given up. Plain answers are as
+# large at most.
+MAX_BACKLOG_BYTES = 8 << 20
+
+
 class OutputQueue(asyncio.Queue[typing.Any]):
     """Output to one caller.
 
     :ivar write: function that takes stream events at once instead of the
         queue, if it returns true. It is set only while the reader waits for
         output and has nothing left to send, so that the order is kept.
+    :ivar abort: function that closes the connection of the caller.
     """
 
     write: collections.abc.Callable[[bytes], bool] | None = None
+    abort: collections.abc.Callable[[], None] | None = None
+    _backlog_bytes = 0
+
+    def _put(self, item: typing.Any) -> None:
+        if type(item) is effects.SendEvents:
+            self._backlog_bytes += len(item.data)
+            if self._backlog_bytes > MAX_BACKLOG_BYTES and self.abort:
+                self.abort()
+        super()._put(item)
+
+    def _get(self) -> typing.Any:
+        item = super()._get()
+        if type(item) is effects.SendEvents:
+            self._backlog_bytes -= len(item.data)
+        return item
 
 
 class OutputQueues:
--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -185,6 +185,7 @@
             asgi.WRITE_EXTENSION: {
                 'write': functools.partial(_write_chunk, self.cycle)
             },
+            asgi.ABORT_EXTENSION: {'abort': self.transport.abort},
             asgi.FOLLOWED_EXTENSION: {'is_followed': self._is_followed},
         }
 
--- a/tests/failures/test_site_bodies.py
+++ b/tests/failures/test_site_bodies.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
+from teaselbridge.decisions import effects
 from teaselbridge.gateway import bodies
+from teaselbridge.telemetry import timeline
 from tests.failures import base
 from tests.failures import site
+from tests.failures import test_site_broken_streams as raw
 
 BODY = b'x' * (4 << 20)
 CALLERS = 16
@@ -65,3 +69,43 @@
                 await asyncio.gather(*large)
 
         self.run_coroutine(run())
+
+
+class TestSlowCallers(base.TestCase):
+    """A caller that does not read its stream is given up."""
+
+    # Guards against a process that is killed with all that it holds, as what
+    # waits for a caller exceeds the memory of its host.
+    def test_stream_of_a_caller_that_does_not_read(self) -> None:
+        events = 60
+        event = raw.chunk(b'data: %s\n\n' % (b'x' * 500_000))
+        stream = raw.head(200, raw.STREAM_TYPE, 'Transfer-Encoding: chunked')
+        engine = raw.RawEngine(stream + events * event + raw.END_CHUNK, b'')
+
+        async def run() -> None:
+            async with (
+                site.run_deployment() as trial,
+                raw.run_engines(trial, engine),
+            ):
+                (node,) = trial.nodes
+                host, _, port = site.callers(node).rpartition(':')
+                headers = site.build_request_headers(site.WORKSPACE_KEY)
+                lines = ['POST /stream/once/x HTTP/1.1', 'Content-Length: 0']
+                lines += [f'{key}: {headers[key]}' for key in headers]
+                loop = asyncio.get_running_loop()
+                with socket.socket() as caller:
+                    caller.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096
+                    )
+                    caller.setblocking(False)
+                    await loop.sock_connect(caller, (host, int(port)))
+                    await loop.sock_sendall(
+                        caller, '\r\n'.join([*lines, '', '']).encode()
+                    )
+                    await site.until(lambda: node.loop.state.requests)
+                    await site.until(lambda: not node.loop.state.requests)
+                wanted = timeline.Filter(mark=effects.Mark.ENDED.value)
+                (entry,) = node.loop.timeline.select(wanted)
+                self.assertIn('ended by caller, part sent', entry.detail)
+
+        self.run_coroutine(run())
--- a/tests/runtime/test_outlets.py
+++ b/tests/runtime/test_outlets.py
@@ -63,3 +63,22 @@
         self.loop.execute(effects.SendFinish(7, True))
         self.assertEqual([], self.written)
         self.assertEqual(1, self.queue.qsize())
+
+
+class TestBacklog(testtools.TestCase):
+    """A caller is given up once too much waits for it."""
+
+    def test_abort(self) -> None:
+        aborted: list[bool] = []
+        queue = outlets.OutputQueue()
+        queue.abort = lambda: aborted.append(True)
+        half = effects.SendEvents(7, b'x' * (outlets.MAX_BACKLOG_BYTES // 2))
+        for _ in range(3):
+            queue.put_nowait(half)
+            queue.put_nowait(half)
+            queue.get_nowait()
+            queue.get_nowait()
+        self.assertEqual([], aborted)
+        for _ in range(3):
+            queue.put_nowait(half)
+        self.assertEqual([True], aborted)
