Count answers of the store that came during a stall

A node whose event loop stood still took calls to the store, and those for its duties, for failed though they had been answered in time. It then no longer confirmed the keys of workspaces, so that their callers were refused, replaced its connections, and repeated writes.

The time limit was a timer that cancels the waiting task. After a stall the answer and the timer are handled in the same turn of the event loop, and the cancellation wins even over an answer that was read first.

After the limit the loop gets two turns, in which what waits in the sockets is read, before the call counts as failed. A request that was not sent by then is not sent any more: a duty is not held for longer.

--- a/src/teaselbridge/platform/services.py
+++ b/src/teaselbridge/platform/services.py
@@ -15,6 +15,8 @@
 
 # Shorter than the idle timeout of usual servers.
 KEEP_ALIVE_MS = 5_000
+# Turns of the event loop after which what came during a stall was read.
+READING_TURNS = 2
 # A page of the store's entries has far less.
 MAX_RESPONSE_BYTES = 32 << 20
 
@@ -136,7 +138,29 @@
             collector,
         )
         try:
-            async with asyncio.timeout(clock.seconds(timeout_ms)):
-                return await collector.response
+            return await _wait_for(collector.response, exchange, timeout_ms)
         finally:
             exchange.cancel()
+            collector.response.cancel()
+
+
+async def _wait_for(
+    response: asyncio.Future[Response],
+    exchange: connections.Exchange,
+    timeout_ms: int,
+) -> Response:
+    """Wait for a response.
+
+    After a stall of the event loop, the response may wait in the socket. A
+    request that was not sent yet is not sent any more.
+
+    :raises TimeoutError: it did not come in time.
+    """
+    await asyncio.wait({response}, timeout=clock.seconds(timeout_ms))
+    for _ in range(READING_TURNS):
+        if response.done() or exchange.connection is None:
+            break
+        await asyncio.sleep(0)
+    if not response.done():
+        raise TimeoutError
+    return response.result()
--- a/tests/platform/test_services.py
+++ b/tests/platform/test_services.py
@@ -4,6 +4,10 @@
 
 import asyncio
 import collections.abc
+import contextlib
+import socket
+import threading
+import time
 import typing
 
 import testtools
@@ -110,3 +114,56 @@
                 await client.call('GET', '/', timeout_ms=5_000)
 
         asyncio.run(run())
+
+
+class TestStalls(testtools.TestCase):
+    """A response that came in time counts, however late it is read."""
+
+    def _call(
+        self, pieces: int, answer_s: float
+    ) -> services.Response | TimeoutError:
+        """Call a service while the event loop stands still.
+
+        :param pieces: number of callbacks that hold it up one after another.
+        :param answer_s: time after which the service answers.
+        """
+
+        def answer(listener: socket.socket) -> None:
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(1 << 16)
+                time.sleep(answer_s)
+                # Nobody waits for a late answer.
+                with contextlib.suppress(OSError):
+                    connection.sendall(OK)
+                    connection.recv(1)
+
+        async def run(address: str) -> services.Response | TimeoutError:
+            client = services.Client(address=address, connect_timeout_ms=5_000)
+            loop = asyncio.get_running_loop()
+            for number in range(pieces):
+                loop.call_later(0.1 + number / 1_000, time.sleep, 1 / pieces)
+            try:
+                return await client.call('GET', '/', timeout_ms=500)
+            except TimeoutError as error:
+                return error
+            finally:
+                await client.close()
+
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            thread = threading.Thread(target=answer, args=[listener])
+            thread.start()
+            host, port = listener.getsockname()
+            result = asyncio.run(run(f'{host}:{port}'))
+            thread.join()
+        return result
+
+    # Guards against calls to the store that fail though it has answered, as
+    # the node itself stood still.
+    def test_response_came_during_a_stall(self) -> None:
+        for pieces in (1, 40):
+            response = self._call(pieces, answer_s=0.2)
+            self.assertIsInstance(response, services.Response)
+
+    def test_response_came_after_a_stall(self) -> None:
+        self.assertIsInstance(self._call(1, answer_s=1.5), TimeoutError)
