Count no stall before a request is sent as silence of its server

Callers saw streams cut that another server could have gone on with. A node that stood still just after it had chosen a server judged that server silent at the next tick, although the request had not been sent yet: it started a second attempt and cancelled the first one in the same step, since the tick was late. Both runs that the route allows were then used up, and when the second server broke off, nobody was left.

The silence of an attempt counted from its start up to the moment before which all sockets were read. That is right for a request that was sent before the stall, as its answer waits in the socket. One that was started since the last tick may still wait to be sent. Its silence now counts from the late tick on, and the lag of its server too. Ticks at their usual distance change nothing.

The log shows both attempts within 1 ms, "no data within 604 ms" and "ended by server, 2 attempts".

--- a/src/teaselbridge/decisions/silence.py
+++ b/src/teaselbridge/decisions/silence.py
@@ -34,6 +34,8 @@
 # data. It is shorter than the two seconds after which the first callers
 # give up.
 BUSY_STREAM_GAP_TIMEOUT_MS = 1_600
+# Ticks that are further apart tell that this node stood still.
+MAX_TICK_GAP_MS = 150
 # Predictions are not more accurate than this, so less delay is not lag.
 LAG_TOLERANCE_MS = 100
 # Minimum first-byte timeout of requests to plain services.
@@ -50,6 +52,8 @@
     """
     if request.phase is not requests.Phase.RUNNING:
         return 0
+    if _may_be_unsent(state, request):
+        request.progressed_at = state.ticked_at
     _record_overdue_lag(state, request, now)
     # What came since may wait in the sockets of a node that stood still.
     waited_ms = state.heard_until - request.progressed_at
@@ -111,6 +115,19 @@
     )
 
 
+def _may_be_unsent(state: states.State, request: requests.Request) -> bool:
+    """Return whether this node may have stood still before it sent a request.
+
+    Its server could not answer meanwhile.
+    """
+    previous_tick_at = state.ticked_at - state.tick_gap_ms
+    return (
+        request.first
+        and state.tick_gap_ms > MAX_TICK_GAP_MS
+        and request.started_at >= previous_tick_at
+    )
+
+
 def _record_overdue_lag(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> None:
@@ -122,7 +139,7 @@
     if server is None or not request.first:
         return
     expected_ms = _expected_at_pace(request, server, now)
-    late = state.heard_until - request.started_at - expected_ms
+    late = state.heard_until - request.progressed_at - expected_ms
     late = min(prefill.MAX_LAG_MS, late - LAG_TOLERANCE_MS)
     if late > server.get_lag_ms(now):
         server.lag_ms = late
--- a/tests/decisions/test_switching.py
+++ b/tests/decisions/test_switching.py
@@ -279,6 +279,23 @@
         found = get_attempts(self._tick_late(self.now + SILENCE_MS))
         self.assertEqual(1, len(found))
 
+    # Guards against sound servers that are given up, as the request was sent
+    # to them only after the node had stood still.
+    def test_stall_before_a_request_is_sent(self) -> None:
+        self.wait(TICK_MS)
+        first = self.arrive()
+        found = get_attempts(self._tick_late(self.now + SILENCE_MS))
+        self.assertEqual([], found)
+        self.assertEqual(0, self.state.servers.get(first.host).lag_ms)
+        self.assertIsNotNone(self.wait_for_attempt())
+
+    def test_stall_after_a_request_is_sent(self) -> None:
+        self.wait(TICK_MS)
+        self.arrive()
+        self.wait(TICK_MS)
+        found = get_attempts(self._tick_late(self.now + SILENCE_MS))
+        self.assertEqual(1, len(found))
+
     # Guards against peers that are suspected by a node that stood still.
     def test_stall_loses_no_peer(self) -> None:
         me = self.state.membership.me
--- a/tests/failures/test_site_stalls.py
+++ b/tests/failures/test_site_stalls.py
@@ -28,11 +28,13 @@
 class SteadyEngine:
     """Engine in a thread of its own, which sends events at fixed times.
 
+    :param first_s: time that it takes to begin a stream, in seconds.
     :ivar resumed_count: number of requests to continue a stream.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, first_s: float = 0.0) -> None:
         self.resumed_count = 0
+        self._first_s = first_s
         self.address = ''
         self._loop = asyncio.new_event_loop()
         self._is_started = threading.Event()
@@ -85,6 +87,7 @@
         after = int(lines.get(b'last-event-id', 0))
         self.resumed_count += after > 0
         attempt = lines[b'teaselbridge-attempt-id']
+        await asyncio.sleep(self._first_s)
         writer.write(HEAD.replace(b'%s', attempt))
         for number in range(after + 1, EVENTS + 1):
             writer.write(raw.chunk(runners.event(number)))
@@ -96,10 +99,10 @@
 
 @contextlib.contextmanager
 def run_steady_engines(
-    count: int,
+    count: int, *, first_s: float = 0.0
 ) -> collections.abc.Iterator[list[SteadyEngine]]:
     """Run engines in threads."""
-    engines = [SteadyEngine() for _ in range(count)]
+    engines = [SteadyEngine(first_s=first_s) for _ in range(count)]
     for engine in engines:
         engine.start()
     try:
@@ -140,6 +143,30 @@
 
         self.run_coroutine(run())
 
+    # Guards against sound servers that are given up, as the node stood still
+    # before it sent them the request.
+    def test_request_waits_to_be_sent(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment() as trial:
+                with run_steady_engines(2, first_s=0.1) as engines:
+                    addresses = [item.address for item in engines]
+                    await raw.register_engines(trial, *addresses)
+                    loop = trial.nodes[0].loop
+                    relay = loop.get_handler(effects.RelayAttempt)
+                    attempts: list[effects.RelayAttempt] = []
+
+                    def relay_late(effect: effects.RelayAttempt) -> None:
+                        attempts.append(effect)
+                        relay(effect)
+                        time.sleep(1.0)
+
+                    loop.handle(effects.RelayAttempt, relay_late)
+                    _, body = await raw.read_stream(trial, '/stream/1')
+                    self.assertEqual(1, len(attempts))
+                    self.assertTrue(raw.decode_chunks(body)[1])
+
+        self.run_coroutine(run())
+
     async def _check_stream(self, trial: site.Trial, stall_s: float) -> None:
         cancelled: list[effects.CancelAttempt] = []
         loop = trial.nodes[0].loop
