Do not compare a version with times from before a slowdown

A rollout of a good version was reverted now and then, with a verdict such as "9.0 ms where 3.7 ms are usual" (test_good_version_is_completed).

Cause: once all traffic is shifted, the old version gets no more requests, but for three seconds its last times still counted as those of the same moment, with 1.6 times as the bound. A host that slowed down after the old version's last answer made up to seven slow answers of it there; six make a verdict.

An answer beyond that bound now counts as slow only if the old version has answered since the slow one before it. Otherwise one beyond three times the usual time still counts, as later in a rollout, and one between the two is not compared.

test_host_that_slows_down_just_after_the_shift fails before (30.0 ms where 12.0 ms are usual).

A version that turns 1.6 to 3 times slower in the three seconds after the shift is not found any more; it was not found later either.

--- a/src/teaselbridge/decisions/evidence.py
+++ b/src/teaselbridge/decisions/evidence.py
@@ -233,11 +233,21 @@
         self.recent_span += weight * (span - self.recent_span)
         self.timed_at = mono
 
-    def is_slow(self, span: float, mono: int) -> bool:
-        """Return whether an outcome of the new version is slow."""
+    def is_slow(self, span: float, mono: int, slowed_at: int) -> bool | None:
+        """Return whether an outcome of the new version is slow.
+
+        :param slowed_at: monotonic milliseconds of the new version's last
+            slow outcome.
+        :return: none where that cannot be told: what slowed the new version's
+            outcomes may have begun after the old version's last one.
+        """
         if mono - self.timed_at > RECENT_MS:
             return span > UNPAIRED_SLOW_FACTOR * self.span
-        return span > SLOW_FACTOR * max(self.span, self.recent_span)
+        if span <= SLOW_FACTOR * max(self.span, self.recent_span):
+            return False
+        if self.timed_at >= slowed_at:
+            return True
+        return True if span > UNPAIRED_SLOW_FACTOR * self.span else None
 
 
 @dataclasses.dataclass(slots=True)
@@ -363,13 +373,16 @@
         :return: the fault, once the evidence suffices.
         """
         old = self._baseline_of(route)
-        timed = (
-            bool(span)
+        is_slow = None
+        if (
+            span
             and not failed
             and old.timed >= MIN_TIMED_COUNT
             and not self._new_stalls.may_cover(mono)
-        )
-        slow = timed and old.is_slow(span, mono)
+        ):
+            is_slow = old.is_slow(span, mono, self._new_stalls.slowed_at)
+        timed = is_slow is not None
+        slow = bool(is_slow)
         self._new_stalls.record(slow, mono)
         self._tallies_of(route).new.add(failed, timed, slow)
         outcomes = Tally(count=1, failed=failed, timed=timed, slowed=slow)
--- a/tests/decisions/test_evidence.py
+++ b/tests/decisions/test_evidence.py
@@ -163,6 +163,18 @@
         self.mono += evidence.RECENT_MS + 1
         self.assertIsNone(self.add_new(200, 2.75 * self.USUAL_MS))
 
+    # Guards against a good version that is taken back because its host slows
+    # down for half a second just after the old version's last request.
+    def test_host_that_slows_down_just_after_the_shift(self) -> None:
+        for slowed_after_ms in (0, 200, 1_000, evidence.RECENT_MS - 200):
+            self.start()
+            self.add_new(slowed_after_ms // 100, self.USUAL_MS)
+            fault = self.add_new(30, 2.5 * self.USUAL_MS)
+            self.assertIsNone(fault, slowed_after_ms)
+
+    def test_version_that_is_slow_from_the_shift_on_is_found(self) -> None:
+        self.assertIsNotNone(self.add_new(8, 4 * self.USUAL_MS))
+
     def test_version_that_turns_slow_after_the_shift_is_found(self) -> None:
         self.mono += evidence.RECENT_MS + 1
         self.assertIsNotNone(self.add_new(8, 4 * self.USUAL_MS))
