Keep what tells why a run of the soak broke something

Nodes on the project's own services also logged no decisions on requests.

Wrong answers are now kept with their request id, times, status and body, and printed; injected faults are printed with the wall-clock time of the logs. `--keep` copies the logs of a broken run. The nodes log to standard output as those on the platform do, bounded and by a thread; the errors of the web server stay in the log of these nodes, as the soak looks for them.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -10,6 +10,7 @@
 import dataclasses
 import json
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -215,6 +216,11 @@
         path = pathlib.Path(self._folder.name) / f'{name}.log'
         return path.read_text(encoding='utf-8')
 
+    def copy_logs(self, folder: pathlib.Path) -> None:
+        """Copy the output of all processes to a folder."""
+        for path in pathlib.Path(self._folder.name).glob('*.log'):
+            shutil.copy(path, folder)
+
     def _start(self, name: str, *arguments: str) -> None:
         path = pathlib.Path(self._folder.name) / f'{name}.log'
         command = [sys.executable, '-m', 'teaselbridge', *arguments]
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -5,13 +5,15 @@
 started again, servers are reclaimed, killed and silenced, the key-value store
 fails and the configuration changes, while callers send requests. Some callers
 use one connection to one node until its process is gone. The exit code is 0
-only if every guarantee held in all runs.
+only if every guarantee held in all runs. ``--keep FOLDER`` keeps the logs of
+the processes of each run that broke one.
 """
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
+import pathlib
 import random
 import signal
 import sys
@@ -23,6 +25,7 @@
 from bench import deployment
 from teaselbridge.cli import config
 from teaselbridge.cli import remote
+from teaselbridge import clock as clocks
 from teaselbridge import errors
 from teaselbridge.tables import check
 from teaselbridge.workload import results
@@ -56,12 +59,15 @@
     :param seconds: length of the trace.
     :param nodes: number of nodes.
     :param rate: requests per second.
+    :param keep: folder for the logs of a run that broke something, empty to
+        keep none.
     """
 
     seed: int
     seconds: float = 20.0
     nodes: int = 4
     rate: float = 20.0
+    keep: str = ''
 
 
 class Soak:
@@ -75,7 +81,8 @@
 
     Attributes:
 
-    * ``events``: faults that were injected, in their order.
+    * ``events``: faults that were injected, in their order, with their times
+      in wall-clock milliseconds as in the logs.
     * ``faults``: what went wrong.
     """
 
@@ -84,6 +91,7 @@
     ) -> None:
         self._trial = trial
         self._settings = settings
+        self._clock = clocks.Clock()
         self._disturbed: set[str] = set()
         self._interrupted: set[str] = set()
         self._zones = dict(
@@ -147,9 +155,13 @@
             try:
                 await work(generator)
             except (errors.TeaselbridgeError, httpx.HTTPError) as error:
-                self.events.append(f'{name} had no effect: {error!r}')
+                self._note(f'{name} had no effect: {error!r}')
             await asyncio.sleep(generator.uniform(0.2, 3.0))
 
+    def _note(self, event: str) -> None:
+        """Add an event to those of the run."""
+        self.events.append(f'{self._clock.now().wall} {event}')
+
     def _take_node(
         self, generator: random.Random
     ) -> deployment.NodeAddresses | None:
@@ -170,7 +182,7 @@
         node = self._take_node(generator)
         if node is None:
             return
-        self.events.append(f'{node.name} is stopped')
+        self._note(f'{node.name} is stopped')
         self._trial.send_signal(node.name, signal.SIGTERM)
         if generator.random() < REPEATED_SIGNAL_FRACTION:
             await asyncio.sleep(generator.uniform(0.0, 1.0))
@@ -185,7 +197,7 @@
         node = self._take_node(generator)
         if node is None:
             return
-        self.events.append(f'{node.name} is killed')
+        self._note(f'{node.name} is killed')
         self._interrupted.add(node.name)
         if generator.random() < REPEATED_SIGNAL_FRACTION:
             self._trial.send_signal(node.name, signal.SIGTERM)
@@ -198,7 +210,7 @@
         node = self._take_node(generator)
         if node is None:
             return
-        self.events.append(f'{node.name} is paused')
+        self._note(f'{node.name} is paused')
         self._interrupted.add(node.name)
         self._trial.send_signal(node.name, signal.SIGSTOP)
         await asyncio.sleep(generator.uniform(0.2, 3.0))
@@ -251,7 +263,7 @@
             return
         host = generator.choice(hosts)
         kind = generator.choice(('reclaim', 'kill', 'silence'))
-        self.events.append(f'{host}: {kind}')
+        self._note(f'{host}: {kind}')
         body: dict[str, typing.Any] = {'host': host}
         if kind == 'reclaim':
             body['notice_ms'] = 2_000
@@ -267,7 +279,7 @@
                 {'down': True},
             )
         )
-        self.events.append(f'store: {faults}')
+        self._note(f'store: {faults}')
         await self._trial.set_keyvalue_faults(**faults)
         await asyncio.sleep(generator.uniform(0.2, 2.0))
         await self._trial.set_keyvalue_faults()
@@ -284,7 +296,7 @@
         )
         changed = dataclasses.replace(tables, routes=routes)
         node = generator.choice(self._trial.nodes)
-        self.events.append(f'configuration changed through {node.name}')
+        self._note(f'configuration changed through {node.name}')
         target = remote.Target(node.admin, deployment.KEY)
         await config.apply(target, changed, None)
 
@@ -309,6 +321,10 @@
                     await asyncio.sleep(CALL_INTERVAL_S)
                     continue
                 if response.status_code not in (200, 307, 429, 503, 504):
+                    self._note(
+                        f'{node.name} answered {response.headers}:'
+                        f' {response.text}'
+                    )
                     self.faults.append(
                         f'{node.name} answered {response.status_code}'
                     )
@@ -321,6 +337,7 @@
         if is_new and node.name in self._disturbed:
             return
         process = self._trial.get_pid(node.name)
+        self._note(f'{node.name}, process {process}: {error!r}')
         await asyncio.sleep(EXIT_NOTICE_S)
         is_gone = process != self._trial.get_pid(
             node.name
@@ -404,7 +421,11 @@
     async with deployment.running(shape) as trial:
         played = Soak(trial=trial, settings=settings)
         report = await played.execute()
-    broken = list_broken(report) + played.faults
+        broken = list_broken(report) + played.faults
+        if broken and settings.keep:
+            folder = pathlib.Path(settings.keep) / f'seed-{settings.seed}'
+            folder.mkdir(parents=True, exist_ok=True)
+            trial.copy_logs(folder)
     total = report.total
     print(
         f'seed {settings.seed}: {len(played.events)} faults injected,'
@@ -415,6 +436,7 @@
     )
     if broken:
         print('\n'.join(f'    {event}' for event in played.events))
+        print('\n'.join(f'    wrong: {answer}' for answer in report.wrong))
     return broken
 
 
@@ -424,14 +446,24 @@
 @click.option('--seconds', default=20.0, help='Length of each run.')
 @click.option('--nodes', default=4, help='Number of nodes.')
 @click.option('--rate', default=20.0, help='Requests per second.')
+@click.option('--keep', default='', help='Folder for logs of broken runs.')
 def main(
-    seed: int, seeds: int, seconds: float, nodes: int, rate: float
+    seed: int,
+    seeds: int,
+    seconds: float,
+    nodes: int,
+    rate: float,
+    keep: str,
 ) -> None:
     """Play runs one after the other and exit with 1 if one broke."""
     broken = 0
     for number in range(seed, seed + seeds):
         settings = SoakSettings(
-            seed=number, seconds=seconds, nodes=nodes, rate=rate
+            seed=number,
+            seconds=seconds,
+            nodes=nodes,
+            rate=rate,
+            keep=keep,
         )
         broken += bool(asyncio.run(soak(settings)))
     print(f'{seeds} runs, {broken} with something broken')
--- a/src/teaselbridge/cli/serve.py
+++ b/src/teaselbridge/cli/serve.py
@@ -65,8 +65,8 @@
     from teaselbridge.runtime import node
 
     _enable_garbage_collection()
-    logs.log_to_stderr()
-    await node.Node(settings=settings).run()
+    with logs.log_to_stdout():
+        await node.Node(settings=settings).run()
 
 
 def _serve_site(
@@ -92,6 +92,7 @@
 
     _enable_garbage_collection()
     with logs.log_to_stdout():
+        logs.silence_web_server()
         node = site.SiteNode(settings=settings, path=path, listeners=listeners)
         await node.run()
     # The grace period may be over. To end tasks that do not end by themselves
--- a/src/teaselbridge/telemetry/logs.py
+++ b/src/teaselbridge/telemetry/logs.py
@@ -131,7 +131,6 @@
     logging.set_verbosity(logging.INFO)
     for name in QUIET_LOGGERS:
         python_logging.getLogger(name).setLevel(python_logging.WARNING)
-    silence_web_server()
     output = python_logging.StreamHandler(sys.stdout)
     output.setFormatter(python_logging.Formatter('%(message)s'))
     listener = _Writer(waiting, output)
--- a/src/teaselbridge/workload/results.py
+++ b/src/teaselbridge/workload/results.py
@@ -72,6 +72,30 @@
         return Percentiles(self._histogram.get_total_count(), *values)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WrongAnswer:
+    """An answer with an error status or unexpected content.
+
+    :param request: id of the request.
+    :param work: type of work.
+    :param at_ms: milliseconds from the start of the trace to its sending.
+    :param ended_ms: milliseconds from the start of the trace to its end.
+    :param detail: what was received.
+    """
+
+    request: str
+    work: str
+    at_ms: int
+    ended_ms: int
+    detail: str
+
+    def __str__(self) -> str:
+        return (
+            f'{self.work} {self.request}, {self.at_ms} to {self.ended_ms} ms:'
+            f' {self.detail}'
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Report:
     """Results of one run of a trace.
@@ -93,6 +117,7 @@
     :param cost: price of all hosts over the run.
     :param reasons: number of refusals by reason.
     :param timeline: outcome counts for each second, for the plot.
+    :param wrong: the first answers that were wrong.
     """
 
     seed: int
@@ -112,6 +137,7 @@
     cost: float
     reasons: dict[str, int]
     timeline: tuple[SecondCounts, ...]
+    wrong: tuple[WrongAnswer, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/teaselbridge/workload/run.py
+++ b/src/teaselbridge/workload/run.py
@@ -26,6 +26,9 @@
 # Delay after the last outcome, so that attempts that outlast their callers
 # are included in the figures.
 SETTLE_MS = 1_000
+# Wrong answers that a report holds, and characters of each.
+MAX_WRONG_ANSWERS = 20
+MAX_WRONG_CHARS = 600
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -71,6 +74,9 @@
         self._reasons: collections.Counter[str] = collections.Counter()
         self._confirmed: set[str] = set()
         self._not_run: set[str] = set()
+        self._clock = clocks.Clock()
+        self._began = 0
+        self._wrong: list[results.WrongAnswer] = []
         self._seconds = [
             results.SecondCounts() for _ in range(int(plan.seconds) + 1)
         ]
@@ -92,6 +98,7 @@
     async def _send_all(self, arrivals: tuple[trace.Arrival, ...]) -> None:
         loop = asyncio.get_running_loop()
         began = loop.time()
+        self._began = self._clock.now().mono
         tasks: set[asyncio.Task[None]] = set()
         in_flight = asyncio.Semaphore(MAX_IN_FLIGHT)
         for arrival in arrivals:
@@ -150,7 +157,7 @@
                 reply = await caller.send(
                     'GET', path, deadline_ms=kind.deadline_ms
                 )
-                self._check_reply(reply, tally)
+                self._check_reply(reply, arrival, tally)
             case _:
                 await self._send_completion(caller, arrival, tally)
 
@@ -176,7 +183,14 @@
             self._token_gaps.record(gap)
         wanted = engine.whole(engine.build_chat_prompt(messages), kind.tokens)
         if completion.text != wanted:
-            tally.wrong += 1
+            self._count_wrong(
+                completion.request,
+                arrival,
+                tally,
+                f'{len(completion.tokens)} tokens, {completion.finish!r},'
+                f' resumed {completion.resumed} times:'
+                f' {completion.text!r}, not {wanted!r}',
+            )
             return
         tally.whole += 1
 
@@ -210,19 +224,45 @@
             raise
         self._confirmed.add(request)
         if len({reply.body for reply in replies}) > 1:
-            tally.wrong += 1
+            detail = ' and '.join(map(_describe_reply, replies))
+            self._count_wrong(request, arrival, tally, detail)
             return
-        self._check_reply(replies[0], tally)
+        self._check_reply(replies[0], arrival, tally)
 
     def _check_reply(
-        self, reply: outcomes.Reply, tally: results.Tally
+        self,
+        reply: outcomes.Reply,
+        arrival: trace.Arrival,
+        tally: results.Tally,
     ) -> None:
         self._answer_times.record(reply.total_ms)
         if reply.status >= httpx.codes.BAD_REQUEST:
-            tally.wrong += 1
+            detail = _describe_reply(reply)
+            self._count_wrong(reply.request, arrival, tally, detail)
             return
         tally.whole += 1
 
+    def _count_wrong(
+        self,
+        request: str,
+        arrival: trace.Arrival,
+        tally: results.Tally,
+        detail: str,
+    ) -> None:
+        """Count a wrong answer, and keep it if it is one of the first."""
+        tally.wrong += 1
+        if len(self._wrong) >= MAX_WRONG_ANSWERS:
+            return
+        self._wrong.append(
+            results.WrongAnswer(
+                request=request,
+                work=arrival.kind.work.value,
+                at_ms=arrival.at_ms,
+                ended_ms=self._clock.now().mono - self._began,
+                detail=detail[:MAX_WRONG_CHARS],
+            )
+        )
+
     def _get_caller(self, kind: trace.WorkProfile) -> callers.Caller:
         zone = self._random.choice(self._plan.zones)
         name = (kind.key, zone)
@@ -277,4 +317,10 @@
             cost=after.get('cost', 0.0) - before.get('cost', 0.0),
             reasons=dict(self._reasons),
             timeline=tuple(self._seconds),
+            wrong=tuple(self._wrong),
         )
+
+
+def _describe_reply(reply: outcomes.Reply) -> str:
+    stored = ', stored' if reply.stored else ''
+    return f'{reply.status}{stored}, {reply.total_ms} ms: {reply.body!r}'
--- /dev/null
+++ b/tests/workload/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load generator and its reports."""
