Tell nodes of the model when their requests were sent

test_learnt_speeds failed since a silent attempt is kept until the request was sent to another server: the engines of the model never told so, and silent attempts stayed for good. They do now where an attempt asks for it, as the runtime does.

--- a/tests/decisions/cluster.py
+++ b/tests/decisions/cluster.py
@@ -311,6 +311,14 @@
         if server is not None:
             server.running -= 1
 
+    def _report_sending(
+        self, node: Node, effect: effects.RelayAttempt
+    ) -> None:
+        """Tell a node that a request was sent, if it asked for that."""
+        if effect.reports_sending:
+            sent = events.AttemptSent(effect.call.handle, effect.attempt)
+            self._post_later(node, 0, sent)
+
     def _forward(self, node: Node, effect: effects.RelayAttempt) -> None:
         helper = self.nodes[effect.host]
         if not helper.is_up or not self.can_reach(node.name, helper.name):
@@ -322,6 +330,7 @@
             )
             self._post_later(node, 400, failed)
             return
+        self._report_sending(node, effect)
         handle = next(self._handles)
         self._forwarded[(helper.name, handle)] = (node, effect)
         call = dataclasses.replace(
@@ -374,6 +383,7 @@
             failed = events.AttemptFailed(handle, attempt, fault)
             self._post_later(node, 400, failed)
             return
+        self._report_sending(node, effect)
         server = self.servers[effect.host]
         asked_at = self.now - LINK_MS
         server.arrivals.append((self.now, node.name))
