--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -148,6 +148,9 @@
     if helper is not None:
         return origin.forward(state, request, helper, now)
     if request.streaming:
+        if request.has_stopped_run:
+            # Those that refused it may have room later.
+            request.peers_tried.clear()
         return []
     detail = 'no node can send it to a server'
     return relays.give_up(state, request, ends.Cause.NODE, detail, now)
--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -183,6 +183,9 @@
 ) -> list[effects.Effect]:
     """Handle a helper that refused the request, or was lost with it."""
     out = requests.report_fault(request, fault)
+    is_stopped = request.call.route.idempotent and _is_stopping(state, request)
+    if is_stopped and fault.ran is calls.RunStatus.UNKNOWN:
+        request.has_stopped_run = True
     requests.detach_from_server(state, request)
     requests.count_possible_run(request, fault)
     if _can_retry(state, request, fault, now):
@@ -195,6 +198,15 @@
     )
 
 
+def _is_stopping(state: states.State, request: requests.Request) -> bool:
+    """Return whether the helper of a request is about to stop.
+
+    It then ends what its servers have not ended.
+    """
+    helper = state.membership.get_peer(request.helper)
+    return helper is not None and helper.draining
+
+
 def find_silence(state: states.State, request: requests.Request) -> str:
     """Return why a helper may be lost, empty if it is not.
 
--- a/tests/decisions/test_switching.py
+++ b/tests/decisions/test_switching.py
@@ -828,6 +828,65 @@
         self.check_goes_on(first)
 
 
+class TestStoppedHelpers(SilenceTestCase):
+    """A stream goes on elsewhere after the node that relayed it stopped."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state.links.get('p').is_cut = True
+        for name in ('x', 'y', 'z'):
+            self._change(self.state.membership.me, name, f'at-{name}')
+
+    def _change(
+        self, member: messages.Member, name: str, address: str, **more: bool
+    ) -> None:
+        member = dataclasses.replace(
+            member, name=name, forwarding=address, **more
+        )
+        self.state.membership.peers[name] = members.Peer(member)
+
+    def _stop_helper(self, **route: object) -> effects.RelayAttempt | None:
+        """Return the attempt after the one that a stopping helper ended."""
+        first = self.begin(**route)
+        member = self.state.membership.peers[first.host].member
+        self._change(member, first.host, member.forwarding, draining=True)
+        return next(iter(get_attempts(self.fail(first, CUT))), None)
+
+    # Guards against a stream that is broken off, or waits in vain until its
+    # deadline, as the other nodes cannot take it at once.
+    def test_other_helpers_refuse_for_a_while(self) -> None:
+        attempt = self._stop_helper()
+        for _ in range(8):
+            assert attempt is not None
+            out = self.fail(attempt, REFUSED)
+            attempt = next(iter(get_attempts(out)), None)
+            attempt = attempt or self.wait_for_attempt()
+            self.earn_retry()
+        assert attempt is not None
+        self.assertEqual([], get_finals(self.out))
+        self.assertEqual('1', attempt.last_event)
+        self.check_goes_on(attempt)
+
+    # Guards against a second run of a request that may run once.
+    def test_run_may_not_be_repeated(self) -> None:
+        self.assertIsNone(self._stop_helper(idempotent=False))
+        self.assertEqual([], get_attempts(self.wait()))
+        self.assertIn(effects.SendFinish(HANDLE, False), self.out)
+        self.check_idle()
+
+    # Guards against a caller that waits although a third server would have
+    # to run a request of two attempts.
+    def test_two_helpers_stop(self) -> None:
+        second = self._stop_helper()
+        assert second is not None
+        self.head(second)
+        self.send(second, 2)
+        out = self.fail(second, CUT) + self.wait(10 * TICK_MS)
+        self.assertEqual([], get_attempts(out))
+        self.assertIn(effects.SendFinish(HANDLE, False), out)
+        self.check_idle()
+
+
 def get_finals(out: list[effects.Effect]) -> list[typing.Any]:
     """Return the effects that end a request."""
     return [item for item in out if isinstance(item, FINAL)]
