--- a/tests/failures/test_site_helpers.py
+++ b/tests/failures/test_site_helpers.py
@@ -23,18 +23,25 @@
 class TestStoppingNodes(base.TestCase):
     """A forwarded request is answered whole while nodes are stopped."""
 
-    async def _cut(self, trial: site.Trial, node: int) -> None:
+    async def _cut(self, trial: site.Trial, node: int) -> links_module.Links:
         """Cut the links of a node, and wait until it knows."""
-        links_module.Links(trial=trial, node=node).cut(links_module.Cut.REFUSE)
+        links = links_module.Links(trial=trial, node=node)
+        links.cut(links_module.Cut.REFUSE)
         while len(trial.nodes[node].loop.state.links.cut_pools) < 2:
             await trial.call('/stock/x', node=node)
             await trial.call('/stream/x', node=node)
+        return links
 
     async def _start(
         self, trial: site.Trial, path: str, events: int
-    ) -> tuple[asyncio.Task[httpx.Response], sites.SiteNode]:
-        """Send a request to the first node and return its helper too."""
-        await self._cut(trial, 0)
+    ) -> tuple[
+        asyncio.Task[httpx.Response], sites.SiteNode, links_module.Links
+    ]:
+        """Send a request to the first node.
+
+        :return: the call, its helper and the links that are cut.
+        """
+        links = await self._cut(trial, 0)
         for server in trial.servers:
             server.events = events
             server.event_ms = EVENT_MS
@@ -56,7 +63,7 @@
             await site.until(lambda: request.last_event)
         else:
             await site.until(lambda: helper.loop.state.requests)
-        return call, helper
+        return call, helper, links
 
     def _check_numbers(self, response: httpx.Response, events: int) -> None:
         found = [
@@ -72,7 +79,7 @@
     ) -> None:
         async def run() -> None:
             async with site.run_deployment(nodes=nodes) as trial:
-                call, helper = await self._start(trial, path, events)
+                call, helper, _ = await self._start(trial, path, events)
                 node = helper if stopped == 'helper' else trial.nodes[0]
                 stop = asyncio.ensure_future(_stop(node))
                 response = await call
@@ -105,6 +112,24 @@
         for path in ('/stream/x', '/stream/once/x', '/orders/x', '/stock/x'):
             self._run(path, EVENTS, stopped='origin', nodes=2)
 
+    # Guards against a stream that is broken off as all helpers are stopped
+    # at once, although its own node reaches a server before its deadline.
+    def test_all_helpers_stop(self) -> None:
+        async def run() -> None:
+            async with site.run_deployment(nodes=3) as trial:
+                call, _, links = await self._start(
+                    trial, '/stream/x', LONG_EVENTS
+                )
+                helpers = trial.nodes[1:]
+                await asyncio.gather(*[_stop(node) for node in helpers])
+                del trial.nodes[1:]
+                links.heal()
+                response = await call
+                self.assertEqual(200, response.status_code)
+                self._check_numbers(response, LONG_EVENTS)
+
+        self.run_coroutine(run())
+
 
 async def _stop(node: sites.SiteNode) -> None:
     """Stop a node as SIGTERM does."""
