Ask in one place whether a request has used its attempts

Dispatch, relays and forwarding each compared the runs of a request with the attempts of its route. A property of the request does so now; no behaviour changes.

--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -160,9 +160,8 @@
     state: states.State, request: requests.Request
 ) -> messages.Member | None:
     """Choose the node that gets a request that this one cannot send."""
-    runs = request.possible_runs
     if request.call.origin or (
-        request.has_stopped_run and runs >= request.call.route.attempts
+        request.has_stopped_run and request.has_used_attempts
     ):
         return None
     pool = request.call.route.pool
@@ -223,7 +222,7 @@
 
     After as many runs as the route allows, only those that had it are.
     """
-    if request.possible_runs < request.call.route.attempts:
+    if not request.has_used_attempts:
         return True
     staying = state.servers.staying(request.call.route.pool)
     return any(server.host in request.run_hosts for server in staying)
@@ -306,10 +305,7 @@
     untried = [
         server for server in candidates if server.host not in request.tried
     ]
-    if (
-        request.has_stopped_run
-        and request.possible_runs >= call.route.attempts
-    ):
+    if request.has_stopped_run and request.has_used_attempts:
         return [item for item in candidates if item.host in request.run_hosts]
     return untried or candidates
 
--- a/src/teaselbridge/decisions/forwarding/origin.py
+++ b/src/teaselbridge/decisions/forwarding/origin.py
@@ -266,7 +266,7 @@
         return len(request.peers_tried) < MAX_HELPERS
     if not call.route.idempotent or request.has_unnumbered:
         return False
-    if request.possible_runs >= call.route.attempts:
+    if request.has_used_attempts:
         return False
     return state.budgets.try_spend(call.route)
 
--- a/src/teaselbridge/decisions/relays.py
+++ b/src/teaselbridge/decisions/relays.py
@@ -444,10 +444,7 @@
     if fault.ran is calls.RunStatus.NOT_RUN:
         if request.refused_attempts >= MAX_REFUSED_ATTEMPTS:
             return False
-    elif (
-        not call.route.idempotent
-        or request.possible_runs >= call.route.attempts
-    ):
+    elif not call.route.idempotent or request.has_used_attempts:
         return False
     if fault.kind is calls.FaultKind.CONNECT:
         return True
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -181,6 +181,11 @@
         """Whether another server can continue an interrupted stream."""
         return self.call.kind is model.Kind.ENGINE
 
+    @property
+    def has_used_attempts(self) -> bool:
+        """Whether no server may run it that has not had it yet."""
+        return self.possible_runs >= self.call.route.attempts
+
     @property
     def resume_after(self) -> str:
         """Id of the last stream event that the caller has, empty for none."""
