Bound the wait for the rest of a request at a stop

A caller that had sent a part of a request and nothing more kept a stopping node until the end of its grace period. Its host was missing for that much longer, to all callers.

A stop lets requests that have begun to arrive arrive, and nothing but the time that is left bounded how long. The time limit for a whole request is 30 s.

Evidence: test_rest_never_comes and test_answer_before_the_pause_is_sent failed before; in the first one the stop took all of the 10.0 s that it was given.

A connection is closed if its caller pauses for 2 s in the middle of a request and no earlier request of it is unanswered. Each part that comes begins the time again, so that slow callers are served. No process has read such a request whole, and nothing of it was passed on.

--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -51,9 +51,12 @@
 
     # Longest time in which a request must be received.
     request_ms = 30_000
+    # Longest pause in a request that a listener waits for when it stops.
+    max_pause_ms = 2_000
 
     _lingering: lingering.LingeringTransport
     _timer: asyncio.TimerHandle | None = None
+    _pause_timer: asyncio.TimerHandle | None = None
     _target = b''
     _has_head = False
     # Head of a request that offers another protocol, to be parsed again.
@@ -77,6 +80,8 @@
     def data_received(self, data: bytes) -> None:
         """Handle received bytes; stop the timer after a whole request."""
         self._unset_keepalive_if_required()
+        if self._pause_timer is not None:
+            self._start_pause_timer()
         if self._is_stopped or self.transport.is_closing():
             return
         self._overhead_bytes += len(data)
@@ -116,8 +121,10 @@
                 )
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the timer."""
+        """Cancel the timers."""
         self._cancel_timer()
+        if self._pause_timer is not None:
+            self._pause_timer.cancel()
         self._lingering.connection_lost()
         super().connection_lost(exc)
         if isinstance(self.server_state, ServerState):
@@ -126,7 +133,8 @@
     def shutdown(self) -> None:
         """Close the connection after its answers, or at once if it is idle.
 
-        A request that has come in part is the last one. One that an idle
+        A request that has come in part is the last one, unless its caller
+        pauses for too long. One that an idle
         caller sends at the same time stays unread, so that its caller may send
         it again.
         """
@@ -134,6 +142,7 @@
             return
         if self._is_in_request:
             self._is_last_request = True
+            self._start_pause_timer()
         elif self.cycle is None or self.cycle.response_complete:
             self._lingering.close_at_once()
         else:
@@ -281,6 +290,29 @@
             return False
         return not cycle.more_body
 
+    def _start_pause_timer(self) -> None:
+        """Start to wait for the next part of a request, or begin again."""
+        if self._pause_timer is not None:
+            self._pause_timer.cancel()
+        self._pause_timer = self.loop.call_later(
+            clock.seconds(self.max_pause_ms), self._end_pause
+        )
+
+    def _end_pause(self) -> None:
+        """Close the connection if only the rest of a request is awaited."""
+        if not self._is_in_request or self.transport.is_closing():
+            return
+        if self._is_answering_earlier():
+            self._start_pause_timer()
+        else:
+            self._lingering.close_at_once()
+
+    def _is_answering_earlier(self) -> bool:
+        """Return whether a request before the last one is unanswered."""
+        if self._has_head:
+            return bool(self.pipeline)
+        return self.cycle is not None and not self.cycle.response_complete
+
     def _start_timer(self) -> None:
         self._timer = self.loop.call_later(
             clock.seconds(self.request_ms), self.transport.abort
--- a/tests/runtime/test_web.py
+++ b/tests/runtime/test_web.py
@@ -231,6 +231,65 @@
 
         self.run_coroutine(run())
 
+    # Guards against a node that does not stop before the end of its grace
+    # period, as it waits for a caller that is gone.
+    def test_rest_never_comes(self) -> None:
+        self.patch(protocol.Protocol, 'max_pause_ms', 200)
+
+        async def run() -> None:
+            for part in (b'POST / HT', POST + b'Content-Length: 2\r\n\r\na'):
+                async with serve_application(Application()) as (
+                    server,
+                    address,
+                ):
+                    _, writer = await asyncio.open_connection(*address)
+                    writer.write(part)
+                    await asyncio.sleep(0.05)
+                    began = time.monotonic()
+                    await server.stop(TIMEOUT_S / 2)
+                    self.assertLess(time.monotonic() - began, TIMEOUT_S / 4)
+                    writer.close()
+
+        self.run_coroutine(run())
+
+    def test_rest_comes_slowly(self) -> None:
+        async def run() -> None:
+            async with serve_application(Application()) as (server, address):
+                reader, writer = await asyncio.open_connection(*address)
+                stop: asyncio.Future[None] | None = None
+                request = POST + b'Content-Length: 2\r\n\r\nab'
+                for start in range(0, len(request), 8):
+                    writer.write(request[start : start + 8])
+                    await asyncio.sleep(0.5)
+                    if stop is None:
+                        stop = asyncio.ensure_future(server.stop(10))
+                self.assertIn(b'<ab>', await reader.read())
+                writer.close()
+                assert stop is not None
+                await stop
+
+        self.run_coroutine(run())
+
+    def test_answer_before_the_pause_is_sent(self) -> None:
+        self.patch(protocol.Protocol, 'max_pause_ms', 100)
+
+        async def run() -> None:
+            for part in (b'POST / HT', POST + b'Content-Length: 2\r\n\r\na'):
+                app = Application()
+                async with serve_application(app) as (server, address):
+                    app.release.clear()
+                    reader, writer = await asyncio.open_connection(*address)
+                    writer.write(GET + part)
+                    await asyncio.sleep(0.05)
+                    stop = asyncio.ensure_future(server.stop(10))
+                    await asyncio.sleep(0.5)
+                    app.release.set()
+                    self.assertIn(b'<>', await reader.read())
+                    writer.close()
+                    await stop
+
+        self.run_coroutine(run())
+
 
 class TestWaitingRequests(TestCase):
     """What the kernel has received before a stop is answered."""
