End probes of names that cannot be looked up

A node that had lost its links to a pool could take them for cut for good: one server of the pool whose address names a host that cannot be looked up (an empty label, or more than 63 characters) ended the task of its probe, and a round of probes waits for the result of each.

Evidence: test_name_that_cannot_be_looked_up failed before: UnicodeError ended the task, and no result came within 5 s. Found by a reading of the background tasks; no such address was seen on a deployment.

The lookup raises UnicodeError, which is no OSError.

--- a/src/teaselbridge/runtime/checks.py
+++ b/src/teaselbridge/runtime/checks.py
@@ -16,6 +16,8 @@
 PROBE_TIMEOUT_MS = 300
 # A link that resets connections may do so only after they were opened.
 PROBE_OPEN_MS = 15
+# The last one is for names that cannot be looked up.
+_ERRORS = (OSError, ValueError)
 
 
 def connect(loop: loops.Loop, tasks: loops.Tasks) -> None:
@@ -54,7 +56,7 @@
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         return True
-    except OSError:
+    except _ERRORS:
         return False
     writer.close()
     return False
@@ -71,7 +73,7 @@
         if not opening.done():
             return False
         reader, writer = opening.result()
-    except OSError:
+    except _ERRORS:
         return False
     finally:
         opening.cancel()
--- a/tests/runtime/test_checks.py
+++ b/tests/runtime/test_checks.py
@@ -14,6 +14,7 @@
 from teaselbridge.runtime import checks
 from teaselbridge.runtime import loop as loops
 
+TIMEOUT_S = 5.0
 STALL_S = 2 * checks.PROBE_TIMEOUT_MS / 1_000
 
 
@@ -62,6 +63,17 @@
         self.assertTrue(self._probe(is_open=True))
         self.assertFalse(self._probe(is_open=False))
 
+    # Guards against a round of probes that never ends, so that the links of
+    # the pool are not probed again.
+    def test_name_that_cannot_be_looked_up(self) -> None:
+        for host in ('..', 'x' * 70):
+
+            async def run(address: str = f'{host}:80') -> bool:
+                async with asyncio.timeout(TIMEOUT_S):
+                    return await probe(address)
+
+            self.assertFalse(asyncio.run(run()))
+
     # Guards against links that are taken for cut by a node that stood still.
     def test_stall(self) -> None:
         self.assertTrue(self._probe(is_open=True, stall_s=STALL_S))
