Record errors of short background tasks and callbacks

An unexpected error that ended a call for a duty, a write to the store, a probe or a callback of the event loop left a line of plain text at most and was not counted, against docs/OPERATIONS.md: whoever asked the log why a node had stopped to report or to probe found nothing.

Only events, effects and the four tasks that run for ever were recorded; the rest went to the default handler of the event loop.

None of these errors ended the process: the node served a request after a failing task and a failing callback, before the change too (by reading; by the test only now).

A node that runs as a process sets the handler of its event loop, which counts and records them as internal-error.

--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -52,6 +52,8 @@
 MAX_STOP_MARGIN_SHARE = 0.15
 # Interval at which a stopping node looks whether its event loop is late.
 LAG_CHECK_INTERVAL_MS = 50
+# Name of callbacks and short tasks in the records of errors.
+BACKGROUND_WORK = 'background'
 # Part of the margin in which these answers may reach their callers. The rest
 # is for the end of the process.
 ANSWERING_SHARE = 0.5
@@ -214,6 +216,7 @@
     async def run(self) -> None:
         """Run until a graceful shutdown has ended."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._handle_loop_error)
         signals.handle_stop(self._clock, self.drain)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
@@ -309,6 +312,13 @@
             detail += f'; {running} tasks have not ended'
         self._record(effects.Mark.NODE_STOPPED, detail)
 
+    def _handle_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]
+    ) -> None:
+        """Record an error that ended a callback or a background task."""
+        error = context.get('exception') or RuntimeError(context['message'])
+        self._loop.record_error(BACKGROUND_WORK, error)
+
     def _describe_open(self) -> str:
         """Describe what callers and other nodes have not got yet."""
         found = [item.count_open() for item in self._request_listeners]
--- a/tests/runtime/test_site.py
+++ b/tests/runtime/test_site.py
@@ -329,6 +329,44 @@
         self.run_coroutine(run())
 
 
+class TestErrors(base.TestCase):
+    """An error in the background is recorded, and the node goes on."""
+
+    # Guards against errors that leave no line and are not counted.
+    def test_background_task_fails(self) -> None:
+        async def fail() -> None:
+            raise ValueError('unexpected')
+
+        async def run() -> None:
+            async with site.run_deployment(0) as trial:
+                node = sites.SiteNode(
+                    settings=_build_settings(
+                        grace_s=site.GRACE_S,
+                        store=trial.store_host.address,
+                        duties=trial.duties_host.address,
+                    ),
+                    path='unused',
+                )
+                trial.nodes.append(node)
+                running = asyncio.ensure_future(node.run())
+                await site.until(lambda: len(node.loop.state.servers.all) == 4)
+                node._tasks.start(fail())
+                asyncio.get_running_loop().call_soon(int, 'x')
+                wanted = timeline.Filter(
+                    mark=effects.Mark.INTERNAL_ERROR.value
+                )
+                await site.until(
+                    lambda: list(node.loop.timeline.select(wanted))
+                )
+                (entry, *_) = node.loop.timeline.select(wanted)
+                self.assertIn('background: ValueError', entry.detail)
+                response = await trial.call('/stock/1')
+                self.assertEqual(200, response.status_code)
+                running.cancel()
+
+        self.run_coroutine(run())
+
+
 class TestEnds(base.TestCase):
     """What the web server or a caller ends is recorded."""
 
