Report all usage windows that are due after a gap of the lease

Usage of some windows was never reported: where no node held the duties lease for some seconds, the next holder began with the last two windows, though earlier ones were not overdue yet and their counts were known.

A report is due 10 s after the end of its window. The holder goes back to the first window that is not overdue now, and to two windows at least, so that nothing changes with windows of five seconds.

--- a/src/teaselbridge/decisions/usage.py
+++ b/src/teaselbridge/decisions/usage.py
@@ -43,8 +43,10 @@
 MAX_SETTLE_DELAY_MS = 7_000
 # A new holder waits this long for answers even if a report is overdue.
 ANSWER_TIMEOUT_MS = 1_000
-# Windows whose counts are kept and gossiped, and windows that a holder without
-# a stored report starts with.
+# A report is of use until this long after the end of its window.
+REPORT_DUE_MS = 10_000
+# Windows whose counts are kept and gossiped, and windows that a holder reports
+# in any case, although they may be overdue.
 MAX_WINDOWS = 6
 INITIAL_WINDOWS = 2
 RETRY_DELAY_MS = 500
@@ -254,7 +256,8 @@
         return _send_report(usage, usage.report, lease)
     settled = usage.wall(now) - SETTLE_DELAY_MS
     newest = settled // bounds.usage_window_ms - 1
-    window = max(newest - INITIAL_WINDOWS + 1, usage.first_window)
+    window = min(newest - INITIAL_WINDOWS + 1, _find_due_window(state, now))
+    window = max(window, usage.first_window)
     if usage.report is not None:
         window = max(window, usage.report.window + 1)
     if window > newest or not _is_settled(state, window, now):
@@ -278,6 +281,14 @@
     ]
 
 
+def _find_due_window(state: states.State, now: clock.Instant) -> int:
+    """Return the first window whose report is not overdue."""
+    bounds = state.options.bounds
+    assert bounds is not None
+    overdue_until = state.usage.wall(now) - REPORT_DUE_MS
+    return -(-overdue_until // bounds.usage_window_ms) - 1
+
+
 def list_missing(state: states.State, window: int) -> list[messages.Member]:
     """List the live nodes whose counts of a window may still rise.
 
--- a/tests/decisions/test_usage.py
+++ b/tests/decisions/test_usage.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
+
+import msgspec
 import testtools
 
 from teaselbridge.decisions import bounds
@@ -66,7 +69,10 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.state = samples.state(BOUNDS)
+        self._hold_lease(BOUNDS)
+
+    def _hold_lease(self, duty_bounds: bounds.Bounds) -> None:
+        self.state = samples.state(duty_bounds)
         lease = self.state.leases.get(leases.DUTIES_LEASE)
         lease.phase = leases.Phase.HELD
         lease.until = 1_000_000
@@ -102,6 +108,20 @@
         self.assertEqual(198, report.window)
         self.assertEqual((effects.WorkspaceCount('w', 9),), report.counts)
 
+    # Guards against windows that are never reported, as no node held the
+    # lease for some seconds.
+    def test_all_windows_that_are_due_are_reported(self) -> None:
+        self._hold_lease(dataclasses.replace(BOUNDS, usage_window_ms=1_000))
+        self._start(b'{"window": 985, "counts": {}}')
+        usage.tick(self.state, self.now)
+        answered = events.UsageReportAnswered(985, True)
+        usage.handle_usage_report_answered(self.state, answered, self.now)
+        (write,) = usage.tick(self.state, self.now)
+        assert isinstance(write, effects.SwapKey)
+        report = msgspec.json.decode(write.value, type=usage.Report)
+        # It ended 10 s ago.
+        self.assertEqual(989, report.window)
+
     def test_lost_race_reads_again(self) -> None:
         self._start(None)
         usage.tick(self.state, self.now)
