Tell the end of a connection in its last answer when a node stops

Callers that go on with a kept connection saw "Server disconnected without sending a response" or a reset when a node on the project's own services stopped.

Answers promised to keep the connection until the very end of a stop, which then closed idle connections and dropped what crossed the close or still waited to be accepted. Where no request was left, the end came in the same tick in which the node began to redirect, so that callers had no sign of it.

From the begin of its drain a node now makes the next answer of each connection the last one, by `Connection: close`. Before its listeners close it accepts the connections that wait, and gives those without a request a second for it. Nothing changes for nodes on the platform, whose callers leave by the list of addresses.

What remains is a request that is on its way when a connection is closed that was idle for the whole drain, which HTTP leaves to callers.

--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -77,7 +77,7 @@
         f'{event.by - now.mono} ms left, {len(state.requests)} held,'
         f' requested {now.mono - since} ms ago'
     )
-    return [
+    out: list[effects.Effect] = [
         effects.RecordEntry(
             mark=effects.Mark.NODE_DRAINING, host=me.name, detail=detail
         ),
@@ -85,6 +85,9 @@
             state, draining=True, status=messages.Status.ALIVE
         ),
     ]
+    if state.options.bounds is None:
+        out.append(effects.EndConnections())
+    return out
 
 
 def is_closed_to_new_requests(state: states.State, now: clock.Instant) -> bool:
--- a/src/teaselbridge/decisions/effects.py
+++ b/src/teaselbridge/decisions/effects.py
@@ -504,6 +504,14 @@
     delay_ms: int
 
 
+class EndConnections(msgspec.Struct, frozen=True):
+    """Command to make the next answer of each connection its last one.
+
+    A node that is stopping closes its idle connections at its end. Requests
+    that cross the close have no answer.
+    """
+
+
 class ExitProcess(msgspec.Struct, frozen=True):
     """Command to exit the process.
 
@@ -710,6 +718,7 @@
     | ApplyChanges
     | QueryLoad
     | Wake
+    | EndConnections
     | ExitProcess
     | Count
     | ObserveLatency
--- a/src/teaselbridge/runtime/node.py
+++ b/src/teaselbridge/runtime/node.py
@@ -92,6 +92,9 @@
         )
         links.connect(self._transport, self._loop)
         self._loop.handle(effects.ExitProcess, lambda _: self._stopped.set())
+        self._loop.handle(
+            effects.EndConnections, lambda _: self._end_connections()
+        )
         self._loop.handle(effects.ActivateConfiguration, lambda _: None)
         self._caller_listener = web.HttpListener(
             app=self._build_gateway_app(outlets),
@@ -183,6 +186,10 @@
             )
         )
 
+    def _end_connections(self) -> None:
+        for listener in (self._caller_listener, self._admin_listener):
+            listener.end_connections()
+
     async def abort(self) -> None:
         """Close everything without notifying peers, as if the process died."""
         await self._tasks.stop()
--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -18,6 +18,8 @@
 
 # Bounds the request line, the headers and what frames chunks of the body.
 MAX_HEAD_BYTES = 64 << 10
+# How long the first request of a connection may take once its listener stops.
+FIRST_REQUEST_MS = 1_000
 # Requests that a connection may send before the first one is answered.
 MAX_PIPELINED = 32
 VERSIONS = ('1.0', '1.1')
@@ -27,11 +29,13 @@
     """State that the connections of a listener share.
 
     :ivar lost: set whenever a connection has ended.
+    :ivar is_ending: whether the next request of each connection is its last.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.lost = asyncio.Event()
+        self.is_ending = False
 
 
 class _RefusedError(Exception):
@@ -54,6 +58,7 @@
     # Longest pause in a request that a listener waits for when it stops.
     max_pause_ms = 2_000
 
+    server_state: ServerState
     _lingering: lingering.LingeringTransport
     _timer: asyncio.TimerHandle | None = None
     _pause_timer: asyncio.TimerHandle | None = None
@@ -127,22 +132,38 @@
             self._pause_timer.cancel()
         self._lingering.connection_lost()
         super().connection_lost(exc)
-        if isinstance(self.server_state, ServerState):
-            self.server_state.lost.set()
+        self.server_state.lost.set()
+
+    def end(self) -> None:
+        """Make the next answer the last one of the connection.
+
+        An answer that has begun has told its caller that another request may
+        follow, which is the last one then.
+        """
+        if self._is_in_request:
+            self._is_last_request = True
+        elif self._is_unanswered() and not self.cycle.response_started:
+            self._stop()
 
     def shutdown(self) -> None:
         """Close the connection after its answers, or at once if it is idle.
 
         A request that has come in part is the last one, unless its caller
-        pauses for too long. One that an idle
-        caller sends at the same time stays unread, so that its caller may send
-        it again.
+        pauses for too long. One that an idle caller sends at the same time
+        stays unread, so that its caller may send it again. A new connection
+        has some time left for its first request if the listener has told its
+        callers of the end.
         """
         if self.transport.is_closing():
             return
         if self._is_in_request:
             self._is_last_request = True
             self._start_pause_timer()
+        elif self.cycle is None and self.server_state.is_ending:
+            self._cancel_timer()
+            self._timer = self.loop.call_later(
+                clock.seconds(FIRST_REQUEST_MS), self._close_if_unused
+            )
         elif self.cycle is None or self.cycle.response_complete:
             self._lingering.close_at_once()
         else:
@@ -153,12 +174,22 @@
         if not self.transport.is_closing():
             self._lingering.close_at_once()
 
+    def _close_if_unused(self) -> None:
+        """Close a connection that has sent no request."""
+        self._timer = None
+        if self._is_in_request:
+            self._start_timer()
+        elif not self.transport.is_closing():
+            self._lingering.close_at_once()
+
     def on_message_begin(self) -> None:
         """Begin a request."""
         if self._is_stopped:
             raise _RefusedError('after the last request')
         super().on_message_begin()
         self._is_in_request = True
+        if self.server_state.is_ending:
+            self._is_last_request = True
         self._has_head = False
         self._header_bytes = 0
 
@@ -284,11 +315,11 @@
         else:
             self.cycle.keep_alive = False
 
+    def _is_unanswered(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
     def _is_request_complete(self) -> bool:
-        cycle = self.cycle
-        if cycle is None or cycle.response_complete:
-            return False
-        return not cycle.more_body
+        return self._is_unanswered() and not self.cycle.more_body
 
     def _start_pause_timer(self) -> None:
         """Start to wait for the next part of a request, or begin again."""
@@ -311,7 +342,7 @@
         """Return whether a request before the last one is unanswered."""
         if self._has_head:
             return bool(self.pipeline)
-        return self.cycle is not None and not self.cycle.response_complete
+        return self._is_unanswered()
 
     def _start_timer(self) -> None:
         self._timer = self.loop.call_later(
--- a/src/teaselbridge/runtime/web.py
+++ b/src/teaselbridge/runtime/web.py
@@ -26,6 +26,8 @@
 # Connections that are accepted in one step. Without a free descriptor the
 # library tries, and logs an error, that many times.
 MAX_ACCEPTED_AT_ONCE = 16
+# Turns of the event loop that accept a full backlog of connections.
+MAX_ACCEPT_TURNS = listening.LISTEN_BACKLOG // MAX_ACCEPTED_AT_ONCE
 # Turns of the event loop after which what an accepted connection has received
 # is read: its task, its registration, the poll that finds the bytes, and one
 # for a request that came in several parts.
@@ -79,11 +81,12 @@
             async with asyncio.timeout_at(
                 now + MAX_ACCEPTING_SHARE * graceful_s
             ):
-                await self._read_waiting(sockets or ())
+                await self._accept_waiting(sockets or ())
         for server in self.servers:
             server.close()
         for listener in sockets or ():
             listener.close()
+        await _run_turns(READING_TURNS)
         for connection in list(self.server_state.connections):
             connection.shutdown()
         try:
@@ -93,17 +96,18 @@
             for task in self.server_state.tasks:
                 task.cancel()
 
-    async def _read_waiting(
+    async def _accept_waiting(
         self, listeners: collections.abc.Sequence[socket.socket]
     ) -> None:
-        """Accept the connections that wait, and read what was received."""
-        most = listening.LISTEN_BACKLOG // MAX_ACCEPTED_AT_ONCE
-        for _ in range(most):
+        """Accept the connections that wait for it."""
+        for _ in range(MAX_ACCEPT_TURNS):
             if not _has_waiting(listeners):
-                break
-            await asyncio.sleep(0)
-        for _ in range(READING_TURNS):
-            await asyncio.sleep(0)
+                # A server that is closed rejects what it has accepted in the
+                # same turn.
+                await _run_turns(1)
+                if not _has_waiting(listeners):
+                    return
+            await _run_turns(1)
 
     async def _wait_until_closed(self) -> None:
         while self.server_state.connections and not self.force_exit:
@@ -122,6 +126,12 @@
     return bool(poll.poll(0))
 
 
+async def _run_turns(count: int) -> None:
+    """Let the event loop run some turns."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenConnections:
     """Open connections of a listener.
@@ -224,6 +234,14 @@
             return repr(error)
         return ''
 
+    def end_connections(self) -> None:
+        """Make the next answer of each connection its last one."""
+        state = self._server.server_state
+        state.is_ending = True
+        for connection in list(state.connections):
+            if isinstance(connection, protocol.Protocol):
+                connection.end()
+
     async def stop(self, graceful_s: float | None = None) -> None:
         """Stop listening, wait for open responses, and close.
 
--- a/tests/decisions/test_drain.py
+++ b/tests/decisions/test_drain.py
@@ -62,6 +62,15 @@
         ]
         self.assertEqual([3_000], stopped)
 
+    # Guards against requests on kept connections that cross their close.
+    def test_connections_end_with_an_answer(self) -> None:
+        state = samples.state()
+        for number in range(2):
+            out = drain.handle_drain_requested(
+                state, events.DrainRequested(7_000), samples.instant(number)
+            )
+            self.assertEqual(not number, effects.EndConnections() in out)
+
 
 class TestLateRequests(testtools.TestCase):
     """A request that may outlast its node is refused on arrival.
--- a/tests/runtime/test_web.py
+++ b/tests/runtime/test_web.py
@@ -333,6 +333,112 @@
         self.assertEqual(20, sum(b'<>' in answer for answer in answers))
 
 
+class TestEnd(TestCase):
+    """Callers hear of the end of their connection in an answer."""
+
+    def test_next_answer_is_the_last(self) -> None:
+        async def run() -> None:
+            async with serve_application(Application()) as (server, address):
+                reader, writer = await asyncio.open_connection(*address)
+                for _ in range(2):
+                    writer.write(GET)
+                    answer = await reader.readuntil(b'<>')
+                    self.assertNotIn(b'connection: close', answer)
+                server.end_connections()
+                writer.write(GET)
+                self.assertIn(b'connection: close', await reader.read())
+                writer.close()
+
+        self.run_coroutine(run())
+
+    def test_answer_that_is_awaited_is_the_last(self) -> None:
+        async def run() -> None:
+            for pieces in ((GET,), (GET, GET), (GET[:9], GET[9:])):
+                app = Application()
+                app.release.clear()
+                async with serve_application(app) as (server, address):
+                    reader, writer = await asyncio.open_connection(*address)
+                    writer.write(pieces[0])
+                    await asyncio.sleep(0.05)
+                    server.end_connections()
+                    writer.write(b''.join(pieces[1:]))
+                    await asyncio.sleep(0.05)
+                    app.release.set()
+                    answer = await reader.read()
+                    self.assertEqual(1, answer.count(b'<>'))
+                    self.assertIn(b'connection: close', answer)
+                    writer.close()
+
+        self.run_coroutine(run())
+
+    def test_all_pipelined_requests_are_answered(self) -> None:
+        async def run() -> None:
+            app = Application()
+            app.release.clear()
+            async with serve_application(app) as (server, address):
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(GET * 3)
+                await asyncio.sleep(0.05)
+                server.end_connections()
+                app.release.set()
+                answer = await reader.read()
+                self.assertEqual(3, answer.count(b'<>'))
+                self.assertEqual(1, answer.count(b'connection: close'))
+                writer.close()
+
+        self.run_coroutine(run())
+
+    # Guards against connections that are reset as nobody has accepted them.
+    def test_connections_that_wait_for_the_listener(self) -> None:
+        async def run() -> None:
+            app = Application()
+            async with serve_application(app) as (server, address):
+                server.end_connections()
+                callers = [
+                    socket.create_connection(address) for _ in range(40)
+                ]
+                for caller in callers:
+                    caller.sendall(GET)
+                stop = asyncio.ensure_future(server.stop(5))
+                loop = asyncio.get_running_loop()
+                for caller in callers:
+                    caller.setblocking(False)
+                    answer = await loop.sock_recv(caller, 1 << 16)
+                    self.assertIn(b'connection: close', answer)
+                    caller.close()
+                await stop
+
+        self.run_coroutine(run())
+
+    # Guards against a close that resets a connection whose first request is
+    # on its way.
+    def test_first_request_comes_after_the_stop(self) -> None:
+        async def run() -> None:
+            async with serve_application(Application()) as (server, address):
+                server.end_connections()
+                reader, writer = await asyncio.open_connection(*address)
+                await asyncio.sleep(0.05)
+                stop = asyncio.ensure_future(server.stop(5))
+                await asyncio.sleep(0.05)
+                writer.write(GET)
+                self.assertIn(b'connection: close', await reader.read())
+                writer.close()
+                await stop
+
+        self.run_coroutine(run())
+
+    def test_connection_without_a_request_is_closed(self) -> None:
+        async def run() -> None:
+            async with serve_application(Application()) as (server, address):
+                server.end_connections()
+                reader, writer = await asyncio.open_connection(*address)
+                await server.stop(TIMEOUT_S)
+                self.assertEqual(b'', await reader.read())
+                writer.close()
+
+        self.run_coroutine(run())
+
+
 class TestClose(TestCase):
     """A connection that the server closes delivers its last answer.
 
