Answer requests that outlast a stopping node truthfully

Callers got "500 Internal Server Error" as text, without whether their request had run, for orders and look-ups that a node on the project's own services still held two seconds after the end of its drain: the listener cancelled their tasks. Streams are handed over and relayed requests get a final answer, but nobody ended these.

The node now ends them itself, after the same two seconds and before its listener stops: a finished order whose outcome is still being stored is answered, and all others get a refusal (503, `node-stopping`) that says "unknown" wherever an attempt, or a duplicate, may have run it. Begun streams are left to break off, as their callers resume them elsewhere, and look-ups of a status are answered "unknown".

--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -4,7 +4,8 @@
 as callers may still use an older list, and hands over the requests that
 cannot finish before it must stop. Relayed requests cannot be handed over: once
 no list names the node any more, those that may outlast it are refused, and
-when it must stop the remaining ones get a final answer.
+when it must stop the remaining ones get a final answer. So do other requests
+that could not be handed over, after some more time.
 """
 
 from __future__ import annotations
@@ -31,6 +32,8 @@
 
 HAND_OVER_TIMEOUT_MS = 400
 STOP_MARGIN_MS = 1_500
+# Requests that were not handed over may go on for so long after the deadline.
+LAST_WORK_MS = 2_000
 # Requests may be sent this long before the node knows of them, and the signal
 # to stop arrive this long before it is handled.
 ARRIVAL_MARGIN_MS = 200
@@ -153,11 +156,17 @@
         out += _drain_request(state, request, now)
     listed_until = drain.began + state.options.address_list_max_age_ms
     is_idle = not state.requests and not state.ledger.pending_count
-    if now.mono < drain.stop_deadline and not (
-        is_idle and now.mono >= listed_until
-    ):
+    stop_at = drain.stop_deadline
+    if _list_waiting(state):
+        stop_at += LAST_WORK_MS
+    if now.mono < stop_at and not (is_idle and now.mono >= listed_until):
         return out
     drain.is_stopped = True
+    for request in _list_waiting(state):
+        out += _end_own(state, request, now)
+    for handle in state.status_queries:
+        out.append(effects.SendStatus(handle, effects.RequestStatus.UNKNOWN))
+    state.status_queries.clear()
     out += leases.revoke_all(state)
     out += membership.announce_own_status(
         state, draining=True, status=messages.Status.LEFT
@@ -248,6 +257,44 @@
     return out
 
 
+def _list_waiting(state: states.State) -> list[requests.Request]:
+    """List the requests whose callers wait for a final answer.
+
+    Callers of relayed ones have got it, and begun streams go on elsewhere when
+    their connection ends.
+    """
+    return [
+        request
+        for request in state.requests.values()
+        if request.attached
+        and not request.call.is_relayed
+        and not (request.is_resumable and request.tokens)
+    ]
+
+
+def _end_own(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Give the caller of a request a final answer.
+
+    A request whose claim is being written or belongs to a duplicate may have
+    been run by that one.
+    """
+    if request.phase is requests.Phase.STORING:
+        request.due_at = now.mono
+        return orders.tick(state, request, now)
+    ran = request.ran
+    if request.phase in (requests.Phase.CLAIMING, requests.Phase.DUPLICATE):
+        ran = calls.RunStatus.UNKNOWN
+    refusal = calls.Refusal(
+        calls.Reason.STOPPING,
+        ran,
+        'this node is stopping',
+        requests.MIN_RETRY_AFTER_MS,
+    )
+    return orders.refuse_and_close(state, request, refusal, now)
+
+
 def _build_refusal(state: states.State, now: clock.Instant) -> calls.Refusal:
     """Return the refusal of a relayed request that no server ran.
 
--- a/src/teaselbridge/standins/service.py
+++ b/src/teaselbridge/standins/service.py
@@ -49,6 +49,10 @@
         """Number of running requests."""
         return self._running
 
+    def set_work_ms(self, work_ms: int) -> None:
+        """Set the processing time of later requests."""
+        self._work_ms = work_ms
+
     def get_load_report(self) -> Document:
         """Return the current load report."""
         return {
