Take a deadline that passes for no failure of a server

Callers of the project's own services got 502 (`backend-server-failed`) for a look-up whose server was still at work at its deadline, where 504 is due. An order was worse off: the node gave up its run, answered 409, and threw the outcome away, so that repeats got 409 for ever, though its server went on and finished.

The timeout of such an attempt was the deadline itself, and its timer fires a few ms before the tick that handles deadlines: each request that reached its deadline ended as a failed attempt. The reducer's own rule, which lets an order go on for 30 s so that its outcome is stored, never came into play. Timeouts of attempts now do not depend on the deadline. That the server has sent nothing until then still counts against it.

--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -360,9 +360,26 @@
             'a duplicate of the request is still running',
         )
         return requests.refuse(state, request, refusal, now)
+    out = _record_silence(state, request, now)
     if request.is_at_most_once and request.phase is requests.Phase.RUNNING:
-        return orders.handle_deadline(state, request, refusal, now)
-    return orders.refuse_and_close(state, request, refusal, now)
+        return out + orders.handle_deadline(state, request, refusal, now)
+    return out + orders.refuse_and_close(state, request, refusal, now)
+
+
+def _record_silence(
+    state: states.State, request: requests.Request, now: clock.Instant
+) -> list[effects.Effect]:
+    """Record that a server has sent nothing until the deadline."""
+    if request.phase is not requests.Phase.RUNNING:
+        return []
+    if not request.first or not request.attached:
+        return []
+    fault = calls.Fault(
+        calls.FaultKind.SILENT,
+        calls.RunStatus.UNKNOWN,
+        'no progress until the deadline',
+    )
+    return _record_server_fault(state, request, fault, now)
 
 
 def _mean_token_gap_ms(request: requests.Request) -> float:
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -390,15 +390,19 @@
 def _first_token_timeout_ms(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> int:
-    remaining = max(1, request.remaining_ms(now))
+    """Return after which time without a first byte an attempt has failed.
+
+    The deadline is none: the reducer ends requests there, and lets an attempt
+    that must not be repeated go on for a while.
+    """
     if request.is_at_most_once or request.call.kind is model.Kind.SERVICE:
-        return remaining
+        remaining = max(1, request.remaining_ms(now))
+        return remaining + 2 * orders.POST_DEADLINE_TIMEOUT_MS
     scaled_ms = round(
         FIRST_TOKEN_TIMEOUT_FACTOR
         * state.latency_estimator.first_ms(request.call.route.name)
     )
     return min(
-        remaining,
         MAX_FIRST_TOKEN_TIMEOUT_MS,
         max(MIN_FIRST_TOKEN_TIMEOUT_MS, scaled_ms),
     )
