Let the stand-ins of tests tell when a request is sent

Since a silent server is kept until the request was sent to another one, a stand-in for the runtime has to say so. The model of many nodes did not, and carried out no wake-ups: its nodes kept silent servers for too long, and test_learnt_speeds failed (1.98 times the true speed where less than 1.5 is wanted).

The model tells it once a connection would be open, and not where a link is cut; no assertion or bound is changed.

--- a/tests/decisions/cluster.py
+++ b/tests/decisions/cluster.py
@@ -277,10 +277,11 @@
         match effect:
             case effects.SendPeer():
                 self._send_message(node, effect)
-            case effects.RelayAttempt() if effect.origin:
-                self._schedule(LINK_MS, lambda: self._forward(node, effect))
             case effects.RelayAttempt():
-                self._schedule(LINK_MS, lambda: self._serve(node, effect))
+                self._schedule(LINK_MS, lambda: self._send(node, effect))
+            case effects.Wake():
+                woken = events.DelayElapsed()
+                self._post_later(node, effect.delay_ms, woken)
             case effects.CancelAttempt():
                 key = (node.name, effect.handle, effect.attempt)
                 self._schedule(LINK_MS, lambda: self._cancel(key))
@@ -311,13 +312,21 @@
         if server is not None:
             server.running -= 1
 
-    def _report_sending(
-        self, node: Node, effect: effects.RelayAttempt
-    ) -> None:
-        """Tell a node that a request was sent, if it asked for that."""
-        if effect.reports_sending:
-            sent = events.AttemptSent(effect.call.handle, effect.attempt)
-            self._post_later(node, 0, sent)
+    def _send(self, node: Node, effect: effects.RelayAttempt) -> None:
+        """Send the request of an attempt to a server or a helper."""
+        if effect.origin:
+            is_reached = self.nodes[effect.host].is_up and self.can_reach(
+                node.name, effect.host
+            )
+        else:
+            is_reached = self.can_serve(node.name, effect.host)
+        if is_reached and effect.reports_sending:
+            handle = effect.call.handle
+            self._post(node, events.AttemptSent(handle, effect.attempt))
+        if effect.origin:
+            self._forward(node, effect)
+        else:
+            self._serve(node, effect)
 
     def _forward(self, node: Node, effect: effects.RelayAttempt) -> None:
         helper = self.nodes[effect.host]
@@ -330,7 +339,6 @@
             )
             self._post_later(node, 400, failed)
             return
-        self._report_sending(node, effect)
         handle = next(self._handles)
         self._forwarded[(helper.name, handle)] = (node, effect)
         call = dataclasses.replace(
@@ -383,7 +391,6 @@
             failed = events.AttemptFailed(handle, attempt, fault)
             self._post_later(node, 400, failed)
             return
-        self._report_sending(node, effect)
         server = self.servers[effect.host]
         asked_at = self.now - LINK_MS
         server.arrivals.append((self.now, node.name))
--- a/tests/decisions/room/engines.py
+++ b/tests/decisions/room/engines.py
@@ -132,7 +132,6 @@
                 self.send_prompt(heads)
 
     def _serve(self, node: cluster.Node, effect: effects.RelayAttempt) -> None:
-        self._report_sending(node, effect)
         server = self.servers[effect.host]
         assert isinstance(server, Engine)
         handle, attempt = effect.call.handle, effect.attempt
