End a completion that lacks only its end when its host is taken back

The check for this was made after failures and on arrival only.

Requests that move before a reclaim, and those that no other node took over from a stopping one, are now ended in this case too. The other ways back into the queue were read: relayed requests and orders have no token limit, and a failed attempt is checked before.

--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -203,9 +203,8 @@
     if not _has_usable_server(state, request, now):
         return []
     out = requests.cancel_attempt(state, request)
-    requests.enqueue(state, request)
     out.append(effects.Count(effects.Counter.RESUMED, 'reclaim'))
-    return out
+    return out + completions.resume(state, request)
 
 
 def _has_usable_server(
--- a/src/teaselbridge/decisions/completions.py
+++ b/src/teaselbridge/decisions/completions.py
@@ -38,6 +38,19 @@
     return [*out, end, *requests.remove_request(state, request)]
 
 
+def resume(
+    state: states.State, request: requests.Request
+) -> list[effects.Effect]:
+    """Queue a completion for another engine, unless it lacks only its end.
+
+    An engine generates at least one more token.
+    """
+    if request.has_all_tokens:
+        return finish_at_token_limit(state, request)
+    requests.enqueue(state, request)
+    return []
+
+
 def finish_at_token_limit(
     state: states.State, request: requests.Request
 ) -> list[effects.Effect]:
--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -379,10 +379,10 @@
     if request.due_at > now.mono:
         return []
     out = _hand_over(state, request, now)
-    if not out:
-        request.peers_tried.clear()
-        requests.enqueue(state, request)
-    return out
+    if out:
+        return out
+    request.peers_tried.clear()
+    return completions.resume(state, request)
 
 
 def _redirect_order(
