Give up no attempt at an engine whose tokens wait to be read

Callers of model engines got an error, or their stream went to another engine, with "no progress" although its engine had gone on: the node stood still for 500 to 600 ms, or twice in a row. A timer that fired up to 100 ms late ended the attempt before what had been polled in the same turn was handled, and a longer stall counted as none only once.

The time without progress is counted in three parts now. A stall takes one of them, however long it is, and after the last one a further turn of the event loop handles what was read. Progress in the turn after that still counts.

--- a/src/teaselbridge/backends/progress.py
+++ b/src/teaselbridge/backends/progress.py
@@ -11,16 +11,17 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-# A timer that fires later than this has waited for the event loop.
-MAX_TIMER_DELAY_S = 0.1
+# Parts of the time without progress.
+PARTS = 3
 
 
 class ProgressTimer:
     """Timer that ends an attempt unless it is restarted in time.
 
-    While the event loop stands still, data of the server waits unread, so
-    that the span by which the timer fires late does not count, but only once
-    without progress: a loop that is always late ends attempts too.
+    While the event loop stands still, data of the server waits unread. The
+    time is therefore counted in parts, of which a stall takes one, however
+    long it is, and what was read meanwhile is handled after the last one. A
+    loop that is always late ends attempts too.
 
     :param timeout: timeout that ends the attempt.
     """
@@ -28,13 +29,13 @@
     def __init__(self, *, timeout: asyncio.Timeout) -> None:
         self._timeout = timeout
         self._loop = asyncio.get_running_loop()
-        self._timer: asyncio.TimerHandle | None = None
-        self._is_extended = False
+        self._timer: asyncio.Handle | None = None
 
     def restart(self, span_ms: int) -> None:
         """Allow some milliseconds from now until the next progress."""
-        self._is_extended = False
-        self._start(self._loop.time() + clock.seconds(span_ms))
+        if self._timeout.when() is not None and not self._timeout.expired():
+            self._timeout.reschedule(None)
+        self._start_part(clock.seconds(span_ms) / PARTS, PARTS)
 
     def cancel(self) -> None:
         """Stop the timer."""
@@ -42,18 +43,18 @@
             self._timer.cancel()
             self._timer = None
 
-    def _start(self, due: float) -> None:
+    def _start_part(self, part_s: float, left: int) -> None:
         self.cancel()
-        self._timer = self._loop.call_at(due, self._expire, due)
-
-    def _expire(self, due: float) -> None:
-        now = self._loop.time()
-        late = now - due
-        if late > MAX_TIMER_DELAY_S and not self._is_extended:
-            self._is_extended = True
-            self._start(now + late)
+        if left:
+            self._timer = self._loop.call_later(
+                part_s, self._start_part, part_s, left - 1
+            )
         else:
-            self._timeout.reschedule(now)
+            # What was polled in this turn is handled in the next one.
+            self._timer = self._loop.call_soon(self._expire)
+
+    def _expire(self) -> None:
+        self._timeout.reschedule(self._loop.time())
 
 
 @contextlib.asynccontextmanager
--- a/tests/backends/test_progress.py
+++ b/tests/backends/test_progress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 import testtools
@@ -46,3 +47,41 @@
     # Guards against attempts that a busy node never gives up.
     def test_loop_is_always_late(self) -> None:
         self.assertLess(self._run(0.2, 0), 2)
+
+    # Guards against sound attempts that end as the loop stood still for
+    # little longer than the time without progress.
+    def test_data_waits_in_the_socket(self) -> None:
+        async def run() -> None:
+            ours, other = socket.socketpair()
+            self.addCleanup(other.close)
+            reader, writer = await asyncio.open_connection(sock=ours)
+            received: asyncio.Queue[bytes] = asyncio.Queue()
+
+            async def pass_on() -> None:
+                while data := await reader.read(1):
+                    received.put_nowait(data)
+
+            passing_on = asyncio.ensure_future(pass_on())
+            async with progress.run_timer(SPAN_MS) as timer:
+                for _ in range(5):
+                    other.send(b'x')
+                    time.sleep(1.1 * SPAN_MS / 1_000)
+                    await received.get()
+                    timer.restart(SPAN_MS)
+            writer.close()
+            await passing_on
+
+        asyncio.run(run())
+
+    # Guards against sound attempts that end as their server stood still for
+    # as long as this process.
+    def test_server_stalls_too(self) -> None:
+        async def run() -> None:
+            async with progress.run_timer(SPAN_MS) as timer:
+                for stall_ms in (1.1 * SPAN_MS, 2 * SPAN_MS):
+                    for _ in range(2):
+                        time.sleep(stall_ms / 1_000)
+                        await asyncio.sleep(0.001)
+                    timer.restart(SPAN_MS)
+
+        asyncio.run(run())
