Test the ends of streams at stopping nodes without a race for time

Traced by stalls of the whole process, after which the node itself ended the stream, as it had to stop. Of 11 failures of the first test 9 say "ended by stopping" 3.40 to 4.51 s after node-draining (of a grace period of 4 s), one stream was cut by the web server after 4.02 s, and one request, read 3.0 s after the drain began, was refused. All 7 failures of the second test say "ended by stopping" after 3.41 to 3.82 s.

Streams of 1.6 and 2 s raced with these 3.4 s, while their servers stood still with the node. A node must stop then, so that the tests were wrong: they need a machine that loses less than 1.4 s. They and the others of test_site_helpers have a grace period of 30 s now, except for that whose stream is to outlast it.

In exchange the streams are longer: 3.5 and 4 s, beyond the 3 s for which callers may use an old list and the 2 s that a web server grants by default, so that what ends them at a fixed time after the drain began, or after the listeners began to close, is found as before. How long before the end of the grace period a node stops is tested by test_busy_node_stops_earlier.

--- a/tests/failures/site.py
+++ b/tests/failures/site.py
@@ -33,6 +33,8 @@
 ZONES = ('zone-a', 'zone-b')
 TIMEOUT_S = 60.0
 GRACE_S = 4.0
+# For tests of what ends long before the node must stop.
+LONG_GRACE_S = 30.0
 _ATTEMPT_NUMBERS = itertools.count(1)
 
 ROUTES = (
@@ -242,7 +244,11 @@
 
 @contextlib.asynccontextmanager
 async def run_deployment(
-    nodes: int = 1, *, configuration: bytes | None = None, spot: bool = False
+    nodes: int = 1,
+    *,
+    configuration: bytes | None = None,
+    spot: bool = False,
+    grace_s: float = GRACE_S,
 ) -> collections.abc.AsyncIterator[Trial]:
     """Run nodes, two backend servers per pool and the simulated platform.
 
@@ -252,6 +258,7 @@
     :param nodes: number of nodes.
     :param configuration: encoded configuration; the default one if none.
     :param spot: whether the backend servers are marked as reclaimable.
+    :param grace_s: grace period of the nodes, in seconds.
     """
     logs.silence_web_server()
     store = stores.Store(clock=clocks.Clock())
@@ -275,7 +282,10 @@
     running = [
         sites.SiteNode(
             settings=build_settings(
-                index, store_host.address, duties_host.address
+                index,
+                store_host.address,
+                duties_host.address,
+                grace_s=grace_s,
             ),
             path='unused',
         )
@@ -310,13 +320,14 @@
 
 
 def build_settings(
-    index: int, store: str, duties: str
+    index: int, store: str, duties: str, *, grace_s: float = GRACE_S
 ) -> settings_model.Settings:
     """Build the settings of a node that listens on free ports.
 
     :param index: number in the node's name; also selects its zone.
     :param store: address of the key-value store.
     :param duties: address to which duties send their calls.
+    :param grace_s: grace period in seconds.
     """
     numbers = [ports.find_free_port() for _ in range(6)]
     addresses = [f'127.0.0.1:{port}' for port in numbers]
@@ -338,7 +349,7 @@
             store=store,
             cloud=duties,
             bounds=settings_model.Bounds(
-                grace_s=GRACE_S,
+                grace_s=grace_s,
                 first_start=True,
                 usage_window_s=1,
                 duties=('metering', 'autoscale'),
--- a/tests/failures/test_site_helpers.py
+++ b/tests/failures/test_site_helpers.py
@@ -14,7 +14,8 @@
 
     from teaselbridge.runtime import site as sites
 
-EVENTS = 40
+# Their stream outlasts the time for which callers may use an old list.
+EVENTS = 80
 EVENT_MS = 50.0
 # Their stream outlasts the grace period.
 LONG_EVENTS = 120
@@ -75,10 +76,18 @@
         self.assertEqual(wanted, found)
 
     def _run(
-        self, path: str, events: int, *, stopped: str, nodes: int
+        self,
+        path: str,
+        events: int,
+        *,
+        stopped: str,
+        nodes: int,
+        grace_s: float = site.LONG_GRACE_S,
     ) -> None:
         async def run() -> None:
-            async with site.run_deployment(nodes=nodes) as trial:
+            async with site.run_deployment(
+                nodes=nodes, grace_s=grace_s
+            ) as trial:
                 call, helper, _ = await self._start(trial, path, events)
                 node = helper if stopped == 'helper' else trial.nodes[0]
                 stop = asyncio.ensure_future(_stop(node))
@@ -99,7 +108,13 @@
 
     # The same where the stream lasts longer than the helper.
     def test_helper_stops_before_the_end(self) -> None:
-        self._run('/stream/x', LONG_EVENTS, stopped='helper', nodes=3)
+        self._run(
+            '/stream/x',
+            LONG_EVENTS,
+            stopped='helper',
+            nodes=3,
+            grace_s=site.GRACE_S,
+        )
 
     # The same where no other node can help.
     def test_only_helper_stops(self) -> None:
--- a/tests/runtime/test_site.py
+++ b/tests/runtime/test_site.py
@@ -104,9 +104,9 @@
     # closed its last connections.
     def test_stream_that_began_last_is_finished(self) -> None:
         async def run() -> None:
-            async with site.run_deployment() as trial:
+            async with site.run_deployment(grace_s=site.LONG_GRACE_S) as trial:
                 for server in trial.list_servers('engines'):
-                    server.events = 16
+                    server.events = 35
                     server.event_ms = 100.0
                 (node,) = trial.nodes
                 node.drain()
@@ -114,7 +114,7 @@
                 await site.until(lambda: node.loop.state.requests)
                 await node.stop()
                 response = await call
-                self.assertEqual(16, response.text.count('data:'))
+                self.assertEqual(35, response.text.count('data:'))
 
         self.run_coroutine(run())
 
