Record errors that end a request in the web application

An unexpected error in the application that serves callers ended their request with 500 or a closed connection, and left no line and no count.

The web server logs such an error by a logger that is silenced, as it also reports each connection that breaks.

Evidence: test_request_fails failed before: the caller got 500, and the log had no entry. Found by reading; no such error was seen in a run.

The application records it as internal-error before it passes it on.

--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -66,6 +66,10 @@
         claim = bodies.Claim(self._room)
         try:
             await self._serve(scope, receive, send, claim)
+        except Exception as error:
+            # The web server answers 500, or closes the connection.
+            self._loop.record_error('serve', error)
+            raise
         finally:
             claim.release()
 
--- a/tests/runtime/test_site.py
+++ b/tests/runtime/test_site.py
@@ -17,6 +17,7 @@
 
 from teaselbridge.decisions import effects
 from teaselbridge.decisions import requests
+from teaselbridge.runtime import outlets
 from teaselbridge.runtime import site as sites
 from teaselbridge.settings import model
 from teaselbridge.telemetry import timeline
@@ -366,6 +367,25 @@
 
         self.run_coroutine(run())
 
+    # Guards against requests that end with an error that leaves no line.
+    def test_request_fails(self) -> None:
+        def fail(*arguments: object) -> None:
+            raise ValueError('unexpected')
+
+        async def run() -> None:
+            async with site.run_deployment() as trial:
+                (node,) = trial.nodes
+                wanted = timeline.Filter(
+                    mark=effects.Mark.INTERNAL_ERROR.value
+                )
+                self.patch(outlets.OutputQueues, 'submit_call', fail)
+                response = await trial.call('/stock/1')
+                self.assertEqual(500, response.status_code)
+                (entry,) = node.loop.timeline.select(wanted)
+                self.assertIn('serve: ValueError', entry.detail)
+
+        self.run_coroutine(run())
+
 
 class TestEnds(base.TestCase):
     """What the web server or a caller ends is recorded."""
