Keep listeners without descriptors out of the recorded errors

A node without a free descriptor logged internal-error for each listener that could not accept. That is expected, and the listener tries again.

Such reports go to the default handler again, as they did before.

--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -315,7 +315,13 @@
     def _handle_loop_error(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]
     ) -> None:
-        """Record an error that ended a callback or a background task."""
+        """Record an error that ended a callback or a background task.
+
+        A listener without a free descriptor is none, and tries again.
+        """
+        if 'socket' in context:
+            loop.default_exception_handler(context)
+            return
         error = context.get('exception') or RuntimeError(context['message'])
         self._loop.record_error(BACKGROUND_WORK, error)
 
