Let the soak excuse no kept connection that a stop closes unsaid

The soak still excused each lost connection of a process that was gone a second later, and so passed over nearly all connections that a stop cut. It now takes the loss of a kept connection, whose last answer did not end it, for a fault whether or not the process ends; nodes that are killed or paused are excused as before. New connections are checked as before, with the same second.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -307,19 +307,23 @@
 
         It is a fault to lose the connection of a process that goes on,
         neither killed nor paused, and so is an answer that is neither one nor
-        a refusal. A process that starts or stops may refuse new connections.
+        a refusal. A process that starts or stops may refuse new connections,
+        and one that stops says so in an answer before it closes a connection.
         """
         limits = httpx.Limits(max_connections=1)
         async with httpx.AsyncClient(
             trust_env=False, limits=limits, timeout=CALL_TIMEOUT_S
         ) as client:
+            is_kept = False
             while not ended.is_set():
                 try:
                     response = await _look_up(client, node)
                 except httpx.HTTPError as error:
-                    await self._check_lost_connection(node, error)
+                    await self._check_lost_connection(node, error, is_kept)
+                    is_kept = False
                     await asyncio.sleep(CALL_INTERVAL_S)
                     continue
+                is_kept = response.headers.get('connection') != 'close'
                 if response.status_code not in (200, 307, 429, 503, 504):
                     self._note(
                         f'{node.name} answered {response.headers}:'
@@ -331,17 +335,29 @@
                 await asyncio.sleep(CALL_INTERVAL_S)
 
     async def _check_lost_connection(
-        self, node: deployment.NodeAddresses, error: httpx.HTTPError
+        self,
+        node: deployment.NodeAddresses,
+        error: httpx.HTTPError,
+        is_kept: bool,
     ) -> None:
+        """Check whether a connection may be lost.
+
+        :param is_kept: whether its last answer promised to keep it.
+        """
         is_new = isinstance(error, httpx.ConnectError)
         if is_new and node.name in self._disturbed:
             return
+        was_interrupted = node.name in self._interrupted
         process = self._trial.get_pid(node.name)
         self._note(f'{node.name}, process {process}: {error!r}')
         await asyncio.sleep(EXIT_NOTICE_S)
         is_gone = process != self._trial.get_pid(
             node.name
         ) or not self._trial.is_running(node.name)
+        # A connection error tells that the kept connection was closed while
+        # it was idle.
+        if is_kept and not is_new and not was_interrupted:
+            is_gone = False
         if not is_gone and node.name not in self._interrupted:
             self.faults.append(f'{node.name} lost a connection: {error!r}')
 
