Accept completions again after a stall made their times too long

After a node stood still for some seconds with streams of its own interface under way, it refused all later completions of the route with 503 "cannot-finish-in-time" and never served one again, though no request was held and all engines were idle. Seen in a trial of test_holder_dies_during_a_move with a stall of 16 s: the loads' streams, cut by the stall, were refused by both nodes ("13059 ms needed") until their deadlines.

Cause: the gap that a stall leaves between two tokens of each stream under way goes into the moving average of the token time; 3 streams and 16 s make 4.3 s of 10 ms. A request whose predicted time exceeds its deadline is refused, and as only tokens renew the average, it stays.

Times that nothing has renewed for a second, and that no running request of the route may renew, refuse nothing now. One request then goes to a server and renews them; meanwhile later ones are refused as before. A request that truly cannot finish is so sent once on an idle route. Requests of the deployment platform are checked by other means and are not affected.

test_outdated_times_refuse_nothing fails before.

--- a/src/teaselbridge/decisions/admission.py
+++ b/src/teaselbridge/decisions/admission.py
@@ -13,6 +13,9 @@
     from teaselbridge.decisions import calls
 
 SMOOTHING = 0.1
+# Times that nothing has renewed for so long refuse no request that could renew
+# them: a stall may have made them too long.
+MAX_AGE_MS = 1_000
 INITIAL_FIRST_TOKEN_MS = 100.0
 INITIAL_TOKEN_GAP_MS = 10.0
 INITIAL_ANSWER_MS = 30.0
@@ -209,6 +212,19 @@
     def __init__(self) -> None:
         self._routes: dict[str, _RouteStats] = {}
         self._dispatch_rates: dict[tuple[str, int], _DispatchRate] = {}
+        self._renewed_at: dict[str, int] = {}
+
+    def record_renewal(self, route: str, now: int) -> None:
+        """Record that a server's data renewed the times of a route.
+
+        :param now: monotonic milliseconds.
+        """
+        self._renewed_at[route] = now
+
+    def is_outdated(self, route: str, now: int) -> bool:
+        """Return whether nothing has renewed the times of a route lately."""
+        renewed_at = self._renewed_at.get(route)
+        return renewed_at is not None and now - renewed_at > MAX_AGE_MS
 
     def first(self, route: str, span: int) -> None:
         """Record the time to a first token, in milliseconds."""
--- a/src/teaselbridge/decisions/attempts.py
+++ b/src/teaselbridge/decisions/attempts.py
@@ -47,6 +47,7 @@
     route = request.call.route.name
     span = now.mono - request.progressed_at
     request.progressed_at = now.mono
+    state.latency_estimator.record_renewal(route, now.mono)
     if request.first:
         request.first = False
         request.first_token_at = now.mono
@@ -104,7 +105,9 @@
         )
         return _handle_failure(state, request, fault, event.answer, now)
     span = now.mono - request.started_at
-    state.latency_estimator.answer(request.call.route.name, span)
+    route = request.call.route.name
+    state.latency_estimator.answer(route, span)
+    state.latency_estimator.record_renewal(route, now.mono)
     out = moves.record_request_outcome(
         state, request, now, failed=status in RETRYABLE_STATUSES, span=span
     )
--- a/src/teaselbridge/decisions/dispatch.py
+++ b/src/teaselbridge/decisions/dispatch.py
@@ -369,9 +369,8 @@
 def _cannot_finish_in_time(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> bool:
-    service = state.latency_estimator.service(
-        request.call, len(request.tokens)
-    )
+    done = len(request.tokens)
+    service = requests.predict_service(state, request.call, done, now)
     return now.mono + service > request.call.deadline
 
 
--- a/src/teaselbridge/decisions/requests.py
+++ b/src/teaselbridge/decisions/requests.py
@@ -553,12 +553,30 @@
     )
 
 
+def predict_service(
+    state: states.State, call: calls.Call, done: int, now: clock.Instant
+) -> float:
+    """Predict the service time of a request that has not been sent yet.
+
+    :param done: number of tokens that the caller already has.
+    :return: milliseconds, 0 where the known times are outdated and no other
+        request will renew them.
+    """
+    estimator = state.latency_estimator
+    if estimator.is_outdated(call.route.name, now.mono) and not any(
+        item.phase is Phase.RUNNING and item.call.route.name == call.route.name
+        for item in state.requests.values()
+    ):
+        return 0.0
+    return estimator.service(call, done)
+
+
 def _check_completion_time(
     state: states.State, call: calls.Call, now: clock.Instant
 ) -> calls.Refusal | None:
     ahead = state.queue.count_ahead(call)
     wait = state.latency_estimator.wait(call, ahead, now.mono)
-    service = state.latency_estimator.service(call, len(call.resumed))
+    service = predict_service(state, call, len(call.resumed), now)
     if now.mono + wait + service <= call.deadline:
         return None
     detail = f'{wait + service:.0f} ms needed, the deadline is earlier'
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -7,9 +7,13 @@
 import testtools
 
 from teaselbridge.decisions import admission
+from teaselbridge.decisions import attempts
 from teaselbridge.decisions import calls
+from teaselbridge.decisions import events
+from teaselbridge.decisions import requests
 from teaselbridge.decisions import retry
 from teaselbridge.tables import model
+from tests.decisions import samples
 
 
 def call(
@@ -111,3 +115,55 @@
         generator = random.Random(1)
         spans = [retry.backoff(20, generator) for _ in range(200)]
         self.assertLessEqual(max(spans), retry.MAX_BACKOFF_MS)
+
+
+class TestServiceTime(testtools.TestCase):
+    """Predictions by which new requests are refused."""
+
+    STALL_MS = 16_000
+    STREAMS = 3
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = samples.state()
+        self.now = 0
+        for handle in range(1, self.STREAMS + 1):
+            self._start(handle)
+        self._receive_tokens()
+        self.now += self.STALL_MS
+        self._receive_tokens()
+
+    def _start(self, handle: int) -> None:
+        started = requests.Request(
+            call=call(handle), now=samples.instant(self.now)
+        )
+        started.phase = requests.Phase.RUNNING
+        started.attempt = 1
+        self.state.requests[handle] = started
+
+    def _receive_tokens(self) -> None:
+        for handle in list(self.state.requests):
+            received = events.TokenReceived(handle, 1, 'x')
+            attempts.token(self.state, received, samples.instant(self.now))
+
+    def _is_refused(self, left_ms: int) -> bool:
+        """Return whether a new request is refused for its deadline."""
+        new = call(99, deadline=self.now + left_ms)
+        now = samples.instant(self.now)
+        return requests.check(self.state, new, now) is not None
+
+    # Guards against a node that refuses all requests for ever, because a
+    # stall made its times too long and no answer renews them.
+    def test_outdated_times_refuse_nothing(self) -> None:
+        self.state.requests.clear()
+        self.assertTrue(self._is_refused(self.STALL_MS))
+        self.now += admission.MAX_AGE_MS + 1
+        self.assertFalse(self._is_refused(self.STALL_MS))
+
+    def test_times_count_while_a_request_may_renew_them(self) -> None:
+        self.now += admission.MAX_AGE_MS + 1
+        self.assertTrue(self._is_refused(self.STALL_MS))
+
+    def test_first_times_of_a_node_count(self) -> None:
+        self.state = samples.state()
+        self.assertTrue(self._is_refused(1))
