Forget a late tick after a second

The longest gap between ticks lost only an eighth of each later gap. It is that of the last second now: a loop that is late often tells so again within it.

test_stall_long_before failed before (stalls of 0.4, 1 and 4 s, then 2 s of calm); those of late loops pass unchanged.

--- a/src/teaselbridge/decisions/reducer.py
+++ b/src/teaselbridge/decisions/reducer.py
@@ -48,8 +48,8 @@
     from teaselbridge.decisions import state as states
 
 
-# A long gap between ticks is forgotten after so many times its length.
-TICK_GAP_FADING = 8
+# A long gap between ticks tells that further ones may follow for so long.
+TICK_GAP_MEMORY_MS = 1_000
 
 
 class KeyCallHandler(typing.Protocol):
@@ -245,12 +245,16 @@
 
 
 def _record_tick_gap(state: states.State, now: clock.Instant) -> None:
-    """Measure the time between ticks; a long one is forgotten gradually."""
+    """Measure the time between ticks, and the longest recent one."""
     if state.ticked_at:
-        gap_ms = now.mono - state.ticked_at
-        faded_ms = state.longest_tick_gap_ms - gap_ms // TICK_GAP_FADING
-        state.tick_gap_ms = gap_ms
-        state.longest_tick_gap_ms = max(gap_ms, faded_ms)
+        state.tick_gap_ms = now.mono - state.ticked_at
+        age_ms = now.mono - state.longest_tick_gap_at
+        if (
+            state.tick_gap_ms >= state.longest_tick_gap_ms
+            or age_ms > TICK_GAP_MEMORY_MS
+        ):
+            state.longest_tick_gap_ms = state.tick_gap_ms
+            state.longest_tick_gap_at = now.mono
     state.ticked_at = now.mono
 
 
--- a/src/teaselbridge/decisions/state.py
+++ b/src/teaselbridge/decisions/state.py
@@ -89,7 +89,8 @@
     ``heard_until`` is the moment, in monotonic milliseconds, before which all
     that came from servers and peers was handled at the last tick.
     ``ticked_at`` is when that was, likewise, ``tick_gap_ms`` the time between
-    the last two ticks, and ``longest_tick_gap_ms`` the longest recent one.
+    the last two ticks, and ``longest_tick_gap_ms`` the longest recent one,
+    which ended at ``longest_tick_gap_at``.
     ``keyvalue_answered_at`` is when the key-value service last answered, in
     monotonic milliseconds.
 
@@ -147,6 +148,7 @@
         self.ticked_at = 0
         self.tick_gap_ms = 0
         self.longest_tick_gap_ms = 0
+        self.longest_tick_gap_at = 0
         self.keyvalue_answered_at = 0
         self.keyvalue_up = True
         self.drain: drain.Drain | None = None
--- a/tests/decisions/test_switching.py
+++ b/tests/decisions/test_switching.py
@@ -574,6 +574,19 @@
             self.assertEqual([], get_cancelled(self.out, second))
             self.start_node()
 
+    # Guards against sound servers that are given up at once as the node stood
+    # still some time before.
+    def test_stall_long_before(self) -> None:
+        for stall_ms in (400, 1_000, 4_000):
+            self.start_node()
+            self.wait(TICK_MS)
+            self.now += stall_ms
+            self.post(events.Ticked())
+            self.wait(2_000)
+            first, second = self._switch(TICK_MS)
+            self._turn(events.AttemptFailed(HANDLE, second.attempt, REFUSED))
+            self.check_goes_on(first)
+
     # The same where one turn of several is late.
     def test_one_turn_was_late(self) -> None:
         first = self.begin()
