Count no run for an attempt that was never sent

A caller lost a stream though a sound server was left: where the silent server went on while the connection to the next one was still opening, that attempt was counted as a run, and the next cut found the attempts of the route used up.

The time at which the request was sent tells: without one, nothing ran.

test_unsent_attempt_is_no_run failed before: the stream was broken off instead of a third attempt.

--- a/src/teaselbridge/decisions/switching.py
+++ b/src/teaselbridge/decisions/switching.py
@@ -253,9 +253,10 @@
     """
     request.swap_attempts()
     cancel = effects.CancelAttempt(request.handle, request.attempt)
-    request.possible_runs += 1
-    request.may_have_run = True
-    request.run_hosts.add(request.host)
+    if request.sent_at is not None:
+        request.possible_runs += 1
+        request.may_have_run = True
+        request.run_hosts.add(request.host)
     requests.detach_from_server(state, request)
     request.use_silent_attempt()
     return [cancel]
--- a/tests/decisions/test_switching.py
+++ b/tests/decisions/test_switching.py
@@ -493,7 +493,21 @@
         for begun in (False, True):
             self._check_connect_fails(begun=begun, tick_ms=TICK_MS)
 
-    # The same at a node whose ticks come late.
+    # Guards against a stream that is broken off, as an attempt that was never
+    # sent counts as one of its runs.
+    def test_unsent_attempt_is_no_run(self) -> None:
+        first = self.begin()
+        second = self.wait_for_attempt(is_sent=False)
+        assert second is not None
+        self.send(first, 2)
+        self.earn_retry()
+        out = self.fail(first, CUT) + self.wait(10 * TICK_MS)
+        (third,) = get_attempts(out)
+        self.assertEqual('2', third.last_event)
+        self.assertEqual([], get_finals(out))
+
+    # Guards against servers that are given up for one that accepts no
+    # connection, at a node whose ticks come late.
     def test_late_ticks(self) -> None:
         for begun in (False, True):
             self._check_connect_fails(begun=begun, tick_ms=MAX_TWICE_MS)
