Bound the wait for a first request that came in part at a stop

The timer of new connections left such a request to the limit of 30 s for a whole one. It starts that of pauses as well now.

test_rest_of_the_first_request_never_comes failed before.

--- a/src/teaselbridge/runtime/protocol.py
+++ b/src/teaselbridge/runtime/protocol.py
@@ -179,6 +179,7 @@
         self._timer = None
         if self._is_in_request:
             self._start_timer()
+            self._start_pause_timer()
         elif not self.transport.is_closing():
             self._lingering.close_at_once()
 
--- a/tests/runtime/test_web.py
+++ b/tests/runtime/test_web.py
@@ -427,6 +427,26 @@
 
         self.run_coroutine(run())
 
+    # Guards against a node that does not stop in time, as a new caller sends
+    # a part of a request and nothing more.
+    def test_rest_of_the_first_request_never_comes(self) -> None:
+        self.patch(protocol.Protocol, 'max_pause_ms', 200)
+
+        async def run() -> None:
+            async with serve_application(Application()) as (server, address):
+                server.end_connections()
+                _, writer = await asyncio.open_connection(*address)
+                await asyncio.sleep(0.05)
+                began = time.monotonic()
+                stop = asyncio.ensure_future(server.stop(TIMEOUT_S / 2))
+                await asyncio.sleep(0.1)
+                writer.write(b'POST / HT')
+                await stop
+                self.assertLess(time.monotonic() - began, TIMEOUT_S / 4)
+                writer.close()
+
+        self.run_coroutine(run())
+
     def test_connection_without_a_request_is_closed(self) -> None:
         async def run() -> None:
             async with serve_application(Application()) as (server, address):
