--- a/src/teaselbridge/gateway/relay.py
+++ b/src/teaselbridge/gateway/relay.py
@@ -38,7 +38,7 @@
 
     :param loop: event loop of the reducer.
     :param outlets: queues of output for the waiting callers.
-    :param room: room for large bodies, shared by the listeners of a node.
+    :param budget: memory for large bodies, shared by the listeners of a node.
     :param is_forwarded: whether it serves other nodes, which forward
         requests, instead of callers.
     """
@@ -48,14 +48,14 @@
         *,
         loop: loops.Loop,
         outlets: outlets_module.OutputQueues,
-        room: bodies.Room,
+        budget: bodies.BodyBudget,
         is_forwarded: bool = False,
     ) -> None:
         self._is_forwarded = is_forwarded
         self._added_header_bytes = ADDED_HEADER_BYTES if is_forwarded else 0
         self._loop = loop
         self._outlets = outlets
-        self._room = room
+        self._budget = budget
 
     async def __call__(
         self, scope: asgi.Message, receive: asgi.Receive, send: asgi.Send
@@ -63,25 +63,25 @@
         """Serve one request."""
         if scope['type'] != 'http':
             return
-        claim = bodies.Claim(self._room)
+        reservation = bodies.Reservation(self._budget)
         try:
-            await self._serve(scope, receive, send, claim)
+            await self._serve(scope, receive, send, reservation)
         except Exception as error:
             # The web server answers 500, or closes the connection.
             self._loop.record_error('serve', error)
             raise
         finally:
-            claim.release()
+            reservation.release()
 
     async def _serve(
         self,
         scope: asgi.Message,
         receive: asgi.Receive,
         send: asgi.Send,
-        claim: bodies.Claim,
+        reservation: bodies.Reservation,
     ) -> None:
         try:
-            call = await self._read_call(scope, receive, claim)
+            call = await self._read_call(scope, receive, reservation)
         except CallerDisconnectedError:
             self._record_unread(scope, ends.Cause.CALLER)
             return
@@ -116,11 +116,14 @@
             self._outlets.close(call.handle, is_cut=is_cut)
 
     async def _read_call(
-        self, scope: asgi.Message, receive: asgi.Receive, claim: bodies.Claim
+        self,
+        scope: asgi.Message,
+        receive: asgi.Receive,
+        reservation: bodies.Reservation,
     ) -> calls.Call:
         """Read and check one request.
 
-        :param claim: room that its body takes.
+        :param reservation: memory that its body takes.
         :raises CallerDisconnectedError: the caller disconnected.
         :raises ingress.RefusedError: the request is refused.
         """
@@ -134,7 +137,7 @@
             raise ingress.refused(
                 calls.Reason.HEADERS_TOO_LARGE, f'{size} bytes of headers'
             )
-        body = await _read_body(receive, limits.body_bytes, claim)
+        body = await _read_body(receive, limits.body_bytes, reservation)
         if not state.configured:
             raise ingress.refused(
                 calls.Reason.WITHDRAWN, 'no configuration is known yet'
@@ -308,14 +311,15 @@
 
 
 async def _read_body(
-    receive: asgi.Receive, most: int, claim: bodies.Claim
+    receive: asgi.Receive, most: int, reservation: bodies.Reservation
 ) -> bytes:
     """Read the request body.
 
     :param most: largest body in bytes.
-    :param claim: room that it takes.
+    :param reservation: memory that it takes.
     :raises CallerDisconnectedError: the caller disconnected.
-    :raises ingress.RefusedError: the body is too large, or there is no room.
+    :raises ingress.RefusedError: the body is too large, or there is no memory
+        for it.
     """
     chunks: list[bytes] = []
     size = 0
@@ -329,7 +333,7 @@
             raise ingress.refused(
                 calls.Reason.TOO_LARGE, f'more than {most} bytes'
             )
-        if not claim.grow(size):
+        if not reservation.grow(size):
             raise ingress.refused(
                 calls.Reason.OVERLOAD, 'too many bytes of bodies are held'
             )
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -456,14 +456,14 @@
         """Build the listeners for callers and for other nodes."""
         listen = self._settings.listen
         outlets = outlets_module.OutputQueues(loop=self._loop)
-        room = bodies.Room()
+        budget = bodies.BodyBudget()
         addresses = {False: listen.callers, True: listen.forwarding}
         return [
             self._build_listener(
                 relay.IngressApplication(
                     loop=self._loop,
                     outlets=outlets,
-                    room=room,
+                    budget=budget,
                     is_forwarded=is_forwarded,
                 ),
                 address,
--- a/tests/failures/test_site_bodies.py
+++ b/tests/failures/test_site_bodies.py
@@ -47,7 +47,7 @@
                 for response in responses:
                     runs = trial.count_runs(site.get_attempt_id(response))
                     self.assertEqual(response.status_code == 200, runs > 0)
-                # All room is free again.
+                # All memory is free again.
                 response = await trial.call('/stock/x', body=BODY)
                 self.assertEqual(200, response.status_code)
 
