Let no fast answers outweigh slow ones that cannot be told

Where a slow answer cannot be told from a slow host, none counts until the old version has answered again.

test_version_that_is_slow_now_and_then_is_found failed before; the test of a host that slows down just after the shift passes unchanged.

--- a/src/teaselbridge/decisions/evidence.py
+++ b/src/teaselbridge/decisions/evidence.py
@@ -215,6 +215,8 @@
     :param timed: number of outcomes in that mean.
     :param recent_span: the same mean over the last few outcomes.
     :param timed_at: monotonic milliseconds of the last of them.
+    :param untold_at: the same of the new version's last outcome of which it
+        could not be told whether it is slow.
     """
 
     errors: MovingRate = dataclasses.field(default_factory=MovingRate)
@@ -223,6 +225,7 @@
     timed: int = 0
     recent_span: float = 0.0
     timed_at: int = 0
+    untold_at: int = -1
 
     def add_span(self, span: float, mono: int) -> None:
         """Record the time of an outcome."""
@@ -239,15 +242,20 @@
         :param slowed_at: monotonic milliseconds of the new version's last
             slow outcome.
         :return: none where that cannot be told: what slowed the new version's
-            outcomes may have begun after the old version's last one.
+            outcomes may have begun after the old version's last one. Until
+            the old version's next one, outcomes that are not slow do not
+            count either, or they would outweigh those that are.
         """
         if mono - self.timed_at > RECENT_MS:
             return span > UNPAIRED_SLOW_FACTOR * self.span
         if span <= SLOW_FACTOR * max(self.span, self.recent_span):
-            return False
+            return None if self.untold_at > self.timed_at else False
         if self.timed_at >= slowed_at:
             return True
-        return True if span > UNPAIRED_SLOW_FACTOR * self.span else None
+        if span > UNPAIRED_SLOW_FACTOR * self.span:
+            return True
+        self.untold_at = mono
+        return None
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/decisions/test_evidence.py
+++ b/tests/decisions/test_evidence.py
@@ -172,6 +172,16 @@
             fault = self.add_new(30, 2.5 * self.USUAL_MS)
             self.assertIsNone(fault, slowed_after_ms)
 
+    # Guards against a bad version that is not found, as its fast answers
+    # outweigh the slow ones that cannot be told from a slow host.
+    def test_version_that_is_slow_now_and_then_is_found(self) -> None:
+        for _ in range(40):
+            self.add_old(1, self.USUAL_MS)
+            for factor in (1.0, 2.0, 1.0, 2.0, 1.0, 2.0, 1.0, 2.0, 1.0):
+                if self.add_new(1, factor * self.USUAL_MS, 150) is not None:
+                    return
+        raise AssertionError('not found')
+
     def test_version_that_is_slow_from_the_shift_on_is_found(self) -> None:
         self.assertIsNotNone(self.add_new(8, 4 * self.USUAL_MS))
 
