Send the last answers before the own host is taken back

The deadline of a drain was the moment at which the host goes, and the last work of the requests came after it. A drain for a notice ends 500 ms earlier, or a quarter of what is left, and leaves no time after it.

--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -49,6 +49,7 @@
     :param stop_deadline: deadline by which the node must have stopped.
     :param sure_until: until when it surely runs, even if the deadline is
         shortened.
+    :param is_final: whether the deadline leaves no time for other work.
     :param is_stopped: whether the effect that stops the runtime was returned.
     """
 
@@ -56,6 +57,7 @@
     began: int
     stop_deadline: int
     sure_until: int
+    is_final: bool = False
     is_stopped: bool = False
 
 
@@ -67,6 +69,7 @@
     if drain is not None:
         drain.stop_deadline = min(drain.stop_deadline, event.by)
         drain.sure_until = min(drain.sure_until, drain.stop_deadline)
+        drain.is_final |= event.is_final
         return []
     since = now.mono if event.since is None else event.since
     state.drain = Drain(
@@ -74,6 +77,7 @@
         began=now.mono,
         stop_deadline=event.by,
         sure_until=event.by if event.sure_until is None else event.sure_until,
+        is_final=event.is_final,
     )
     me = state.options.me
     detail = (
@@ -157,7 +161,7 @@
     listed_until = drain.began + state.options.address_list_max_age_ms
     is_idle = not state.requests and not state.ledger.pending_count
     stop_at = drain.stop_deadline
-    if _list_waiting(state):
+    if not drain.is_final and _list_waiting(state):
         stop_at += LAST_WORK_MS
     if now.mono < stop_at and not (is_idle and now.mono >= listed_until):
         return out
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -616,11 +616,14 @@
     :param since: when the request was made, likewise; none for now.
     :param sure_until: earliest moment to which a later request may shorten
         the deadline, likewise; none for `by`.
+    :param is_final: whether the process may not outlast `by` for the last
+        answers.
     """
 
     by: int
     since: int | None = None
     sure_until: int | None = None
+    is_final: bool = False
 
 
 Event = (
--- a/src/teaselbridge/runtime/surroundings.py
+++ b/src/teaselbridge/runtime/surroundings.py
@@ -14,6 +14,10 @@
 
 HOSTS_INTERVAL_MS = 1_000
 RETRY_DELAY_MS = 1_000
+# A node stops so long before its host is taken back, so that its last answers
+# are sent by then, but takes no more than a part of the time that is left.
+MAX_STOP_MARGIN_MS = 500
+MAX_STOP_MARGIN_SHARE = 0.25
 
 
 async def follow_hosts(hosts: clouds.HostListClient, loop: loops.Loop) -> None:
@@ -46,6 +50,10 @@
 def _post_notice(notice: clouds.ReclaimNotice, loop: loops.Loop) -> None:
     left = max(1, notice.at - loop.now().wall)
     if notice.host == loop.state.options.me.name:
-        loop.post(events.DrainRequested(loop.now().mono + left))
+        margin_ms = min(
+            MAX_STOP_MARGIN_MS, round(MAX_STOP_MARGIN_SHARE * left)
+        )
+        by = loop.now().mono + left - margin_ms
+        loop.post(events.DrainRequested(by, is_final=True))
         return
     loop.post(events.ReclaimAnnounced((notice.host,), left))
--- a/tests/decisions/test_drain.py
+++ b/tests/decisions/test_drain.py
@@ -15,6 +15,7 @@
 from teaselbridge.decisions import members
 from teaselbridge.decisions import requests
 from teaselbridge.decisions import state as states
+from teaselbridge.tables import model
 from tests.decisions import samples
 
 LIST_MAX_AGE_MS = 3_000
@@ -196,3 +197,33 @@
     # node has begun to stop.
     def test_after_an_early_stop(self) -> None:
         self.assertEqual(1, len(list_refusals(self._stop(is_stopped=True))))
+
+
+class TestReclaimedHost(testtools.TestCase):
+    """A node whose host is taken back has no time after its deadline."""
+
+    def _find_stop(self, *, is_final: bool) -> tuple[int, int]:
+        """Return when a held request is refused, and the process exits."""
+        state = samples.state()
+        requested = events.DrainRequested(STOP_AT, is_final=is_final)
+        drain.handle_drain_requested(state, requested, samples.instant(0))
+        call = dataclasses.replace(
+            samples.call(1), kind=model.Kind.SERVICE, deadline=STOP_AT + 5_000
+        )
+        request = requests.Request(call=call, now=samples.instant(0))
+        request.phase = requests.Phase.RUNNING
+        state.requests[call.handle] = request
+        refused_at = exited_at = 0
+        for now in range(0, STOP_AT + 5_000, 50):
+            out = drain.tick(state, samples.instant(now))
+            if list_refusals(out):
+                refused_at = now
+            if effects.ExitProcess() in out:
+                exited_at = now
+        return refused_at, exited_at
+
+    # Guards against final answers after the host is gone.
+    def test_last_answers(self) -> None:
+        self.assertEqual((STOP_AT, STOP_AT), self._find_stop(is_final=True))
+        later = STOP_AT + drain.LAST_WORK_MS
+        self.assertEqual((later, later), self._find_stop(is_final=False))
