Promise nothing for a request that is being handed over

A stopping node on the project's own services could tell a caller "not run" for a request that it had just offered to a peer, which may have adopted and run it: the final answer left that phase out.

It says "unknown" now. test_hand_over_is_in_doubt failed before.

--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -281,14 +281,18 @@
 ) -> list[effects.Effect]:
     """Give the caller of a request a final answer.
 
-    A request whose claim is being written or belongs to a duplicate may have
-    been run by that one.
+    A duplicate may have run a request whose claim is being written or belongs
+    to it, and a peer one that is being handed over.
     """
     if request.phase is requests.Phase.STORING:
         request.due_at = now.mono
         return orders.tick(state, request, now)
     ran = request.ran
-    if request.phase in (requests.Phase.CLAIMING, requests.Phase.DUPLICATE):
+    if request.phase in (
+        requests.Phase.CLAIMING,
+        requests.Phase.DUPLICATE,
+        requests.Phase.HANDING_OVER,
+    ):
         ran = calls.RunStatus.UNKNOWN
     refusal = calls.Refusal(
         calls.Reason.STOPPING,
--- a/tests/decisions/test_drain.py
+++ b/tests/decisions/test_drain.py
@@ -222,6 +222,22 @@
                 exited_at = now
         return refused_at, exited_at
 
+    # Guards against "not run" for a request that a peer may have adopted.
+    def test_hand_over_is_in_doubt(self) -> None:
+        state = samples.state()
+        requested = events.DrainRequested(STOP_AT, is_final=True)
+        drain.handle_drain_requested(state, requested, samples.instant(0))
+        request = requests.Request(
+            call=dataclasses.replace(samples.call(1), deadline=STOP_AT * 2),
+            now=samples.instant(0),
+        )
+        request.phase = requests.Phase.HANDING_OVER
+        request.due_at = STOP_AT + 1
+        state.requests[request.handle] = request
+        out = drain.tick(state, samples.instant(STOP_AT))
+        (refusal,) = list_refusals(out)
+        self.assertIs(calls.RunStatus.UNKNOWN, refusal.ran)
+
     # Guards against final answers after the host is gone.
     def test_last_answers(self) -> None:
         self.assertEqual((STOP_AT, STOP_AT), self._find_stop(is_final=True))
