Name what a newcomer would stumble over in the fixes

From the review; behaviour is the same. A function that records lag is no getter, the moments of a drain are named by what they mean, and the judgement of a span has three results.

The test of cut links counts at least 21 requests however long they take to send. So that a node that uses up the processor is still found, the processor time of the two seconds and of the requests' deadlines bounds it now (the nodes run in the same process).

--- a/src/teaselbridge/decisions/drain.py
+++ b/src/teaselbridge/decisions/drain.py
@@ -46,9 +46,9 @@
 
     :param since: when the drain was requested.
     :param began: when it began, which may be later.
-    :param stop_deadline: deadline by which the node must have stopped.
-    :param sure_until: until when it surely runs, even if the deadline is
-        shortened.
+    :param stop_deadline: when the node stops, or begins the last work for
+        requests that it cannot hand over.
+    :param earliest_stop: earliest moment to which that may be shortened.
     :param is_final: whether the deadline leaves no time for other work.
     :param is_stopped: whether the effect that stops the runtime was returned.
     """
@@ -56,7 +56,7 @@
     since: int
     began: int
     stop_deadline: int
-    sure_until: int
+    earliest_stop: int
     is_final: bool = False
     is_stopped: bool = False
 
@@ -68,7 +68,7 @@
     drain = state.drain
     if drain is not None:
         drain.stop_deadline = min(drain.stop_deadline, event.by)
-        drain.sure_until = min(drain.sure_until, drain.stop_deadline)
+        drain.earliest_stop = min(drain.earliest_stop, drain.stop_deadline)
         drain.is_final |= event.is_final
         return []
     since = now.mono if event.since is None else event.since
@@ -76,7 +76,9 @@
         since=since,
         began=now.mono,
         stop_deadline=event.by,
-        sure_until=event.by if event.sure_until is None else event.sure_until,
+        earliest_stop=event.by
+        if event.earliest_stop is None
+        else event.earliest_stop,
         is_final=event.is_final,
     )
     me = state.options.me
@@ -119,7 +121,7 @@
     :return: the refusal, none where the request is accepted.
     """
     drain = state.drain
-    if drain is None or call.deadline <= drain.sure_until:
+    if drain is None or call.deadline <= drain.earliest_stop:
         return None
     listed_until = drain.since + state.options.address_list_max_age_ms
     if now.mono < listed_until - ARRIVAL_MARGIN_MS:
@@ -161,13 +163,13 @@
     listed_until = drain.began + state.options.address_list_max_age_ms
     is_idle = not state.requests and not state.ledger.pending_count
     stop_at = drain.stop_deadline
-    if not drain.is_final and _list_waiting(state):
+    if not drain.is_final and _list_unanswered(state):
         stop_at += LAST_WORK_MS
     if now.mono < stop_at and not (is_idle and now.mono >= listed_until):
         return out
     drain.is_stopped = True
-    for request in _list_waiting(state):
-        out += _end_own(state, request, now)
+    for request in _list_unanswered(state):
+        out += _end_unanswered(state, request, now)
     for handle in state.status_queries:
         out.append(effects.SendStatus(handle, effects.RequestStatus.UNKNOWN))
     state.status_queries.clear()
@@ -261,8 +263,8 @@
     return out
 
 
-def _list_waiting(state: states.State) -> list[requests.Request]:
-    """List the requests whose callers wait for a final answer.
+def _list_unanswered(state: states.State) -> list[requests.Request]:
+    """List the requests of the own interface that need a final answer.
 
     Callers of relayed ones have got it, and begun streams go on elsewhere when
     their connection ends.
@@ -276,7 +278,7 @@
     ]
 
 
-def _end_own(
+def _end_unanswered(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> list[effects.Effect]:
     """Give the caller of a request a final answer.
--- a/src/teaselbridge/decisions/events.py
+++ b/src/teaselbridge/decisions/events.py
@@ -614,7 +614,7 @@
 
     :param by: monotonic milliseconds by which it must have stopped.
     :param since: when the request was made, likewise; none for now.
-    :param sure_until: earliest moment to which a later request may shorten
+    :param earliest_stop: earliest moment to which a later request may shorten
         the deadline, likewise; none for `by`.
     :param is_final: whether the process may not outlast `by` for the last
         answers.
@@ -622,7 +622,7 @@
 
     by: int
     since: int | None = None
-    sure_until: int | None = None
+    earliest_stop: int | None = None
     is_final: bool = False
 
 
--- a/src/teaselbridge/decisions/evidence.py
+++ b/src/teaselbridge/decisions/evidence.py
@@ -236,8 +236,10 @@
         self.recent_span += weight * (span - self.recent_span)
         self.timed_at = mono
 
-    def is_slow(self, span: float, mono: int, slowed_at: int) -> bool | None:
-        """Return whether an outcome of the new version is slow.
+    def judge_span(
+        self, span: float, mono: int, slowed_at: int
+    ) -> bool | None:
+        """Judge whether an outcome of the new version is slow.
 
         :param slowed_at: monotonic milliseconds of the new version's last
             slow outcome.
@@ -388,7 +390,7 @@
             and old.timed >= MIN_TIMED_COUNT
             and not self._new_stalls.may_cover(mono)
         ):
-            is_slow = old.is_slow(span, mono, self._new_stalls.slowed_at)
+            is_slow = old.judge_span(span, mono, self._new_stalls.slowed_at)
         timed = is_slow is not None
         slow = bool(is_slow)
         self._new_stalls.record(slow, mono)
--- a/src/teaselbridge/decisions/silence.py
+++ b/src/teaselbridge/decisions/silence.py
@@ -42,12 +42,14 @@
 MIN_SERVICE_TIMEOUT_MS = 20
 
 
-def get_overdue_ms(
+def update_overdue(
     state: states.State, request: requests.Request, now: clock.Instant
 ) -> int:
-    """Return how long a request has made no progress, if beyond its timeout.
+    """Measure how long a request has made no progress.
 
-    :return: milliseconds, 0 if the timeout has not passed or there is no
+    The lag of its server is recorded too.
+
+    :return: milliseconds, 0 if its timeout has not passed or there is no
         other server to retry on.
     """
     if request.phase is not requests.Phase.RUNNING:
--- a/src/teaselbridge/decisions/switching.py
+++ b/src/teaselbridge/decisions/switching.py
@@ -4,9 +4,9 @@
 request whose server sends no data is therefore sent to another server while
 the first one works on. The attempt that sends data first goes on; if the newer
 one is refused or fails before, the silent one does. The silent one is given up
-at most `MAX_OVERLAP_MS` after the request was sent to the other server, as two
-servers must not work on one request for long. Until it was sent there, the
-first one works on it alone.
+at most `MAX_OVERLAP_MS` after the request was sent to the other server, and
+sooner where ticks come late, as two servers must not work on one request for
+long. Until it was sent there, the first one works on it alone.
 """
 
 from __future__ import annotations
@@ -29,10 +29,11 @@
     from teaselbridge import clock
     from teaselbridge.decisions import state as states
 
-# Two servers work on one request for no longer. The platform allows 400 ms, of
-# which the way to the servers takes a part.
+# Two servers work on one request for no longer, late ticks included. The
+# platform allows 400 ms, of which the way to the servers takes a part.
 MAX_TWICE_MS = 350
-# A server that refuses a request has done so by then.
+# How long a silent attempt is kept beside a newer one at most: a server that
+# refuses a request has done so by then.
 MAX_OVERLAP_MS = 200
 # Time after which another server is tried once more, doubled per refusal.
 SWITCH_BACKOFF_MS = 150
@@ -159,7 +160,7 @@
     """Return why the server of a request may be lost, empty if it is not."""
     if request.helper:
         return origin.find_silence(state, request)
-    silence_ms = silence.get_overdue_ms(state, request, now)
+    silence_ms = silence.update_overdue(state, request, now)
     return f'no data within {silence_ms} ms' if silence_ms else ''
 
 
--- a/src/teaselbridge/decisions/usage.py
+++ b/src/teaselbridge/decisions/usage.py
@@ -45,10 +45,10 @@
 ANSWER_TIMEOUT_MS = 1_000
 # A report is of use until this long after the end of its window.
 REPORT_DUE_MS = 10_000
-# Windows whose counts are kept and gossiped, and windows that a holder reports
-# in any case, although they may be overdue.
+# Windows whose counts are kept and gossiped.
 MAX_WINDOWS = 6
-INITIAL_WINDOWS = 2
+# Newest windows that a new holder reports although they may be overdue.
+MIN_REPORTED_WINDOWS = 2
 RETRY_DELAY_MS = 500
 OFFSET_TTL_MS = 10_000
 
@@ -256,7 +256,9 @@
         return _send_report(usage, usage.report, lease)
     settled = usage.wall(now) - SETTLE_DELAY_MS
     newest = settled // bounds.usage_window_ms - 1
-    window = min(newest - INITIAL_WINDOWS + 1, _find_due_window(state, now))
+    window = min(
+        newest - MIN_REPORTED_WINDOWS + 1, _find_due_window(state, now)
+    )
     window = max(window, usage.first_window)
     if usage.report is not None:
         window = max(window, usage.report.window + 1)
--- a/src/teaselbridge/runtime/site.py
+++ b/src/teaselbridge/runtime/site.py
@@ -259,7 +259,7 @@
             events.DrainRequested(
                 by=began + max(0, grace_ms - margin_ms),
                 since=began,
-                sure_until=began
+                earliest_stop=began
                 + max(0, grace_ms - _get_max_stop_margin_ms(grace_ms)),
             )
         )
--- a/tests/failures/test_site_links.py
+++ b/tests/failures/test_site_links.py
@@ -18,6 +18,8 @@
 SEND_INTERVAL_S = 0.05
 # Requests from which the share of those that are served is taken.
 MIN_COUNT = 21
+# Processor time of two seconds in which they are sent and of their deadlines.
+MAX_PROCESSOR_S = 4.0
 PATHS = ('/stock/x', '/orders/x', '/stream/x', '/stream/once/x')
 
 
@@ -53,9 +55,12 @@
                 for _ in range(2):
                     links.cut(how)
                     await send_until(trial, time.monotonic() + CONTACT_S)
+                    used_s = time.process_time()
                     statuses = await send_until(
                         trial, time.monotonic() + 2, MIN_COUNT
                     )
+                    used_s = time.process_time() - used_s
+                    self.assertLess(used_s, MAX_PROCESSOR_S)
                     served = statuses.count(200)
                     self.assertGreaterEqual(served, 2 / 3 * len(statuses))
                     links.heal()
