--- a/tests/failures/base.py
+++ b/tests/failures/base.py
@@ -154,6 +154,18 @@
             while not check():
                 await asyncio.sleep(0.01)
 
+    async def drain(self, number: int = 0) -> None:
+        """Stop a node gracefully."""
+        node = self.nodes[number]
+        node.drain()
+        await self.until(
+            lambda: (
+                node.loop.state.drain is not None
+                and node.loop.state.drain.is_stopped
+            )
+        )
+        await node.stop()
+
     async def close(self) -> None:
         """Close the callers and stop the nodes and simulated services."""
         for open_caller in self._open_callers:
--- a/tests/failures/test_kept_connections.py
+++ b/tests/failures/test_kept_connections.py
@@ -49,15 +49,7 @@
                     for _ in range(CALLER_COUNT)
                 ]
                 await asyncio.sleep(0.5)
-                node = trial.nodes[0]
-                node.drain()
-                await trial.until(
-                    lambda: (
-                        node.loop.state.drain is not None
-                        and node.loop.state.drain.is_stopped
-                    )
-                )
-                await node.stop()
+                await trial.drain()
                 return await asyncio.gather(*calls)
 
         async def check() -> None:
--- a/tests/failures/test_last_answers.py
+++ b/tests/failures/test_last_answers.py
@@ -49,14 +49,7 @@
             asyncio.ensure_future(self._send(trial, *call)) for call in calls
         ]
         await trial.until(lambda: len(node.loop.state.requests) == len(calls))
-        node.drain()
-        await trial.until(
-            lambda: (
-                node.loop.state.drain is not None
-                and node.loop.state.drain.is_stopped
-            )
-        )
-        await node.stop()
+        await trial.drain()
         return [
             (problem.reason, problem.ran)
             for problem in await asyncio.gather(*answers)
