Remove the log to standard error that nobody uses any more

Nodes on the project's own services log to standard output since, and log_to_stderr had no other caller.

--- a/src/teaselbridge/telemetry/logs.py
+++ b/src/teaselbridge/telemetry/logs.py
@@ -31,15 +31,6 @@
 STALLED_EXIT_STATUS = 0
 
 
-def log_to_stderr() -> None:
-    """Log to standard error; noisy libraries log only from warnings up."""
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    logging.set_stderrthreshold('info')
-    for name in QUIET_LOGGERS:
-        python_logging.getLogger(name).setLevel(python_logging.WARNING)
-
-
 def silence_web_server() -> None:
     """Suppress the web server's errors about aborted connections.
 
